--- a/marigoldlift/cmdline.py
+++ b/marigoldlift/cmdline.py
@@ -1,9 +1,11 @@
-"""Command line: `entry` runs the daemon, every other verb is the operators' client."""
+"""Command line: `cell` and `entry` run a daemon, every other verb is the operators' client."""
 
 import importlib
 import os
+import pathlib
 import sys
 from collections.abc import Sequence
+from types import MappingProxyType
 from typing import TextIO
 
 from marigoldlift.client.exits import ExitCode
@@ -13,6 +15,7 @@
 
 PROGRAM = 'marigoldlift'
 ENTRY_VERB = 'entry'
+CELL_VERB = 'cell'
 ENTRY_USAGE = f'usage: {PROGRAM} {ENTRY_VERB} --settings FILE'
 SETTINGS_FLAG = '--settings'
 HELP_FLAGS = frozenset(('-h', '--help'))
@@ -25,9 +28,8 @@
         arguments: words after the program's name; None for those of the process.
     """
     words = list(sys.argv[1:] if arguments is None else arguments)
-    run = run_daemon if words[:1] == [ENTRY_VERB] else run_client
     try:
-        return run(words)
+        return DAEMONS.get(words[0] if words else '', run_client)(words)
     except SettingsError as error:
         for fault in error.faults:
             report(fault)
@@ -55,6 +57,23 @@
         return ExitCode.failed
 
 
+def run_cell(words: Sequence[str]) -> int:
+    """Run an entry on the platform, from the settings file that the environment names."""
+    node_settings = importlib.import_module('marigoldlift.platform.node_settings')
+    path = os.environ.get(node_settings.SETTINGS_VARIABLE)
+    if len(words) > 1 or not path:
+        report(f'usage: {node_settings.SETTINGS_VARIABLE}=FILE {PROGRAM} {CELL_VERB}')
+        return ExitCode.usage
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as fault:
+        report(f'{path}: {fault}')
+        return ExitCode.usage
+    settings = node_settings.parse_node_settings(text)
+    importlib.import_module('marigoldlift.cell').run_cell_entry(settings)
+    return ExitCode.done
+
+
 def settings_path(words: Sequence[str]) -> str | None:
     """Return the file that `--settings FILE` or `--settings=FILE` names, if nothing else is there."""
     joined = '='.join(words)
@@ -116,3 +135,6 @@
         print(text, flush=True)
     except BrokenPipeError:
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+
+DAEMONS = MappingProxyType({ENTRY_VERB: run_daemon, CELL_VERB: run_cell})
--- a/marigoldlift/errors.py
+++ b/marigoldlift/errors.py
@@ -13,6 +13,7 @@
     'PeerUnavailableError',
     'PlatformError',
     'RetentionPassedError',
+    'SequenceMismatchError',
     'SettingsError',
     'WorkerRefusedError',
     'WorkerUnavailableError',
@@ -96,6 +97,21 @@
     code = 'append_refused'
 
 
+class SequenceMismatchError(PlatformError):
+    """The log expects another sequence number of this producer.
+
+    Attributes:
+        expected: the next sequence number, None when a newer epoch of the producer exists.
+    """
+
+    code = 'sequence_mismatch'
+
+    def __init__(self, expected: int | None) -> None:
+        """Keep the number that the log expects."""
+        super().__init__(f'expected sequence number is {expected}')
+        self.expected = expected
+
+
 class RetentionPassedError(PlatformError):
     """Records before `oldest` are no longer kept by the log."""
 
--- /dev/null
+++ b/marigoldlift/leadership/election.py
@@ -0,0 +1,196 @@
+"""Who gives orders: the writer of the newest leadership record in the shared log."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from marigoldlift.errors import LogUnavailableError, PlatformError
+from marigoldlift.replication.appender import Appender
+from marigoldlift.replication.replica import Replica
+from marigoldlift.submissions.records import Leadership, Record
+
+__all__ = ('ACT_LIMIT_S', 'Candidate', 'Election')
+
+#: Pause between two renewals, in s.
+RENEW_S = 0.4
+
+#: Silence of the leader after which another entry claims its place, in s; three renewals may be lost.
+SILENCE_S = 1.5
+
+#: How long a leader goes on without a confirmed renewal, in s: it bridges short outages of the store.
+#: A successor waits as long for workers that it cannot reach.
+ACT_LIMIT_S = 4
+
+#: Pause between two looks at the state of the election, in s.
+TICK_S = 0.05
+
+#: Delay of a claim for a VM of one core, in s; larger VMs claim first.
+CLAIM_DELAY_S = 0.2
+
+#: Largest random part of that delay, in s; it keeps entries from claiming at once.
+CLAIM_JITTER_S = 0.25
+
+#: How long a renewal waits for the store, in s.
+RENEWAL_WAIT_S = 1.0
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """An entry that may lead.
+
+    Attributes:
+        life: names one life of the entry's process.
+        address: where other entries reach it.
+        cores: processor time of the VM, in cores.
+    """
+
+    node: str
+    life: str
+    failure_domain: str
+    address: str
+    cores: float
+
+
+class Election:
+    """Follows leadership records and claims or renews the leadership.
+
+    The offset of the record that began a tenure is its number. It rises with each tenure, over restarts and the loss
+    of all entries, and no two entries share one; fencing tokens begin with it.
+
+    Attributes:
+        tenure: offset of the record that made this entry the leader, None while another leads.
+        holder: the leader, None while there is none.
+        seen_at: when the holder's newest record was read, in seconds of the steady clock.
+    """
+
+    def __init__(
+        self,
+        candidate: Candidate,
+        appender: Appender,
+        replica: Replica,
+        clock: Callable[[], float],
+    ) -> None:
+        """Start without a holder.
+
+        Args:
+            candidate: this entry.
+            appender: stores the records.
+            replica: reads them.
+            clock: steady time in seconds.
+        """
+        self.candidate = candidate
+        self.appender = appender
+        self.clock = clock
+        self.replica = replica
+        self.jitter_s = random.uniform(0, CLAIM_JITTER_S)
+        self.holder: Leadership | None = None
+        self.offset = -1
+        self.tenure: int | None = None
+        self.seen_at = clock()
+        self.sent_at = clock()
+        self.confirmed_at = clock()
+        self.retired = False
+        self.on_change: list[Callable[[], None]] = []
+
+    def observe(self, offset: int, record: Record) -> None:
+        """Take in a record of the log; each leadership record replaces the one before."""
+        if not isinstance(record, Leadership) or offset <= self.offset:
+            return
+        self.offset = offset
+        mine = record.life == self.candidate.life
+        self.seen_at = self.clock()
+        self.holder = None if record.released else record
+        if mine and not record.released and not self.retired:
+            self.confirmed_at = record.sent_at
+            if self.tenure is None:
+                self.begin(offset)
+        elif self.tenure is not None:
+            self.end(record.node)
+
+    def begin(self, offset: int) -> None:
+        """Become the leader."""
+        self.tenure = offset
+        logger.info('leadership begins: tenure={}', offset)
+        self.tell()
+
+    def end(self, successor: str) -> None:
+        """Stop being the leader."""
+        logger.info('leadership ends: tenure={} successor={}', self.tenure, successor)
+        self.tenure = None
+        self.tell()
+
+    def tell(self) -> None:
+        """Call all who follow the leadership."""
+        for observer in self.on_change:
+            observer()
+
+    def may_act(self) -> bool:
+        """Tell whether this entry may give orders now."""
+        return self.tenure is not None and self.clock() - self.confirmed_at < ACT_LIMIT_S
+
+    def wants_claim(self) -> bool:
+        """Tell whether the leader was silent for so long that this entry claims its place."""
+        if self.retired or self.tenure is not None:
+            return False
+        return self.clock() >= self.seen_at + self.patience()
+
+    def patience(self) -> float:
+        """Return how long the leader may be silent, in s; a leader whose process was replaced is gone."""
+        delay = CLAIM_DELAY_S / max(self.candidate.cores, CLAIM_DELAY_S) + self.jitter_s
+        if self.holder is None or self.holder.node == self.candidate.node:
+            return delay
+        return SILENCE_S + delay
+
+    def wants_renewal(self) -> bool:
+        """Tell whether the next renewal is due."""
+        return self.tenure is not None and self.clock() - self.sent_at >= RENEW_S
+
+    async def run(self) -> None:
+        """Claim and renew until cancelled."""
+        while True:
+            if self.wants_renewal():
+                await self.write(released=False)
+            elif self.wants_claim():
+                await self.claim()
+            await asyncio.sleep(TICK_S)
+
+    async def claim(self) -> None:
+        """Claim the leadership, unless the log tells of a newer claim."""
+        try:
+            await self.replica.synchronize()
+            if self.wants_claim():
+                await self.write(released=False)
+                await self.replica.synchronize()
+        except LogUnavailableError as fault:
+            logger.info('no claim without the log: {}', fault.reason)
+
+    async def write(self, *, released: bool) -> None:
+        """Store a record; reading it back makes it count."""
+        self.sent_at = self.clock()
+        record = Leadership(
+            node=self.candidate.node,
+            life=self.candidate.life,
+            sent_at=self.sent_at,
+            failure_domain=self.candidate.failure_domain,
+            address=self.candidate.address,
+            released=released,
+        )
+        try:
+            await self.appender.append(record, RENEWAL_WAIT_S)
+        except PlatformError as fault:
+            logger.warning('leadership record not stored: tenure={} {}', self.tenure, fault.reason)
+
+    async def begin_again(self) -> None:
+        """Start a new tenure, whose number is above that of any record so far."""
+        self.tenure = None
+        await self.write(released=False)
+
+    async def retire(self) -> None:
+        """Hand the leadership back before the entry stops."""
+        was_leading = self.tenure is not None
+        self.retired = True
+        if was_leading:
+            self.end('released')
+            await self.write(released=True)
--- /dev/null
+++ b/marigoldlift/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to workers: leases, fencing tokens, ends, and the doubt about unanswered starts."""
--- /dev/null
+++ b/marigoldlift/orders/following.py
@@ -0,0 +1,55 @@
+"""The loop that looks at one worker: it renews the lease and learns of ends."""
+
+import asyncio
+
+from marigoldlift.orders.session import WorkerSession
+
+__all__ = ('follow',)
+
+#: How long a look waits for an end, in ms; each look is priced, and progress is seen only by looking.
+LOOK_WAIT_MS = 700
+
+#: Pauses between two looks, in s: the first after an answer, the other after a failure.
+LOOK_PACE_S = 0.03
+RETRY_PAUSE_S = 0.2
+
+
+async def follow(session: WorkerSession) -> None:
+    """Look at a worker until cancelled; a raised token is announced at once."""
+    waiting: asyncio.Future[bool] | None = None
+    try:
+        while True:
+            if waiting is None:
+                waiting = asyncio.ensure_future(look(session))
+            await wait_for_news(session, waiting)
+            if session.urgent.is_set():
+                await announce(session)
+            if waiting.done():
+                waiting = None
+    finally:
+        if waiting is not None:
+            waiting.cancel()
+
+
+async def look(session: WorkerSession) -> bool:
+    """Look once, and pause before the next look."""
+    answered = await session.look(LOOK_WAIT_MS if session.synced else 0)
+    await asyncio.sleep(LOOK_PACE_S if answered else RETRY_PAUSE_S)
+    return answered
+
+
+async def wait_for_news(session: WorkerSession, waiting: asyncio.Future[bool]) -> None:
+    """Return when a look has answered or another one is urgent."""
+    hurry = asyncio.ensure_future(session.urgent.wait())
+    try:
+        await asyncio.wait((waiting, hurry), return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        hurry.cancel()
+
+
+async def announce(session: WorkerSession) -> None:
+    """Make the current token known to the worker."""
+    session.urgent.clear()
+    if not await session.look(0):
+        await asyncio.sleep(RETRY_PAUSE_S)
+        session.urgent.set()
--- /dev/null
+++ b/marigoldlift/orders/session.py
@@ -0,0 +1,291 @@
+"""One worker under the orders of this leader: lease, token and ends."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from loguru import logger
+
+from marigoldlift.errors import WorkerRefusedError, WorkerUnavailableError
+from marigoldlift.orders.api import EndedRun, HeldRun, Look, StartOrder, Worker, WorkerCalls
+from marigoldlift.orders.clock import WorkerClock
+from marigoldlift.orders.runs import Phase, Run, RunTable
+from marigoldlift.submissions.model import Step, TaskRef
+
+__all__ = ('RunObserver', 'WorkerSession')
+
+#: Bits of a fencing token below the tenure, for raises within it.
+RAISE_BITS = 16
+
+#: Silence after which a worker gets no new work, in s; a look that waits takes 0.7 s.
+SUSPECT_S = 1.3
+
+#: Refusal of an order whose fencing token is too low.
+FENCED = 'fence'
+
+#: Refusal by another incarnation at the worker's address; the one that was meant is gone.
+OTHER_INSTANCE = 'instance'
+
+
+class RunObserver(Protocol):
+    """Is told what a session finds out."""
+
+    def run_ended(self, session: 'WorkerSession', ended: EndedRun, known: Run | None) -> None:
+        """A worker lists an end for the first time."""
+
+    def run_found(self, session: 'WorkerSession', held: HeldRun) -> Step | None:
+        """A worker lists a run that this leader has not ordered; the step is returned when it may stay."""
+
+    def run_vanished(self, session: 'WorkerSession', run: Run) -> None:
+        """A run is surely not there, and no end of it will be listed."""
+
+    def fenced(self, session: 'WorkerSession') -> None:
+        """Another holder's token is higher."""
+
+    def room_changed(self) -> None:
+        """A worker has more room, or answers again."""
+
+    def run_moved(self, session: 'WorkerSession', successor: 'WorkerSession', run: Run) -> None:
+        """A run in doubt is followed by the session of the worker's next life."""
+
+    def life_changed(self, session: 'WorkerSession', born_ms: int) -> None:
+        """The worker has started again under its id."""
+
+    def may_act(self) -> bool:
+        """Tell whether orders may be given now."""
+
+
+class WorkerSession:
+    """Gives orders to one life of one worker and keeps count of its room.
+
+    Attributes:
+        room: what takes room there; a run whose start got no answer counts too.
+        seen: highest number of an end up to which all are stored, so that the worker may forget them.
+        full_until: no new work before that time, since the worker has refused some for want of room.
+        synced: whether the worker has answered under the current token.
+        contact_at: when the last answer came.
+    """
+
+    def __init__(
+        self,
+        worker: Worker,
+        calls: WorkerCalls,
+        tenure: int,
+        observer: RunObserver,
+        clock: Callable[[], float],
+        lease_s: float,
+    ) -> None:
+        """Start without knowing what the worker holds."""
+        self.worker = worker
+        self.calls = calls
+        self.token = tenure << RAISE_BITS
+        self.observer = observer
+        self.now = clock
+        self.lease_s = lease_s
+        self.clock = WorkerClock()
+        self.room = RunTable(worker)
+        self.listed = 0
+        self.seen = 0
+        self.unstored: set[int] = set()
+        self.synced = False
+        self.contact_at = clock()
+        self.urgent = asyncio.Event()
+        self.full_until: float = 0
+
+    def answers(self) -> bool:
+        """Tell whether the worker has answered lately, so that new work may go there."""
+        return self.synced and self.now() - self.contact_at < SUSPECT_S
+
+    def is_lost(self) -> bool:
+        """Tell whether all that the worker held has surely ended with its lease."""
+        return self.clock.has_lapsed(self.now())
+
+    def release(self, task: TaskRef) -> None:
+        """Give the room of a run back."""
+        if self.room.pop(task) is not None:
+            self.observer.room_changed()
+
+    async def start(
+        self, task: TaskRef, run: int, step: Step, content: str, ticket: str, checkpoint: str
+    ) -> bool:
+        """Order a run whose room is taken already.
+
+        Returns:
+            True when it runs, False when it surely does not; a doubt is resolved first.
+
+        Raises:
+            WorkerRefusedError: the worker has refused it, and why.
+        """
+        until_ms = self.clock.grant(self.now(), self.lease_s)
+        order = StartOrder(task, run, content, until_ms or 0, checkpoint, ticket)
+        known = self.room.runs[task]
+        token = self.token
+        try:
+            clock_ms = await self.calls.start(self.worker, token, order)
+        except WorkerUnavailableError as fault:
+            if fault.may_have_run:
+                self.doubt(known, fault)
+                return True
+            self.drop(known)
+            return False
+        except WorkerRefusedError as refusal:
+            self.drop(known)
+            if refusal.worker_code == FENCED:
+                self.refused_by_fence(token)
+            raise
+        self.contact_at = self.now()
+        self.clock.note(clock_ms, self.contact_at)
+        known.since = self.contact_at
+        known.unanswered = False
+        if known.phase is Phase.sent:
+            known.phase = Phase.held
+        return True
+
+    def lose_all(self) -> None:
+        """Give up all runs: the worker's life is over, or its lease has lapsed."""
+        for known in list(self.room.runs.values()):
+            self.release(known.task)
+            self.observer.run_vanished(self, known)
+
+    def drop(self, known: Run) -> None:
+        """Give back the room of a run that is surely not there."""
+        if self.room.runs.get(known.task) is known:
+            self.release(known.task)
+
+    def doubt(self, known: Run, fault: WorkerUnavailableError) -> None:
+        """Raise the token: once the worker knows the new one, it never carries the old order out."""
+        logger.info(
+            'start in doubt: task={} run={} worker={} {}',
+            known.task.name,
+            known.run,
+            self.worker.id,
+            fault,
+        )
+        self.raise_token()
+        known.since = self.now()
+        known.fence = self.token
+
+    def raise_token(self) -> None:
+        """Use a higher fencing token from now on, and look at once."""
+        self.token += 1
+        self.synced = False
+        self.urgent.set()
+
+    def refused_by_fence(self, token: int) -> None:
+        """React to a higher token at the worker: an own raise that overtook the order, or another holder's."""
+        if token == self.token:
+            self.observer.fenced(self)
+        self.urgent.set()
+
+    async def stop(self, task: TaskRef) -> None:
+        """Ask a run to end; its room stays taken until the end is listed."""
+        known = self.room.runs.get(task)
+        if known is None:
+            return
+        known.phase = Phase.stopping
+        known.stop_sent_at = self.now()
+        try:
+            await self.calls.stop(self.worker, self.token, task, known.run)
+        except (WorkerRefusedError, WorkerUnavailableError) as fault:
+            logger.info(
+                'stop not confirmed: task={} worker={} {}', task.name, self.worker.id, fault
+            )
+
+    async def look(self, wait_ms: int) -> bool:
+        """Renew the lease and take in what the worker lists; True when it answered."""
+        if not self.observer.may_act():
+            return False
+        token = self.token
+        sent_at = self.now()
+        until_ms = self.clock.grant(sent_at, self.lease_s)
+        try:
+            found = await self.calls.look(self.worker, token, self.seen, until_ms, wait_ms)
+        except WorkerRefusedError as refusal:
+            if refusal.worker_code == FENCED:
+                self.refused_by_fence(token)
+            elif refusal.worker_code == OTHER_INSTANCE:
+                self.lose_all()
+            return False
+        except WorkerUnavailableError:
+            return False
+        if not self.is_this_life(found):
+            return False
+        self.take_in(found, sent_at, token)
+        return True
+
+    def is_this_life(self, found: Look) -> bool:
+        """Tell whether an answer is of the life that the registry lists; a later life is reported."""
+        if not found.born_ms or not self.worker.born_ms:
+            return True
+        if found.born_ms > self.worker.born_ms:
+            self.observer.life_changed(self, found.born_ms)
+        return found.born_ms == self.worker.born_ms
+
+    def take_in(self, found: Look, sent_at: float, token: int) -> None:
+        """Compare what the worker lists with what it should hold."""
+        now = self.now()
+        was_answering = self.answers()
+        self.contact_at = now
+        self.clock.note(found.clock_ms, now)
+        for ended in found.ended:
+            self.note_end(ended)
+        present = set()
+        for held in found.running:
+            present.add(held.task)
+            self.note_held(held, now)
+        if found.whole:
+            self.note_absent(present, sent_at, token)
+        if token == self.token and not self.synced:
+            self.synced = self.clock.lease_ms > 0
+            if not self.synced:
+                self.urgent.set()
+        if self.answers() and not was_answering:
+            self.observer.room_changed()
+
+    def note_end(self, ended: EndedRun) -> None:
+        """Pass on an end that is listed for the first time."""
+        if ended.number <= self.listed:
+            return
+        self.listed = ended.number
+        self.unstored.add(ended.number)
+        self.room.note_end(ended.task, ended.run)
+        known = self.room.runs.get(ended.task)
+        if known is not None and known.run == ended.run:
+            known.checkpoint = ended.checkpoint or known.checkpoint
+            self.observer.run_ended(self, ended, known)
+            self.release(ended.task)
+        else:
+            self.observer.run_ended(self, ended, None)
+
+    def note_held(self, held: HeldRun, now: float) -> None:
+        """Take in a run that is there; one that is not known is offered to the observer."""
+        known = self.room.runs.get(held.task)
+        if known is None:
+            self.offer(held, now)
+        elif known.run == held.run:
+            known.confirm(held, now)
+
+    def offer(self, held: HeldRun, now: float) -> None:
+        """Count a run that an earlier leader has ordered; a late answer may list one that has ended since."""
+        if (held.task, held.run) in self.room.ended:
+            return
+        step = self.observer.run_found(self, held)
+        if step is not None:
+            adopted = Run(held.task, held.run, step, Phase.held, now)
+            adopted.confirm(held, now)
+            self.room.take(adopted)
+
+    def note_absent(self, present: set[TaskRef], sent_at: float, token: int) -> None:
+        """Find runs that are neither there nor listed as ended.
+
+        A start without an answer is surely not there only when the answer came under a token raised after it.
+        """
+        for task, known in list(self.room.runs.items()):
+            if task not in present and known.is_surely_absent(sent_at, token):
+                self.room.pop(task)
+                self.observer.run_vanished(self, known)
+
+    def store_confirmed(self, number: int) -> None:
+        """Note that an end is stored; the worker may forget all ends up to the first that is not."""
+        self.unstored.discard(number)
+        self.seen = min(self.unstored) - 1 if self.unstored else self.listed
--- /dev/null
+++ b/marigoldlift/platform/configuration.py
@@ -0,0 +1,84 @@
+"""The operators' configuration as the platform's store holds it."""
+
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from marigoldlift.platform.wire import ConfigurationBody, QueueBody
+from marigoldlift.submissions.model import AdvicePolicy, Policy
+from marigoldlift.submissions.stored import Stored
+
+__all__ = ('CellConfiguration', 'ConfigurationReader', 'Queue')
+
+CONFIGURATION_KEY = 'config'
+
+configuration_decoder = msgspec.json.Decoder(ConfigurationBody)
+
+
+class Queue(msgspec.Struct, frozen=True):
+    """A queue and where its requests arrive."""
+
+    host: str
+    prefix: str
+    policy: Policy
+
+
+class CellConfiguration(msgspec.Struct, frozen=True):
+    """One version of the configuration, queues with longer prefixes first."""
+
+    version: int
+    queues: tuple[Queue, ...]
+
+    def queue_of(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix that a path begins with."""
+        for queue in self.queues:
+            if queue.host == host and path.startswith(queue.prefix):
+                return queue
+        return None
+
+
+class ConfigurationReader:
+    """Takes in records of the operators and keeps the highest version."""
+
+    def __init__(self, changed: Callable[[CellConfiguration], None]) -> None:
+        """Start without a version.
+
+        Args:
+            changed: called with each version that is higher than all before.
+        """
+        self.changed = changed
+        self.version = -1
+
+    def apply(self, stored: Stored) -> None:
+        """Take in one record."""
+        if stored.key != CONFIGURATION_KEY or not stored.content:
+            return
+        try:
+            body = configuration_decoder.decode(stored.content)
+        except msgspec.DecodeError as fault:
+            logger.error('configuration cannot be read: offset={} {}', stored.offset, fault)
+            return
+        if body.version <= self.version:
+            return
+        self.version = body.version
+        queues = sorted(map(read_queue, body.routes), key=lambda queue: -len(queue.prefix))
+        logger.info('configuration in force: version={} queues={}', body.version, len(queues))
+        self.changed(CellConfiguration(body.version, tuple(queues)))
+
+
+def read_queue(body: QueueBody) -> Queue:
+    """Return a queue as the product has it."""
+    advice = None
+    if body.advice is not None:
+        advice = AdvicePolicy(body.advice.decide_ms, body.advice.period_ms, body.advice.valid_ms)
+    policy = Policy(
+        queue=body.name,
+        service=body.service,
+        priority=body.priority,
+        max_attempts=body.max_attempts,
+        stretch=body.stretch,
+        target_ms=body.target_latency_ms,
+        advice=advice,
+    )
+    return Queue(body.host, body.path_prefix, policy)
--- /dev/null
+++ b/marigoldlift/platform/front.py
@@ -0,0 +1,210 @@
+"""What clients speak: requests to submit, ask and cancel, translated to the product's calls."""
+
+import string
+from collections.abc import Callable
+from http import HTTPStatus
+from types import MappingProxyType
+
+import msgspec
+from aiohttp import web
+from loguru import logger
+
+from marigoldlift.errors import LogUnavailableError
+from marigoldlift.platform.configuration import CellConfiguration, Queue
+from marigoldlift.platform.wire import StepBody, SubmissionBody
+from marigoldlift.submissions.acceptance import Acceptance, Answer
+from marigoldlift.submissions.model import Step, Submission, SubmissionId
+
+__all__ = ('Front',)
+
+MS_PER_S = 1000
+
+#: How long callers are told to wait before they come again, in ms and in whole s.
+RETRY_AFTER_MS = 500
+RETRY_AFTER_S = '1'
+
+#: Patience of a caller that gives none, in s.
+DEFAULT_PATIENCE_S = 3.0
+
+#: Share of a caller's patience that may be used up before the answer.
+PATIENCE_SHARE = 0.8
+
+ID_LENGTH = 16
+HEX_DIGITS = frozenset(string.hexdigits)
+CONTENT_BYTES = 4000
+
+DEADLINE_HEADER = 'X-Deadline-Ms'
+
+submission_decoder = msgspec.json.Decoder(SubmissionBody)
+
+STATUS_OF = MappingProxyType(
+    {
+        Answer.done: HTTPStatus.OK,
+        Answer.refused: HTTPStatus.SERVICE_UNAVAILABLE,
+        Answer.unknown: HTTPStatus.GATEWAY_TIMEOUT,
+        Answer.gone: HTTPStatus.GONE,
+    }
+)
+
+
+class Front:
+    """Handles the requests of clients.
+
+    Attributes:
+        configuration: the newest configuration, None before the first was read.
+        may_be_stale: tells whether the configuration may be older than the store's.
+        leaving: the entry is about to stop, so that clients should open new connections elsewhere.
+        counts: answers by status code.
+    """
+
+    def __init__(
+        self, acceptance: Acceptance, relay: str, may_be_stale: Callable[[], bool]
+    ) -> None:
+        """Start without a configuration."""
+        self.acceptance = acceptance
+        self.relay = relay
+        self.may_be_stale = may_be_stale
+        self.configuration: CellConfiguration | None = None
+        self.leaving = False
+        self.under_way = 0
+        self.counts: dict[int, int] = {}
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.under_way += 1
+        try:
+            response = await self.answer(request)
+        finally:
+            self.under_way -= 1
+        if self.leaving:
+            response.force_close()
+        self.counts[response.status] = self.counts.get(response.status, 0) + 1
+        return response
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
+        """Find the queue and what is asked of it."""
+        if self.configuration is None:
+            return reply(HTTPStatus.SERVICE_UNAVAILABLE)
+        host = request.headers.get('Host', '').partition(':')[0]
+        queue = self.configuration.queue_of(host, request.path)
+        if queue is None:
+            stale = self.may_be_stale()
+            return reply(HTTPStatus.SERVICE_UNAVAILABLE if stale else HTTPStatus.NOT_FOUND)
+        name = request.path[len(queue.prefix) :]
+        if not name and request.method == 'GET':
+            return reply(HTTPStatus.OK, {'pending': self.acceptance.pending(queue.policy.queue)})
+        if len(name) != ID_LENGTH or not HEX_DIGITS.issuperset(name):
+            return fault_reply(
+                HTTPStatus.NOT_FOUND, 'the path ends with no id of 16 hexadecimal digits'
+            )
+        return await self.on_submission(request, queue, SubmissionId(name))
+
+    async def on_submission(
+        self,
+        request: web.BaseRequest,
+        queue: Queue,
+        name: SubmissionId,
+    ) -> web.Response:
+        """Answer a request about one submission."""
+        if request.method == 'POST':
+            return await self.submit(request, queue, name)
+        if request.method == 'DELETE':
+            return reply(STATUS_OF[await self.acceptance.cancel(name, patience_s(request))])
+        if request.method != 'GET':
+            return fault_reply(HTTPStatus.METHOD_NOT_ALLOWED, 'allowed: GET, POST, DELETE')
+        try:
+            outcome = await self.acceptance.outcome(name)
+        except LogUnavailableError as fault:
+            logger.info('state not known: submission={} {}', name, fault.reason)
+            return reply(HTTPStatus.SERVICE_UNAVAILABLE)
+        if outcome is None:
+            return reply(HTTPStatus.GONE)
+        return reply(HTTPStatus.OK, {'state': outcome.value})
+
+    async def submit(
+        self, request: web.BaseRequest, queue: Queue, name: SubmissionId
+    ) -> web.Response:
+        """Accept a submission."""
+        body = await request.read()
+        try:
+            submission = read_submission(submission_decoder.decode(body), queue, name, self.relay)
+        except (msgspec.DecodeError, ValueError) as fault:
+            logger.info('submission invalid: submission={} {}', name, fault)
+            return fault_reply(HTTPStatus.BAD_REQUEST, str(fault))
+        answer = await self.acceptance.submit(submission, patience_s(request))
+        return reply(STATUS_OF[answer])
+
+
+def patience_s(request: web.BaseRequest) -> float:
+    """Return how long a client waits, in s."""
+    given = request.headers.get(DEADLINE_HEADER, '')
+    patience = float(given) / MS_PER_S if given.isdigit() else DEFAULT_PATIENCE_S
+    return patience * PATIENCE_SHARE
+
+
+def reply(status: HTTPStatus, fields: dict[str, object] | None = None) -> web.Response:
+    """Return an answer; a refusal says when to come back."""
+    headers = {}
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        headers['Retry-After'] = RETRY_AFTER_S
+        fields = {'retry_after_ms': RETRY_AFTER_MS}
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(fields or {}),
+        headers=headers,
+        content_type='application/json',
+    )
+
+
+def fault_reply(status: HTTPStatus, reason: str) -> web.Response:
+    """Return an answer that says what is wrong with the request."""
+    return reply(status, {'error': reason})
+
+
+def read_submission(
+    body: SubmissionBody, queue: Queue, name: SubmissionId, relay: str
+) -> Submission:
+    """Return a submission as the product has it.
+
+    Raises:
+        ValueError: the submission cannot be done as it stands.
+    """
+    if not body.phases:
+        raise ValueError('phases: at least one step is needed')
+    if len(body.spec.encode()) > CONTENT_BYTES:
+        raise ValueError(f'spec: longer than {CONTENT_BYTES} bytes')
+    for number, phase in enumerate(body.phases):
+        if phase.count < 1 or any(not 0 <= before < number for before in phase.after):
+            raise ValueError(f'phases[{number}]: count is below 1, or after names no earlier step')
+    return Submission(
+        id=name,
+        content=body.spec,
+        steps=tuple(map(read_step, body.phases)),
+        policy=queue.policy,
+        relay=relay,
+        occurrences=max(1, body.repeat_count),
+        first_due_ms=body.start_at_ms if body.repeat_count else 0,
+        interval_ms=body.interval_ms,
+    )
+
+
+def read_step(body: StepBody) -> Step:
+    """Return a step as the product has it."""
+    return Step(
+        count=body.count,
+        cpu_m=body.cpu,
+        mem_mb=body.mem_mb,
+        gpus=body.gpu,
+        estimate_ms=body.est_ms,
+        after=tuple(body.after),
+        gang=body.gang,
+        same_rack=body.same_rack,
+        requires=body.requires,
+        data_rack=body.data_rack,
+        spread_limit=body.anti_affinity,
+        checkpointing=body.checkpointing,
+        speculative=body.speculative,
+        long_running=body.long_running,
+        fills=body.fills,
+        may_be_away=body.may_miss,
+    )
--- /dev/null
+++ b/marigoldlift/replication/api.py
@@ -0,0 +1,58 @@
+"""What the shared log has to offer, as a protocol."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import msgspec
+
+from marigoldlift.submissions.stored import Stored
+
+__all__ = ('KeyedLog', 'LogPage', 'SnapshotPage')
+
+
+class LogPage(msgspec.Struct, frozen=True):
+    """Records from an offset on, and the offset after the last one stored."""
+
+    end: int
+    records: list[Stored]
+
+
+class SnapshotPage(msgspec.Struct, frozen=True):
+    """Newest record of each key, in part; `more` says that further keys follow the last one."""
+
+    end: int
+    records: list[Stored]
+    more: bool
+
+
+class KeyedLog(Protocol):
+    """One partition of a log that keeps the newest record of each key."""
+
+    async def append(
+        self, records: Sequence[tuple[str, bytes]], producer: str, sequence: int
+    ) -> int:
+        """Store records all or nothing, once for each sequence number of a producer.
+
+        Returns:
+            The offset of the first record.
+
+        Raises:
+            AppendRefusedError: nothing was stored.
+            AppendInDoubtError: the records may be stored, now or later.
+            SequenceMismatchError: the producer's next sequence number is another.
+        """
+
+    async def read(self, start: int, wait_ms: int) -> LogPage:
+        """Return the records from an offset on, waiting for the first one.
+
+        Raises:
+            RetentionPassedError: the records from that offset are no longer kept.
+            LogUnavailableError: no answer.
+        """
+
+    async def newest(self, after: str) -> SnapshotPage:
+        """Return the newest records of the keys that follow a key.
+
+        Raises:
+            LogUnavailableError: no answer.
+        """
--- /dev/null
+++ b/marigoldlift/replication/appender.py
@@ -0,0 +1,195 @@
+"""Ordered group commit: one batch in flight, repeated until its fate is known."""
+
+import asyncio
+import uuid
+from collections.abc import Callable
+
+from loguru import logger
+
+from marigoldlift.errors import (
+    AppendInDoubtError,
+    AppendRefusedError,
+    SequenceMismatchError,
+)
+from marigoldlift.replication.api import KeyedLog
+from marigoldlift.submissions.records import Record
+from marigoldlift.submissions.stored import encode_record, record_key
+
+__all__ = ('Appender',)
+
+#: Wait for more records before a batch is sent, in s; the store answers in 4 ms and takes a few hundred calls a second.
+LINGER_S = 0.008
+
+#: Bytes of one batch, below the 2 MB that the store takes in one call.
+BATCH_BYTES = 1_000_000
+
+#: Pauses between two tries of a batch, in s; the store's refusals are priced like its answers.
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.4
+
+
+class Entry:
+    """One record that waits to be stored."""
+
+    __slots__ = ('content', 'key', 'stored', 'until')
+
+    def __init__(self, record: Record, until: float) -> None:
+        """Encode the record.
+
+        Args:
+            record: what is stored.
+            until: time at which the caller no longer waits, in seconds of the steady clock.
+        """
+        self.key = record_key(record)
+        self.content = encode_record(record)
+        self.until = until
+        self.stored: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+    def settle(self, outcome: int | Exception) -> None:
+        """Tell the caller, unless it has left."""
+        if self.stored.done():
+            return
+        if isinstance(outcome, Exception):
+            self.stored.set_exception(outcome)
+            # Marks the exception as seen when the caller has left.
+            self.stored.exception()
+        else:
+            self.stored.set_result(outcome)
+
+
+class Appender:
+    """Stores records in the order in which they were handed in.
+
+    The store numbers the batches of a producer and repeats its answer for one that it knows. So a batch
+    without an answer is sent again as it was, and no late copy of it can follow a newer batch.
+
+    Attributes:
+        failing_since: when the first of a row of failures began, in seconds of the steady clock.
+    """
+
+    def __init__(self, log: KeyedLog, node: str, clock: Callable[[], float]) -> None:
+        """Start without records."""
+        self.log = log
+        self.clock = clock
+        self.node = node
+        self.producer = self.new_producer()
+        self.sequence = 0
+        self.waiting: list[Entry] = []
+        self.arrived = asyncio.Event()
+        self.failing_since: float | None = None
+
+    def new_producer(self) -> str:
+        """Return a name that no earlier life of this entry has used."""
+        return f'{self.node}-{uuid.uuid4().hex}'
+
+    async def append(self, record: Record, wait_s: float) -> int:
+        """Store a record and return its offset.
+
+        Args:
+            record: what is stored.
+            wait_s: how long the caller waits.
+
+        Raises:
+            AppendRefusedError: the record is not stored and will not be.
+            AppendInDoubtError: the record may be stored, now or later.
+        """
+        entry = Entry(record, self.clock() + wait_s)
+        self.waiting.append(entry)
+        self.arrived.set()
+        try:
+            return await asyncio.wait_for(asyncio.shield(entry.stored), wait_s)
+        except TimeoutError:
+            return self.abandon(entry)
+
+    def abandon(self, entry: Entry) -> int:
+        """Take back a record that was never sent."""
+        if entry in self.waiting:
+            self.waiting.remove(entry)
+            raise AppendRefusedError('the log gave no answer to earlier records in time')
+        raise AppendInDoubtError('the log gave no answer in time')
+
+    async def run(self) -> None:
+        """Send batches until cancelled."""
+        while True:
+            await self.arrived.wait()
+            await asyncio.sleep(LINGER_S)
+            batch = self.take_batch()
+            if batch:
+                await self.store(batch)
+            if not self.waiting:
+                self.arrived.clear()
+
+    def take_batch(self) -> list[Entry]:
+        """Return the records that fit into one call; at least one."""
+        size = 0
+        count = 0
+        for entry in self.waiting:
+            size += len(entry.content)
+            if count and size > BATCH_BYTES:
+                break
+            count += 1
+        batch = self.waiting[:count]
+        self.waiting = self.waiting[count:]
+        return batch
+
+    async def store(self, batch: list[Entry]) -> None:
+        """Send a batch until it is stored, or until all its callers have left before it could be."""
+        pause = FIRST_PAUSE_S
+        in_doubt = False
+        while batch:
+            try:
+                offset = await self.send(batch)
+            except AppendInDoubtError:
+                in_doubt = True
+            except AppendRefusedError:
+                if not in_doubt:
+                    batch = self.drop_expired(batch)
+            else:
+                self.confirm(batch, offset)
+                return
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, LONGEST_PAUSE_S)
+
+    async def send(self, batch: list[Entry]) -> int:
+        """Make one call, and note how the log fares."""
+        records = [(entry.key, entry.content) for entry in batch]
+        try:
+            offset = await self.log.append(records, self.producer, self.sequence)
+        except SequenceMismatchError as mismatch:
+            return self.resolve_mismatch(mismatch)
+        except (AppendInDoubtError, AppendRefusedError) as fault:
+            self.note_failure(fault)
+            raise
+        self.failing_since = None
+        return offset
+
+    def resolve_mismatch(self, mismatch: SequenceMismatchError) -> int:
+        """Tell whether the batch is stored already; else go on under a new name."""
+        logger.warning(
+            'append: {} sent={} producer={}', mismatch.reason, self.sequence, self.producer
+        )
+        if mismatch.expected == self.sequence + 1:
+            return -1
+        self.producer = self.new_producer()
+        self.sequence = 0
+        raise AppendInDoubtError('the log had forgotten the producer')
+
+    def note_failure(self, fault: Exception) -> None:
+        """Log the first of a row of failures."""
+        if self.failing_since is None:
+            self.failing_since = self.clock()
+            logger.warning('appends fail: code={} reason={}', getattr(fault, 'code', ''), fault)
+
+    def drop_expired(self, batch: list[Entry]) -> list[Entry]:
+        """Leave out the records whose callers no longer wait; none of the batch was ever stored."""
+        now = self.clock()
+        expired = [entry for entry in batch if entry.until <= now]
+        for dropped in expired:
+            dropped.settle(AppendRefusedError('the log refused the record until the caller left'))
+        return [entry for entry in batch if entry.until > now]
+
+    def confirm(self, batch: list[Entry], offset: int) -> None:
+        """Tell all callers of a stored batch."""
+        self.sequence += 1
+        for index, entry in enumerate(batch):
+            entry.settle(offset + index if offset >= 0 else offset)
--- /dev/null
+++ b/marigoldlift/replication/replica.py
@@ -0,0 +1,159 @@
+"""Tail of one keyed partition: a snapshot first, then each record in order."""
+
+import asyncio
+from collections.abc import Callable
+
+from loguru import logger
+
+from marigoldlift.errors import LogUnavailableError, RetentionPassedError
+from marigoldlift.replication.api import KeyedLog
+from marigoldlift.submissions.stored import Stored
+
+__all__ = ('Replica',)
+
+#: How long a read waits at the store for the first new record, in ms.
+WAIT_MS = 1000
+
+#: Pauses after a failed read, in s.
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.4
+
+
+class Replica:
+    """Reads a partition and hands each record on, once and in order.
+
+    Attributes:
+        offset: the next record to read.
+        ready: set once a snapshot was read whole.
+        fresh_at: when the last answer of the store came, in seconds of the steady clock.
+        read_at: when the last read ended or, made on request, began.
+        pace_s: shortest pause between two reads, since each read is priced.
+    """
+
+    def __init__(
+        self,
+        log: KeyedLog,
+        apply: Callable[[Stored], None],
+        clock: Callable[[], float],
+        pace_s: float,
+    ) -> None:
+        """Start before the first record.
+
+        Args:
+            log: where the records are.
+            apply: takes one record in.
+            clock: steady time in seconds.
+            read_at: when the last read ended or, made on request, began.
+        pace_s: shortest pause between two reads.
+        """
+        self.log = log
+        self.apply = apply
+        self.clock = clock
+        self.pace_s = pace_s
+        self.offset = 0
+        self.ready = asyncio.Event()
+        self.fresh_at = clock()
+        self.read_at = clock()
+        self.failing = False
+        self.reset_observers: list[Callable[[], None]] = []
+
+    async def run(self) -> None:
+        """Follow the partition until cancelled."""
+        pause = FIRST_PAUSE_S
+        while True:
+            try:
+                await self.advance()
+            except RetentionPassedError as passed:
+                logger.warning('history lost: next={} {}', self.offset, passed.reason)
+                self.ready.clear()
+            except LogUnavailableError as fault:
+                self.note_failure(fault)
+                await asyncio.sleep(pause)
+                pause = min(pause * 2, LONGEST_PAUSE_S)
+            else:
+                self.note_success()
+                pause = FIRST_PAUSE_S
+                await asyncio.sleep(self.pace_s)
+
+    async def advance(self) -> None:
+        """Make one step: the snapshot while there is none, else one read."""
+        if self.ready.is_set():
+            await self.read(WAIT_MS)
+        else:
+            await self.load_snapshot()
+
+    async def read(self, wait_ms: int) -> int:
+        """Take in the records that follow, and return the end of the partition."""
+        start = self.offset
+        page = await self.log.read(start, wait_ms)
+        self.fresh_at = self.clock()
+        self.read_at = self.fresh_at
+        if page.end < start:
+            logger.error('the log ends before the next record: end={} next={}', page.end, start)
+            raise RetentionPassedError(page.end)
+        for stored in page.records:
+            if stored.offset == self.offset:
+                self.offset += 1
+                self.apply(stored)
+        return page.end
+
+    async def refresh(self, longest_age_s: float) -> None:
+        """Read once more unless that was done a moment ago; a failure leaves what is known.
+
+        Args:
+            longest_age_s: age up to which the last read is new enough.
+        """
+        if self.clock() - self.read_at < longest_age_s or not self.ready.is_set():
+            return
+        self.read_at = self.clock()
+        try:
+            await self.read(0)
+        except (LogUnavailableError, RetentionPassedError) as fault:
+            self.note_failure(fault)
+
+    async def synchronize(self) -> None:
+        """Take in all that was stored before this call.
+
+        Raises:
+            LogUnavailableError: no answer, or the history was lost meanwhile.
+        """
+        if not self.ready.is_set():
+            raise LogUnavailableError('the snapshot is not read yet')
+        try:
+            end = await self.read(0)
+            while self.offset < end:
+                await self.read(0)
+        except RetentionPassedError as passed:
+            raise LogUnavailableError(passed.reason) from passed
+
+    async def load_snapshot(self) -> None:
+        """Read the newest record of each key; the tail goes on from before the first page."""
+        after = ''
+        start: int | None = None
+        records: list[Stored] = []
+        more = True
+        while more:
+            page = await self.log.newest(after)
+            start = page.end if start is None else start
+            records.extend(page.records)
+            more = page.more and bool(page.records)
+            after = page.records[-1].key if page.records else after
+        for observer in self.reset_observers:
+            observer()
+        for stored in sorted(records, key=lambda stored: stored.offset):
+            self.apply(stored)
+        self.offset = start or 0
+        self.fresh_at = self.clock()
+        self.ready.set()
+
+    def note_failure(self, fault: Exception) -> None:
+        """Log the first of a row of failures."""
+        if not self.failing:
+            self.failing = True
+            logger.warning('reads fail: next={} {}', self.offset, fault)
+
+    def note_success(self) -> None:
+        """Log the end of a row of failures."""
+        if self.failing:
+            self.failing = False
+            logger.info('reads answer again: next={}', self.offset)
--- /dev/null
+++ b/marigoldlift/scheduling/book.py
@@ -0,0 +1,115 @@
+"""Open submissions of a tenure: how they are opened, noted and closed."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from marigoldlift.scheduling.planner import Planner
+from marigoldlift.scheduling.progress import ProgressWriter
+from marigoldlift.scheduling.starter import Starter
+from marigoldlift.scheduling.tasks import JobRun, StepRun
+from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
+from marigoldlift.submissions.records import Outcome
+from marigoldlift.submissions.state import FINAL, CellState
+
+__all__ = ('JobBook',)
+
+#: How long a submission that has begun waits for its first end before that is stored, in s.
+BEGUN_NOTE_S = 0.7
+
+
+class JobBook:
+    """Submissions that have no outcome yet.
+
+    Attributes:
+        jobs: open submissions.
+        closed: submissions with an outcome that may not be stored yet.
+        unnoted: submissions that have begun, with the time of that, while it is not stored.
+    """
+
+    def __init__(
+        self,
+        state: CellState,
+        planner: Planner,
+        starter: Starter,
+        progress: ProgressWriter,
+        clock: Callable[[], float],
+    ) -> None:
+        """Start without submissions."""
+        self.state = state
+        self.planner = planner
+        self.starter = starter
+        self.progress = progress
+        self.clock = clock
+        self.jobs: dict[SubmissionId, JobRun] = {}
+        self.closed: set[SubmissionId] = set()
+        self.unnoted: dict[JobRun, float] = {}
+
+    def open(self, submission: SubmissionId, tenure: int) -> None:
+        """Let the steps of a submission wait for their turn, unless it is open or closed already."""
+        job = self.state.jobs.get(submission)
+        if job is None or submission in self.jobs or submission in self.closed:
+            return
+        if job.state in FINAL:
+            return
+        opened = JobRun(job, old=job.offset < tenure)
+        self.jobs[submission] = opened
+        for step in opened.steps.values():
+            self.planner.add(step)
+
+    def cancel(self, submission: SubmissionId) -> None:
+        """Close a submission that its caller no longer wants."""
+        job = self.jobs.get(submission)
+        if job is not None:
+            self.close(job, Outcome.cancelled)
+
+    def close(self, job: JobRun, outcome: Outcome) -> None:
+        """Give a submission its outcome, and stop what still runs of it."""
+        job.outcome = outcome
+        self.jobs.pop(job.id, None)
+        self.closed.add(job.id)
+        self.unnoted.pop(job, None)
+        for step in job.steps.values():
+            self.starter.stop_step(step)
+        self.progress.note(job)
+        logger.info(
+            'submission closed: submission={} outcome={} after_s={:.2f} objective_s={:.2f}',
+            job.id,
+            outcome.value,
+            self.clock() - job.since,
+            job.objective_s,
+        )
+
+    def forget(self, submission: SubmissionId) -> None:
+        """Note that the outcome of a submission is stored."""
+        self.closed.discard(submission)
+
+    def step_of(self, task: TaskRef) -> StepRun | None:
+        """Return the step of a task of an open submission."""
+        job = self.jobs.get(task.submission)
+        step = job.steps.get((task.occurrence, task.step)) if job else None
+        if step is None or task.index >= step.step.count:
+            return None
+        return step
+
+    def demand_of(self, task: TaskRef) -> Step:
+        """Return what a task of a closed submission takes; nothing when it is not known any more."""
+        job = self.state.jobs.get(task.submission)
+        if job is None or task.step >= len(job.submission.steps):
+            logger.warning('run of an unknown submission: task={}', task.name)
+            return Step(count=1)
+        return job.submission.steps[task.step]
+
+    def note_run(self, step: StepRun, started_at: float) -> None:
+        """Note that a submission has begun."""
+        if not step.job.begun_noted:
+            self.unnoted.setdefault(step.job, started_at)
+
+    def store_begun(self) -> None:
+        """Store that submissions have begun whose first end takes a while."""
+        latest = self.clock() - BEGUN_NOTE_S
+        for job in tuple(self.unnoted):
+            if self.unnoted[job] < latest:
+                self.unnoted.pop(job)
+                job.begun_noted = True
+                self.progress.note(job)
--- /dev/null
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -0,0 +1,165 @@
+"""One tenure of the leader: takes the cell over, then starts and follows all accepted work."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from marigoldlift.errors import LogUnavailableError
+from marigoldlift.leadership.election import Election
+from marigoldlift.orders.api import WorkerCalls
+from marigoldlift.replication.appender import Appender
+from marigoldlift.replication.replica import Replica
+from marigoldlift.scheduling.advice import AdviceBroker
+from marigoldlift.scheduling.book import JobBook
+from marigoldlift.scheduling.checks import RunChecks
+from marigoldlift.scheduling.events import RunEvents
+from marigoldlift.scheduling.placement import Placer
+from marigoldlift.scheduling.planner import Planner
+from marigoldlift.scheduling.progress import ProgressWriter
+from marigoldlift.scheduling.registry import Registry
+from marigoldlift.scheduling.roster import Roster
+from marigoldlift.scheduling.starter import Starter
+from marigoldlift.scheduling.tickets import TicketOffice
+from marigoldlift.submissions.records import Accepted, Cancelled, Progress, Record
+from marigoldlift.submissions.state import FINAL, CellState
+
+__all__ = ('Dispatcher', 'DispatcherParts')
+
+#: Longest wait for the workers' answers at a takeover, in s; those that answer later count as unreachable.
+TAKEOVER_WAIT_S = 1.0
+
+#: Pauses between two passes, in s: shortest, and longest when nothing has changed.
+PASS_PACE_S = 0.01
+TICK_S = 0.1
+
+
+class DispatcherParts(msgspec.Struct):
+    """What a tenure works with.
+
+    Attributes:
+        clock: steady time in seconds.
+        lease_s: longest lease that workers take.
+        gang_wait_s: how long a gang's member waits for the others.
+    """
+
+    state: CellState
+    replica: Replica
+    registry: Registry
+    calls: WorkerCalls
+    appender: Appender
+    broker: AdviceBroker
+    election: Election
+    clock: Callable[[], float]
+    lease_s: float
+    gang_wait_s: float
+
+
+class Dispatcher:
+    """Decides and follows everything between acceptance and outcome."""
+
+    def __init__(self, parts: DispatcherParts, tenure: int) -> None:
+        """Build the open submissions from the log."""
+        self.parts = parts
+        self.tenure = tenure
+        self.clock = parts.clock
+        self.wake = asyncio.Event()
+        self.progress = ProgressWriter(parts.appender, tenure)
+        self.events = RunEvents(parts.election, self.wake)
+        self.roster = Roster(
+            parts.registry,
+            parts.state,
+            parts.calls,
+            parts.appender,
+            self.events,
+            tenure,
+            parts.lease_s,
+        )
+        self.starter = Starter(self.roster, self.clock, self.events.step_returned)
+        placer = Placer(self.roster.quality, self.clock)
+        tickets = TicketOffice(parts.broker, placer, self.starter, self.clock, self.wake.set)
+        self.planner = Planner(
+            self.roster, placer, tickets, self.starter, self.clock, parts.gang_wait_s
+        )
+        self.book = JobBook(parts.state, self.planner, self.starter, self.progress, self.clock)
+        self.checks = RunChecks(self.book, self.roster, self.starter, self.clock)
+        self.events.book = self.book
+        self.events.roster = self.roster
+        for submission in tuple(parts.state.jobs):
+            self.book.open(submission, tenure)
+
+    async def run(self) -> None:
+        """Take over, then work until cancelled."""
+        writer = asyncio.create_task(self.progress.run())
+        try:
+            await self.take_over()
+            while True:
+                self.work()
+                await self.pause()
+        finally:
+            writer.cancel()
+            self.stop()
+
+    def stop(self) -> None:
+        """Leave sessions and orders to the next leader."""
+        self.roster.stop()
+        self.starter.cancel()
+
+    async def pause(self) -> None:
+        """Wait for news, at most one tick."""
+        await asyncio.sleep(PASS_PACE_S)
+        try:
+            await asyncio.wait_for(self.wake.wait(), TICK_S)
+        except TimeoutError:
+            return
+        self.wake.clear()
+
+    async def take_over(self) -> None:
+        """Fence earlier leaders off, learn what runs, then read the log to its end."""
+        self.roster.open_known()
+        deadline = self.clock() + TAKEOVER_WAIT_S
+        while self.clock() < deadline and not self.roster.all_synced():
+            await asyncio.sleep(PASS_PACE_S)
+        while not await self.read_log():
+            await asyncio.sleep(TICK_S)
+        self.events.end_takeover()
+        self.roster.check()
+        logger.info(
+            'takeover done: tenure={} submissions={} workers={} unreachable={}',
+            self.tenure,
+            len(self.book.jobs),
+            len(self.roster.sessions),
+            sorted(self.roster.dark),
+        )
+
+    async def read_log(self) -> bool:
+        """Read the log to its end; False when it does not answer."""
+        try:
+            await self.parts.replica.synchronize()
+        except LogUnavailableError as fault:
+            logger.warning('takeover waits for the log: {}', fault.reason)
+            return False
+        return True
+
+    def work(self) -> None:
+        """Make one round of checks and placements."""
+        if not self.parts.election.may_act():
+            return
+        self.roster.refresh()
+        self.roster.check()
+        self.checks.check_runs()
+        self.book.store_begun()
+        self.planner.run_pass()
+
+    def observe(self, offset: int, record: Record) -> None:
+        """Take in a record of the log."""
+        match record:
+            case Accepted():
+                self.parts.broker.note_relay(record.submission.relay)
+                self.book.open(record.submission.id, self.tenure)
+                self.wake.set()
+            case Cancelled():
+                self.book.cancel(record.submission)
+            case Progress() if record.outcome in FINAL:
+                self.book.forget(record.submission)
--- /dev/null
+++ b/marigoldlift/scheduling/events.py
@@ -0,0 +1,162 @@
+"""What sessions find out about runs, and what follows from it."""
+
+import asyncio
+
+from loguru import logger
+
+from marigoldlift.leadership.election import Election
+from marigoldlift.orders.api import EndedRun, EndKind, HeldRun
+from marigoldlift.orders.runs import Phase, Run
+from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.book import JobBook
+from marigoldlift.scheduling.roster import Roster, reborn_worker
+from marigoldlift.scheduling.tasks import StepRun
+from marigoldlift.submissions.model import Step
+from marigoldlift.submissions.records import Outcome
+
+__all__ = ('RunEvents',)
+
+#: Pause between two claims after another holder's token was seen, in s.
+CLAIM_PAUSE_S = 1.0
+
+
+class RunEvents:
+    """Takes in ends, finds and losses of runs.
+
+    Attributes:
+        book: open submissions; set once, before the first session is opened.
+        roster: the workers; set once, before the first session is opened.
+        ready: whether the takeover is over.
+        wake: set when waiting work may find room.
+    """
+
+    book: JobBook
+    roster: Roster
+
+    def __init__(self, election: Election, wake: asyncio.Event) -> None:
+        """Start during the takeover."""
+        self.election = election
+        self.wake = wake
+        self.clock = election.clock
+        self.ready = False
+        self.early_ends: list[tuple[WorkerSession, EndedRun]] = []
+        self.claimed_at = self.clock()
+
+    def end_takeover(self) -> None:
+        """Take in what was listed before the log was read to its end."""
+        self.ready = True
+        early = self.early_ends
+        self.early_ends = []
+        for session, ended in early:
+            self.run_ended(session, ended, None)
+
+    def may_act(self) -> bool:
+        """Tell whether orders may be given now."""
+        return self.election.may_act()
+
+    def room_changed(self) -> None:
+        """Look at what waits soon."""
+        self.wake.set()
+
+    def step_returned(self, step: StepRun) -> None:
+        """Let a step wait again."""
+        self.book.planner.add(step)
+        self.wake.set()
+
+    def run_ended(self, session: WorkerSession, ended: EndedRun, known: Run | None) -> None:
+        """Take in an end; the worker keeps it until it is stored."""
+        if not self.ready and known is None:
+            self.early_ends.append((session, ended))
+            return
+        step = self.book.step_of(ended.task)
+        if step is None:
+            session.store_confirmed(ended.number)
+            return
+        self.roster.quality(session.worker.id).note(ended.kind, self.clock())
+        step.save(ended.task.index, ended.checkpoint)
+        step.last_run = max(step.last_run, ended.run)
+        self.book.progress.note(step.job, (session, ended.number))
+        self.settle(step, session, ended)
+
+    def settle(self, step: StepRun, session: WorkerSession, ended: EndedRun) -> None:
+        """Decide what follows from an end."""
+        index = ended.task.index
+        mine = step.active.get(index) is session and step.runs.get(index) == ended.run
+        lasting = step.step.long_running
+        if ended.kind is EndKind.done and not lasting:
+            self.finish(step, index, session)
+            return
+        if ended.kind is EndKind.failed and not lasting:
+            step.shun(index, session.worker.id, self.clock())
+            failures = step.fail(index, ended.run)
+            logger.info(
+                'run failed: task={} run={} worker={}',
+                ended.task.name,
+                ended.run,
+                session.worker.id,
+            )
+            if failures >= step.job.submission.policy.max_attempts:
+                self.book.close(step.job, Outcome.failed)
+                return
+        if mine:
+            step.gang_broken = step.step.gang
+            step.requeue(index)
+            self.step_returned(step)
+
+    def finish(self, step: StepRun, index: int, session: WorkerSession) -> None:
+        """Note a task as done, and stop another run of it."""
+        other = step.active.get(index)
+        if other is not None and other is not session:
+            self.book.starter.stop(other, step.task(index))
+        step.finish(index)
+        if step.job.is_done:
+            self.book.close(step.job, Outcome.complete)
+        self.wake.set()
+
+    def run_found(self, session: WorkerSession, held: HeldRun) -> Step | None:
+        """Adopt a run of an earlier leader; the next check stops one that may not stay."""
+        step = self.book.step_of(held.task)
+        index = held.task.index
+        if step is None:
+            return self.book.demand_of(held.task) if self.ready else None
+        if index in step.done or index in step.active:
+            return step.step
+        step.begin(index, session, held.run)
+        step.save(index, held.checkpoint)
+        step.job.begun = True
+        if step.step.gang and step.gang_since is None:
+            step.gang_since = self.clock()
+        return step.step
+
+    def run_vanished(self, session: WorkerSession, run: Run) -> None:
+        """Let a task wait again whose run is surely gone."""
+        logger.info(
+            'run lost: task={} run={} worker={}', run.task.name, run.run, session.worker.id
+        )
+        step = self.book.step_of(run.task)
+        if step is None:
+            return
+        started = run.phase in {Phase.held, Phase.stopping}
+        if step.step.gang and started and step.active.get(run.task.index) is session:
+            step.gang_broken = True
+        step.save(run.task.index, run.checkpoint)
+        self.book.starter.give_back(step, run.task.index, session)
+
+    def run_moved(self, session: WorkerSession, successor: WorkerSession, run: Run) -> None:
+        """Follow a run in doubt in the worker's next life."""
+        step = self.book.step_of(run.task)
+        if step is not None and step.active.get(run.task.index) is session:
+            step.active[run.task.index] = successor
+
+    def life_changed(self, session: WorkerSession, born_ms: int) -> None:
+        """Begin anew with a worker that says that it has started again."""
+        if self.roster.sessions.get(session.worker.id) is session:
+            self.roster.replace(session, reborn_worker(session.worker, born_ms))
+
+    def fenced(self, session: WorkerSession) -> None:
+        """Claim a new tenure when this entry still leads by the log."""
+        now = self.clock()
+        logger.warning('token refused: worker={} token={}', session.worker.id, session.token)
+        if self.may_act() and now - self.claimed_at > CLAIM_PAUSE_S:
+            self.claimed_at = now
+            self.book.starter.spawn(self.election.begin_again())
--- /dev/null
+++ b/marigoldlift/scheduling/planner.py
@@ -0,0 +1,171 @@
+"""The scheduling pass: in which order waiting steps get the room that is free."""
+
+import time
+from collections.abc import Callable
+
+from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.placement import Placer
+from marigoldlift.scheduling.roster import Roster
+from marigoldlift.scheduling.starter import Starter
+from marigoldlift.scheduling.tasks import StepRun
+from marigoldlift.scheduling.tickets import TicketOffice
+
+__all__ = ('Planner',)
+
+MS_PER_S = 1000
+
+#: Steps that find no room after which a pass ends; those behind are served in later passes.
+MISSES = 40
+
+#: Share of a service's processors that only work of the highest priority may take.
+URGENT_SHARE = 0.06
+
+#: How long the members of a gang may take to start, as a share of the time that early ones wait for the others.
+GANG_START_SHARE = 0.4
+
+
+class Planner:
+    """Places what waits, the most urgent first."""
+
+    def __init__(
+        self,
+        roster: Roster,
+        placer: Placer,
+        tickets: TicketOffice,
+        starter: Starter,
+        clock: Callable[[], float],
+        gang_wait_s: float,
+    ) -> None:
+        """Start with nothing waiting.
+
+        Args:
+            roster: the workers.
+            placer: chooses among them.
+            tickets: knows which of them may run a step.
+            starter: sends the orders.
+            clock: steady time in seconds.
+            gang_wait_s: how long a member waits at its worker for the others.
+        """
+        self.roster = roster
+        self.placer = placer
+        self.tickets = tickets
+        self.starter = starter
+        self.clock = clock
+        self.gang_limit_s = gang_wait_s * GANG_START_SHARE
+        self.waiting: dict[StepRun, None] = {}
+        self.usable: dict[str, list[WorkerSession]] = {}
+        self.reserved: set[str] = set()
+        self.misses = 0
+
+    def add(self, step: StepRun) -> None:
+        """Let a step wait for room."""
+        if step.todo:
+            self.waiting[step] = None
+
+    def run_pass(self) -> None:
+        """Place what can be placed now."""
+        now = self.clock()
+        wall_ms = time.time() * MS_PER_S
+        self.usable = {}
+        self.reserved = set()
+        self.misses = 0
+        self.drop_finished()
+        ready = [step for step in self.waiting if self.may_start(step, wall_ms)]
+        ready.sort(key=lambda step: step.job.rank(now))
+        for candidate in ready:
+            self.place(candidate)
+            if self.misses >= MISSES:
+                break
+
+    def drop_finished(self) -> None:
+        """Leave out the steps that no longer wait."""
+        finished = [step for step in self.waiting if not step.todo or step.job.outcome]
+        for step in finished:
+            self.waiting.pop(step)
+
+    def may_start(self, step: StepRun, wall_ms: float) -> bool:
+        """Tell whether a step's turn has come, and no unreachable worker may still run it."""
+        if step.old and self.roster.dark:
+            return False
+        return step.job.is_turn(step, wall_ms)
+
+    def workers(self, step: StepRun) -> list[WorkerSession]:
+        """Return the workers that the step may use, apart from advice and room."""
+        service = step.job.submission.policy.service
+        if service not in self.usable:
+            self.usable[service] = self.roster.usable(service)
+        label = step.step.requires
+        urgent = step.job.submission.policy.priority == 0
+        return [
+            session
+            for session in self.usable[service]
+            if (not label or label in session.worker.labels)
+            and (urgent or session.worker.id not in self.reserved)
+        ]
+
+    def place(self, step: StepRun) -> None:
+        """Start what can be started of a step, and ask for tickets for the rest."""
+        usable = self.workers(step)
+        if not self.leaves_urgent_room(step, usable):
+            self.misses += 1
+            return
+        allowed = self.tickets.allowed(step, usable)
+        if step.step.gang:
+            placed = self.place_gang(step, allowed)
+        else:
+            placed = self.place_tasks(step, allowed)
+        if step.todo and not step.gang_since:
+            self.misses += 0 if placed else 1
+            self.tickets.ask_if_needed(step, usable)
+
+    def leaves_urgent_room(self, step: StepRun, usable: list[WorkerSession]) -> bool:
+        """Tell whether less urgent work leaves the share that urgent work needs at once."""
+        if step.job.submission.policy.priority == 0:
+            return True
+        total = sum(session.worker.cpu_m for session in usable)
+        free = sum(max(0, session.room.cpu_m) for session in usable)
+        return free - step.step.cpu_m >= total * URGENT_SHARE
+
+    def place_tasks(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
+        """Start single tasks while they fit."""
+        placed = False
+        for index in sorted(step.todo):
+            session = self.placer.place_one(step, index, allowed)
+            if session is None and not step.avoid.get(index):
+                return placed
+            if session is not None:
+                self.starter.start(step, index, session, step.next_run(index))
+                step.job.begun = True
+                placed = True
+        return placed
+
+    def place_gang(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
+        """Start a whole gang, or the members that are missing in one that has just started."""
+        if step.gang_since is not None:
+            return self.complete_gang(step, allowed)
+        if step.active or len(step.todo) < step.step.count:
+            return False
+        places = self.placer.place_gang(step, allowed)
+        if places is None:
+            self.reserve(step, allowed)
+            return False
+        run = step.next_run(0)
+        step.gang_since = self.clock()
+        step.job.begun = True
+        for index, session in enumerate(places):
+            self.starter.start(step, index, session, run)
+        return True
+
+    def complete_gang(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
+        """Start missing members under the gang's run while the others still wait for them."""
+        began = step.gang_since or 0
+        if step.gang_broken or self.clock() - began > self.gang_limit_s:
+            step.gang_broken = True
+            self.starter.stop_step(step)
+            return False
+        return self.place_tasks(step, allowed)
+
+    def reserve(self, step: StepRun, allowed: list[WorkerSession]) -> None:
+        """Keep less urgent work off the workers of the first gang that waits for room."""
+        if not self.reserved:
+            self.reserved = {session.worker.id for session in allowed}
--- /dev/null
+++ b/marigoldlift/scheduling/progress.py
@@ -0,0 +1,92 @@
+"""Stores what has ended, before workers are told that they may forget it."""
+
+import asyncio
+
+from loguru import logger
+
+from marigoldlift.errors import PlatformError
+from marigoldlift.orders.session import WorkerSession
+from marigoldlift.replication.appender import Appender
+from marigoldlift.scheduling.tasks import JobRun
+from marigoldlift.submissions.model import SubmissionId
+from marigoldlift.submissions.records import Outcome, Progress
+
+__all__ = ('ProgressWriter',)
+
+#: How long ends are gathered before they are stored, in s.
+GATHER_S = 0.01
+
+#: How long one record waits for the store before it is handed in again, in s.
+WAIT_S = 30
+
+#: Pause after a record that could not be stored, in s.
+RETRY_S = 0.2
+
+#: Outcome of an open submission, by whether any of its tasks was started.
+STARTED = (Outcome.queued, Outcome.running)
+
+EndNumber = tuple[WorkerSession, int]
+
+
+class ProgressWriter:
+    """Writes the progress of submissions that changed, each under this leader's tenure."""
+
+    def __init__(self, appender: Appender, tenure: int) -> None:
+        """Start with nothing to write."""
+        self.appender = appender
+        self.tenure = tenure
+        self.changed: dict[SubmissionId, JobRun] = {}
+        self.ends: dict[SubmissionId, list[EndNumber]] = {}
+        self.writing: set[SubmissionId] = set()
+        self.wake = asyncio.Event()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def note(self, job: JobRun, end: EndNumber | None = None) -> None:
+        """Note that a submission has changed, by an end that a worker keeps until it is stored."""
+        self.changed[job.id] = job
+        if end is not None:
+            self.ends.setdefault(job.id, []).append(end)
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Write until cancelled; one record of a submission at a time, so that the newest comes last."""
+        try:
+            while True:
+                await self.wake.wait()
+                await asyncio.sleep(GATHER_S)
+                self.wake.clear()
+                self.write_changed()
+        finally:
+            for task in self.tasks:
+                task.cancel()
+
+    def write_changed(self) -> None:
+        """Begin a record for each changed submission that has none under way."""
+        idle = [name for name in self.changed if name not in self.writing]
+        for submission in idle:
+            job = self.changed.pop(submission)
+            self.writing.add(submission)
+            task = asyncio.create_task(self.write(job, self.ends.pop(submission, [])))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def write(self, job: JobRun, ends: list[EndNumber]) -> None:
+        """Store one record, however long it takes, and let the workers forget its ends."""
+        while not await self.store(job):
+            await asyncio.sleep(RETRY_S)
+        for session, number in ends:
+            session.store_confirmed(number)
+        self.writing.discard(job.id)
+        if job.id in self.changed:
+            self.wake.set()
+
+    async def store(self, job: JobRun) -> bool:
+        """Try once."""
+        steps = [step.progress() for step in job.steps.values() if step.last_run or step.done]
+        outcome = job.outcome or STARTED[job.begun]
+        try:
+            await self.appender.append(Progress(job.id, self.tenure, outcome, steps), WAIT_S)
+        except PlatformError as fault:
+            logger.warning('progress not stored: submission={} {}', job.id, fault.reason)
+            return False
+        return True
--- /dev/null
+++ b/marigoldlift/scheduling/quality.py
@@ -0,0 +1,52 @@
+"""How workers fare with what they are given; health checks and registry may say otherwise."""
+
+from marigoldlift.orders.api import EndKind
+
+__all__ = ('WorkerQuality',)
+
+#: Failures in a row, with no success between, after which a worker gets no work for a while.
+QUARANTINE_FAILURES = 2
+
+#: How long a worker gets no work after such failures, in s; faults of workers seen so far last 4 to 7 s.
+QUARANTINE_S = 4
+
+#: How long one failure makes other workers preferable, in s.
+SUSPICION_S = 3
+
+
+class WorkerQuality:
+    """Recent failures of one worker.
+
+    Attributes:
+        row: failures since the last success.
+        failed_at: time of the last failure, in seconds of the steady clock.
+    """
+
+    __slots__ = ('failed_at', 'row')
+
+    def __init__(self) -> None:
+        """Start without failures."""
+        self.row = 0
+        self.failed_at = float('-inf')
+
+    def note(self, kind: EndKind, now: float) -> None:
+        """Take in the end of a run."""
+        if kind is EndKind.done:
+            self.row = 0
+        elif kind is EndKind.failed:
+            self.fail(now)
+
+    def fail(self, now: float) -> None:
+        """Count a failure, or a run that stood still."""
+        self.row += 1
+        self.failed_at = now
+
+    def is_quarantined(self, now: float) -> bool:
+        """Tell whether the worker gets no work; after that time one more failure is enough."""
+        return self.row >= QUARANTINE_FAILURES and now - self.failed_at < QUARANTINE_S
+
+    def is_suspect(self, now: float) -> bool:
+        """Tell whether other workers are preferable."""
+        if not self.row:
+            return False
+        return now - self.failed_at < SUSPICION_S + QUARANTINE_S * (self.row - 1)
--- /dev/null
+++ b/marigoldlift/scheduling/roster.py
@@ -0,0 +1,259 @@
+"""Sessions with all workers that are listed or that may still hold tasks."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from marigoldlift.errors import PlatformError
+from marigoldlift.leadership.election import ACT_LIMIT_S
+from marigoldlift.orders.api import Worker, WorkerCalls
+from marigoldlift.orders.following import follow
+from marigoldlift.orders.runs import Run
+from marigoldlift.orders.session import RunObserver, WorkerSession
+from marigoldlift.replication.appender import Appender
+from marigoldlift.scheduling.quality import WorkerQuality
+from marigoldlift.scheduling.registry import Registry
+from marigoldlift.submissions.records import Dropped, KnownWorker
+from marigoldlift.submissions.state import CellState
+
+__all__ = ('Roster', 'reborn_worker')
+
+MS_PER_S = 1000
+
+#: Subtracted from the longest lease that workers take, in s, for the way of the order.
+LEASE_MARGIN_S = 0.1
+
+#: Share by which a worker's clock may be slow, and slack for late timers, in s.
+SLOW_CLOCK = 1.02
+LAPSE_SLACK_S = 0.4
+
+#: How long a record waits for the store, in s.
+RECORD_WAIT_S = 2
+
+SessionMoved = Callable[[WorkerSession, WorkerSession, Run], None]
+
+
+class Roster:
+    """Opens, renews and closes the sessions of one tenure.
+
+    Attributes:
+        dark: workers that have not answered since the takeover, with the time at which all that they may hold has
+            surely ended, in seconds of the steady clock.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        state: CellState,
+        calls: WorkerCalls,
+        appender: Appender,
+        observer: RunObserver,
+        tenure: int,
+        longest_lease_s: float,
+    ) -> None:
+        """Start without sessions."""
+        self.registry = registry
+        self.state = state
+        self.calls = calls
+        self.appender = appender
+        self.observer = observer
+        self.tenure = tenure
+        self.clock = state.clock
+        self.lease_s = longest_lease_s - LEASE_MARGIN_S
+        self.lapse_s = ACT_LIMIT_S + longest_lease_s * SLOW_CLOCK + LAPSE_SLACK_S
+        self.sessions: dict[str, WorkerSession] = {}
+        self.qualities: dict[str, WorkerQuality] = {}
+        self.recorded: set[str] = set()
+        self.leave_at: dict[str, float] = {}
+        self.dark: dict[str, float] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    def quality(self, worker: str) -> WorkerQuality:
+        """Return how a worker has fared."""
+        return self.qualities.setdefault(worker, WorkerQuality())
+
+    def open_known(self) -> None:
+        """Open sessions with workers that an earlier leader has used, listed or not."""
+        bound = self.clock() + self.lapse_s
+        self.refresh()
+        for known in self.state.workers.values():
+            self.recorded.add(known.worker)
+            if known.worker not in self.sessions:
+                self.open(unlisted_worker(known), self.tenure)
+            self.dark[known.worker] = bound
+
+    def refresh(self) -> None:
+        """Follow the registry."""
+        for worker in list(self.registry.workers.values()):
+            session = self.sessions.get(worker.id)
+            if session is None:
+                self.open(worker, self.tenure)
+            elif is_other_life(session.worker, worker):
+                self.replace(session, worker)
+            elif session.worker != worker:
+                self.update(session, worker)
+
+    def open(self, worker: Worker, tenure: int) -> WorkerSession:
+        """Begin a session and follow it."""
+        session = WorkerSession(
+            worker, self.calls, tenure, self.observer, self.clock, self.lease_s
+        )
+        self.sessions[worker.id] = session
+        self.follow(session)
+        return session
+
+    def follow(self, session: WorkerSession) -> None:
+        """Run the looks of a session, in place of those of an earlier one."""
+        earlier = self.tasks.pop(session.worker.id, None)
+        if earlier is not None:
+            earlier.cancel()
+        self.tasks[session.worker.id] = asyncio.create_task(self.serve(session))
+
+    async def serve(self, session: WorkerSession) -> None:
+        """Record the worker before its first order, then look at it."""
+        if session.worker.id not in self.recorded:
+            await self.record(session.worker)
+        await follow(session)
+
+    async def record(self, worker: Worker) -> None:
+        """Store that a worker may hold tasks from now on."""
+        while worker.id not in self.recorded:
+            known = KnownWorker(worker.id, worker.address, worker.failure_domain)
+            try:
+                await self.appender.append(known, RECORD_WAIT_S)
+            except PlatformError as fault:
+                logger.info('worker not recorded: worker={} {}', worker.id, fault.reason)
+            else:
+                self.recorded.add(worker.id)
+
+    def update(self, session: WorkerSession, worker: Worker) -> None:
+        """Take in what a worker says of itself now."""
+        if session.worker.ready and not worker.ready:
+            logger.info('worker drains: worker={} remaining_ms={}', worker.id, worker.leaving_ms)
+        if not session.worker.cpu_m and worker.cpu_m:
+            session.room.resize(worker)
+        session.worker = worker
+        if worker.leaving_ms is not None:
+            self.leave_at[worker.id] = self.clock() + worker.leaving_ms / MS_PER_S
+        self.observer.room_changed()
+
+    def replace(self, session: WorkerSession, worker: Worker) -> None:
+        """Begin anew with a worker that has started again under its id.
+
+        What ran there is gone. A start without an answer may still arrive in the new life, so it stays in doubt
+        until the worker has answered under a higher token.
+        """
+        logger.info('worker reborn: worker={} born_ms={}', worker.id, worker.born_ms)
+        self.qualities.pop(worker.id, None)
+        fresh = WorkerSession(
+            worker, self.calls, self.tenure, self.observer, self.clock, self.lease_s
+        )
+        fresh.token = session.token + 1
+        self.sessions[worker.id] = fresh
+        for known in list(session.room.runs.values()):
+            session.room.pop(known.task)
+            if known.unanswered:
+                known.since = self.clock()
+                known.fence = fresh.token
+                fresh.room.take(known)
+                self.observer.run_moved(session, fresh, known)
+            else:
+                self.observer.run_vanished(session, known)
+        self.follow(fresh)
+
+    def usable(self, service: str) -> list[WorkerSession]:
+        """Return the sessions that may get new work of a service."""
+        now = self.clock()
+        return [
+            session
+            for session in self.sessions.values()
+            if session.worker.service == service and self.is_usable(session, now)
+        ]
+
+    def is_usable(self, session: WorkerSession, now: float) -> bool:
+        """Tell whether a worker may get new work: listed as ready, recorded, answering and sound."""
+        name = session.worker.id
+        if not session.worker.ready or name not in self.registry.workers:
+            return False
+        if name not in self.recorded or not session.answers():
+            return False
+        return now >= session.full_until and not self.quality(name).is_quarantined(now)
+
+    def all_synced(self) -> bool:
+        """Tell whether every worker has answered under this tenure's tokens."""
+        return all(session.synced for session in self.sessions.values())
+
+    def check(self) -> None:
+        """Give up what has surely ended, and close sessions that are no longer needed."""
+        now = self.clock()
+        for session in list(self.sessions.values()):
+            if session.room.runs and session.is_lost():
+                logger.warning(
+                    'lease lapsed: worker={} runs={}', session.worker.id, len(session.room.runs)
+                )
+                session.lose_all()
+            if session.synced or now > self.dark.get(session.worker.id, now):
+                self.dark.pop(session.worker.id, None)
+            if self.is_needless(session, now):
+                self.close(session)
+
+    def is_needless(self, session: WorkerSession, now: float) -> bool:
+        """Tell whether a worker is gone from the registry and can hold nothing any more."""
+        if (
+            session.worker.id in self.registry.workers
+            or session.room.runs
+            or session.worker.id in self.dark
+        ):
+            return False
+        return now - session.contact_at > self.lapse_s
+
+    def close(self, session: WorkerSession) -> None:
+        """End a session."""
+        name = session.worker.id
+        logger.info('worker forgotten: worker={}', name)
+        self.sessions.pop(name)
+        self.tasks.pop(name).cancel()
+        self.recorded.discard(name)
+        task = asyncio.create_task(self.forget(name))
+        self.tasks[f'-{name}'] = task
+        task.add_done_callback(lambda _: self.tasks.pop(f'-{name}', None))
+
+    async def forget(self, name: str) -> None:
+        """Drop the stored record of a worker."""
+        try:
+            await self.appender.append(Dropped(f'w/{name}'), RECORD_WAIT_S)
+        except PlatformError as fault:
+            logger.info('worker record kept: worker={} {}', name, fault.reason)
+
+    def stop(self) -> None:
+        """End all sessions."""
+        for task in self.tasks.values():
+            task.cancel()
+
+
+def is_other_life(before: Worker, after: Worker) -> bool:
+    """Tell whether two entries of a worker's id are of different lives."""
+    return bool(before.born_ms and after.born_ms) and after.born_ms > before.born_ms
+
+
+def unlisted_worker(known: KnownWorker) -> Worker:
+    """Return a worker of which only the stored record is known; it gets no new work."""
+    return Worker(
+        id=known.worker,
+        address=known.address,
+        failure_domain=known.failure_domain,
+        service='',
+        ready=False,
+        born_ms=0,
+        cpu_m=0,
+        mem_mb=0,
+        gpus=0,
+        labels=(),
+    )
+
+
+def reborn_worker(worker: Worker, born_ms: int) -> Worker:
+    """Return a worker's entry for a life that the registry doesn't list yet."""
+    return msgspec.structs.replace(worker, born_ms=born_ms)
--- /dev/null
+++ b/marigoldlift/scheduling/starter.py
@@ -0,0 +1,114 @@
+"""Carries out what was placed: starts and stops, and what follows from refusals."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from loguru import logger
+
+from marigoldlift.errors import WorkerRefusedError
+from marigoldlift.orders.runs import Phase, Run
+from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.roster import Roster
+from marigoldlift.scheduling.tasks import StepRun
+from marigoldlift.submissions.model import TaskRef
+
+__all__ = ('Starter',)
+
+#: How long a worker that refuses for want of room gets no new work, in s.
+FULL_PAUSE_S = 0.5
+
+#: Pause before an unanswered stop is sent again, in s.
+STOP_AGAIN_S = 0.5
+
+
+class Starter:
+    """Sends orders without holding the scheduling pass up.
+
+    Attributes:
+        returned: called with each step that has a task to start again.
+    """
+
+    def __init__(
+        self, roster: Roster, clock: Callable[[], float], returned: Callable[[StepRun], None]
+    ) -> None:
+        """Start without orders under way."""
+        self.roster = roster
+        self.clock = clock
+        self.returned = returned
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run an order beside the others."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def cancel(self) -> None:
+        """Leave the orders under way to the next leader."""
+        for task in self.tasks:
+            task.cancel()
+
+    def start(self, step: StepRun, index: int, session: WorkerSession, run: int) -> None:
+        """Take the room of a task and order its start."""
+        ref = step.task(index)
+        session.room.take(Run(ref, run, step.step, Phase.sent, self.clock()))
+        step.begin(index, session, run)
+        self.spawn(self.send(step, index, session, run))
+
+    async def send(self, step: StepRun, index: int, session: WorkerSession, run: int) -> None:
+        """Order a start, and let the task wait again when it surely does not run."""
+        leave = step.tickets.get(session.worker.id)
+        ticket = leave.ticket if leave else ''
+        content = step.job.submission.content
+        checkpoint = step.checkpoint(index)
+        try:
+            runs = await session.start(
+                step.task(index), run, step.step, content, ticket, checkpoint
+            )
+        except WorkerRefusedError as refusal:
+            logger.info(
+                'start refused: task={} run={} worker={} reason={}',
+                step.task(index).name,
+                run,
+                session.worker.id,
+                refusal.worker_code,
+            )
+            self.take_refusal(step, session, refusal.worker_code)
+            runs = False
+        if not runs:
+            self.give_back(step, index, session)
+
+    def take_refusal(self, step: StepRun, session: WorkerSession, reason: str) -> None:
+        """Learn from the reason of a refusal."""
+        if reason == 'ticket':
+            step.tickets.pop(session.worker.id, None)
+        elif reason == 'room':
+            session.full_until = self.clock() + FULL_PAUSE_S
+        elif reason == 'old':
+            step.gang_broken = step.step.gang
+        elif reason == 'unhealthy':
+            self.roster.quality(session.worker.id).fail(self.clock())
+
+    def give_back(self, step: StepRun, index: int, session: WorkerSession) -> None:
+        """Let a task wait again, unless it runs elsewhere by now."""
+        if step.active.get(index) is session:
+            step.requeue(index)
+            self.returned(step)
+
+    def stop(self, session: WorkerSession, task: TaskRef) -> None:
+        """Order the end of a run."""
+        self.spawn(session.stop(task))
+
+    def stop_step(self, step: StepRun) -> None:
+        """Order the end of all runs of a step."""
+        for index, session in list(step.active.items()):
+            self.stop_again(session, step.task(index))
+
+    def stop_again(self, session: WorkerSession, task: TaskRef) -> None:
+        """Order the end of a run, unless that was sent a moment ago."""
+        known = session.room.runs.get(task)
+        if known is None:
+            return
+        if known.stop_sent_at is None or self.clock() - known.stop_sent_at > STOP_AGAIN_S:
+            known.stop_sent_at = self.clock()
+            self.stop(session, task)
--- /dev/null
+++ b/marigoldlift/scheduling/tasks.py
@@ -0,0 +1,205 @@
+"""Open submissions in the hands of the leader: what waits, what runs, what has ended."""
+
+import msgspec
+
+from marigoldlift.orders.session import WorkerSession
+from marigoldlift.submissions.model import Step, Submission, SubmissionId, TaskRef
+from marigoldlift.submissions.records import Outcome, StepProgress
+from marigoldlift.submissions.state import Job
+
+__all__ = ('JobRun', 'StepRun', 'Ticket')
+
+MS_PER_S = 1000
+
+#: Multiples of a submission's objective after which it earns nothing any more; the rules of the platform give three.
+WORTHLESS_AFTER = 3
+
+#: Key of a gang's failures in its progress.
+GANG_INDEX = 0
+
+
+class Ticket(msgspec.Struct, frozen=True):
+    """Leave to start tasks of a step on one life of a worker until a time of the steady clock, in s."""
+
+    ticket: str
+    until: float
+
+
+class StepRun:
+    """Tasks of one step of one occurrence.
+
+    Attributes:
+        todo: indices that wait to be started.
+        active: sessions of the tasks that take room somewhere, by index.
+        last_run: highest run that any task was started with.
+        avoid: workers on which a task has failed, by index, with the time of that.
+        tickets: leave by worker; None for a worker that may not run the step.
+        ask_after: when the advice may be asked again; infinite while a call is under way.
+        gang_since: when the members of the gang's current run began to start, None while none runs.
+        gang_broken: a member of the current run has ended, so that all must end before the next run.
+        old: the step may have been started by an earlier leader.
+    """
+
+    def __init__(
+        self, job: 'JobRun', number: int, occurrence: int, progress: StepProgress | None
+    ) -> None:
+        """Start from what is stored of the step."""
+        self.job = job
+        self.step: Step = job.submission.steps[number]
+        self.number = number
+        self.occurrence = occurrence
+        known = progress or StepProgress(occurrence, number)
+        self.done: set[int] = set(known.done)
+        self.failures: dict[int, int] = dict(known.failures)
+        self.last_run = known.last_run
+        self.todo: set[int] = set(range(self.step.count)) - self.done
+        self.active: dict[int, WorkerSession] = {}
+        self.runs: dict[int, int] = {}
+        self.checkpoints: dict[int, str] = {}
+        self.avoid: dict[int, dict[str, float]] = {}
+        self.tickets: dict[str, Ticket | None] = {}
+        self.ask_after: float = 0
+        self.gang_since: float | None = None
+        self.failed_gang_runs: set[int] = set()
+        self.gang_broken = False
+        self.old = False
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether all tasks have ended as done."""
+        return len(self.done) >= self.step.count
+
+    @property
+    def name(self) -> str:
+        """Return the name that the placement advice knows the step by."""
+        return f'{self.job.submission.id}.{self.occurrence}.{self.number}'
+
+    def task(self, index: int) -> TaskRef:
+        """Return a task of the step."""
+        return TaskRef(self.job.submission.id, self.occurrence, self.number, index)
+
+    def next_run(self, index: int) -> int:
+        """Return the run that a task's next start has; the members of a gang share it."""
+        if self.step.gang:
+            starts_anew = self.gang_since is None
+            return self.last_run + int(starts_anew)
+        return max(self.runs.get(index, 0), self.base_run) + 1
+
+    @property
+    def base_run(self) -> int:
+        """Return the run that tasks without a known run have used up."""
+        return self.last_run if self.old else 0
+
+    def checkpoint(self, index: int) -> str:
+        """Return the saved state that a start of the task carries."""
+        return self.checkpoints.get(GANG_INDEX if self.step.gang else index, '')
+
+    def save(self, index: int, checkpoint: str) -> None:
+        """Keep the saved state of a task; that of any member is valid for a gang."""
+        if checkpoint:
+            self.checkpoints[GANG_INDEX if self.step.gang else index] = checkpoint
+
+    def begin(self, index: int, session: WorkerSession, run: int) -> None:
+        """Note that a task takes room on a worker."""
+        self.todo.discard(index)
+        self.active[index] = session
+        self.runs[index] = run
+        self.last_run = max(self.last_run, run)
+
+    def requeue(self, index: int) -> None:
+        """Let a task wait again, unless it is done."""
+        self.active.pop(index, None)
+        if index not in self.done:
+            self.todo.add(index)
+        if not self.active:
+            self.gang_since = None
+            self.gang_broken = False
+
+    def finish(self, index: int) -> None:
+        """Note that a task is done; one member's end stands for the whole gang."""
+        indices = range(self.step.count) if self.step.gang else (index,)
+        self.done.update(indices)
+        self.todo.difference_update(indices)
+        self.active.pop(index, None)
+
+    def shun(self, index: int, worker: str, now: float) -> None:
+        """Prefer other workers for a task, for a while even to waiting."""
+        self.avoid.setdefault(index, {})[worker] = now
+
+    def fail(self, index: int, run: int) -> int:
+        """Count a failed run and return the failures so far; a gang fails once for each of its runs."""
+        key = GANG_INDEX if self.step.gang else index
+        if not self.step.gang or run not in self.failed_gang_runs:
+            self.failed_gang_runs.add(run)
+            self.failures[key] = self.failures.get(key, 0) + 1
+        return self.failures[key]
+
+    def progress(self) -> StepProgress:
+        """Return what is to be stored of the step."""
+        return StepProgress(
+            self.occurrence, self.number, self.last_run, sorted(self.done), self.failures
+        )
+
+
+class JobRun:
+    """One open submission.
+
+    Attributes:
+        since: when it was accepted, in seconds of the steady clock.
+        begun: whether any task was started.
+        begun_noted: whether that is stored.
+        outcome: final outcome once there is one.
+    """
+
+    def __init__(self, job: Job, *, old: bool) -> None:
+        """Start from what the log says.
+
+        Args:
+            job: the submission and its progress.
+            old: an earlier leader may have started tasks of it.
+        """
+        self.job = job
+        self.submission: Submission = job.submission
+        self.since = job.seen_at
+        self.begun = job.outcome is Outcome.running
+        self.begun_noted = self.begun
+        self.outcome: Outcome | None = None
+        self.steps: dict[tuple[int, int], StepRun] = {}
+        for occurrence in range(self.submission.occurrences):
+            for number, _ in enumerate(self.submission.steps):
+                step = StepRun(self, number, occurrence, job.progress.get((occurrence, number)))
+                step.old = old
+                self.steps[occurrence, number] = step
+        self.objective_s = objective_s(self.submission)
+
+    @property
+    def id(self) -> SubmissionId:
+        """Return the id of the submission."""
+        return self.submission.id
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether all tasks have ended as done."""
+        return all(step.is_done for step in self.steps.values())
+
+    def is_turn(self, step: StepRun, wall_ms: float) -> bool:
+        """Tell whether the steps before are done and the occurrence is due."""
+        due_ms = self.submission.first_due_ms + step.occurrence * self.submission.interval_ms
+        if self.submission.first_due_ms and wall_ms < due_ms:
+            return False
+        return all(self.steps[step.occurrence, before].is_done for before in step.step.after)
+
+    def rank(self, now: float) -> tuple[bool, int, float]:
+        """Return the place in the order of service: submissions that can earn nothing any more come last."""
+        worthless = now > self.since + WORTHLESS_AFTER * self.objective_s
+        return (worthless, self.submission.policy.priority, self.since + self.objective_s)
+
+
+def objective_s(submission: Submission) -> float:
+    """Return the time in which a submission should be complete, in s, from the rough estimates."""
+    chains: list[float] = []
+    for step in submission.steps:
+        before = max((chains[number] for number in step.after if number < len(chains)), default=0)
+        chains.append(before + step.estimate_ms)
+    policy = submission.policy
+    return (policy.stretch * max(chains, default=0) + policy.target_ms) / MS_PER_S
--- /dev/null
+++ b/marigoldlift/scheduling/tickets.py
@@ -0,0 +1,133 @@
+"""Which workers may run a step, where the queue's policy asks the placement advice."""
+
+import math
+from collections.abc import Callable, Sequence
+
+from loguru import logger
+
+from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.advice import AdviceBroker
+from marigoldlift.scheduling.placement import Placer, room_for
+from marigoldlift.scheduling.starter import Starter
+from marigoldlift.scheduling.tasks import StepRun, Ticket
+
+__all__ = ('TicketOffice',)
+
+MS_PER_S = 1000
+
+#: Taken off a ticket's validity for the way of the order, in s.
+VALID_MARGIN_S = 0.25
+
+#: Pause before a failed question is asked again, in s.
+ASK_AGAIN_S = 0.3
+
+#: Workers named in the first question of a step; the platform's objective counts a call on 30.
+FIRST_WORKERS = 30
+
+#: Workers asked for each one that the step needs, since only a share of them may run it.
+WORKERS_FOR_ONE = 5
+
+#: Most workers that one call may name.
+CALL_WORKERS = 100
+
+
+class TicketOffice:
+    """Asks for tickets ahead of a start and keeps what was answered."""
+
+    def __init__(
+        self,
+        broker: AdviceBroker,
+        placer: Placer,
+        starter: Starter,
+        clock: Callable[[], float],
+        answered: Callable[[], None],
+    ) -> None:
+        """Start without questions.
+
+        Args:
+            broker: makes the calls.
+            placer: knows the room of workers.
+            starter: runs the questions beside the scheduling pass.
+            clock: steady time in seconds.
+            answered: called after each answer.
+        """
+        self.broker = broker
+        self.placer = placer
+        self.starter = starter
+        self.clock = clock
+        self.answered = answered
+
+    def allowed(self, step: StepRun, usable: Sequence[WorkerSession]) -> list[WorkerSession]:
+        """Return the workers for which the step holds a valid ticket; all where the queue needs none."""
+        if step.job.submission.policy.advice is None:
+            return list(usable)
+        now = self.clock()
+        return [
+            session for session in usable if is_valid(step.tickets.get(session.worker.id), now)
+        ]
+
+    def ask_if_needed(self, step: StepRun, usable: Sequence[WorkerSession]) -> None:
+        """Ask for more tickets when those at hand cannot place the step."""
+        if step.job.submission.policy.advice is None or self.clock() < step.ask_after:
+            return
+        named = self.question(step, usable)
+        if named:
+            step.ask_after = math.inf
+            self.starter.spawn(self.ask(step, named))
+
+    def question(self, step: StepRun, usable: Sequence[WorkerSession]) -> list[str]:
+        """Return the workers to ask for."""
+        roomy = [session for session in usable if self.placer.room(session, step)]
+        known = [session for session in roomy if step.tickets.get(session.worker.id)]
+        needed = step.step.count if step.step.gang else 1
+        if sum(self.placer.room(session, step) for session in known) >= needed:
+            return self.expired(step, known)
+        unknown = [session for session in roomy if session.worker.id not in step.tickets]
+        unknown.sort(key=lambda session: -room_for(session, step.step))
+        return [
+            session.worker.id for session in unknown[: self.width(step, unknown)]
+        ] + self.expired(step, known)
+
+    def expired(self, step: StepRun, known: Sequence[WorkerSession]) -> list[str]:
+        """Return the workers whose tickets are no longer valid, as many as the waiting tasks need."""
+        now = self.clock()
+        rooms = 0
+        named = []
+        by_room = sorted(known, key=lambda holder: -self.placer.room(holder, step))
+        for session in by_room:
+            if rooms >= len(step.todo):
+                break
+            rooms += self.placer.room(session, step)
+            if not is_valid(step.tickets.get(session.worker.id), now):
+                named.append(session.worker.id)
+        return named[:CALL_WORKERS]
+
+    def width(self, step: StepRun, unknown: Sequence[WorkerSession]) -> int:
+        """Return how many workers a question names."""
+        if not unknown:
+            return 0
+        room = max(1, room_for(unknown[0], step.step))
+        needed = math.ceil(len(step.todo) / room)
+        return min(CALL_WORKERS, max(FIRST_WORKERS, needed * WORKERS_FOR_ONE))
+
+    async def ask(self, step: StepRun, named: Sequence[str]) -> None:
+        """Ask, and keep the answer for all tasks of the step."""
+        policy = step.job.submission.policy.advice
+        if policy is None:
+            return
+        allowed = await self.broker.ask(policy, step.name, named)
+        step.ask_after = 0
+        if allowed is None:
+            step.ask_after = self.clock() + ASK_AGAIN_S
+            return
+        until = self.clock() + policy.valid_ms / MS_PER_S - VALID_MARGIN_S
+        for worker in named:
+            ticket = allowed.get(worker)
+            step.tickets[worker] = Ticket(ticket, until) if ticket else None
+        logger.debug('advice: step={} asked={} allowed={}', step.name, len(named), len(allowed))
+        self.answered()
+
+
+def is_valid(ticket: Ticket | None, now: float) -> bool:
+    """Tell whether a ticket may be used now."""
+    return ticket is not None and ticket.until > now
--- /dev/null
+++ b/marigoldlift/submissions/acceptance.py
@@ -0,0 +1,131 @@
+"""What callers may ask of their submissions at any entry."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from loguru import logger
+
+from marigoldlift.errors import AppendRefusedError, LogUnavailableError
+from marigoldlift.replication.appender import Appender
+from marigoldlift.replication.replica import Replica
+from marigoldlift.submissions.model import Submission, SubmissionId
+from marigoldlift.submissions.records import Accepted, Cancelled, Outcome
+from marigoldlift.submissions.state import FINAL, CellState
+
+__all__ = ('Acceptance', 'Answer')
+
+#: Longest wait of a caller for the store, in s; a retry reaches another entry, which the store may serve.
+STORE_WAIT_S = 1.2
+
+#: Row of failures of the store after which callers are refused at once, in s.
+STORE_FAILING_S = 0.4
+
+#: Age up to which the state of an open submission is told without asking the store again, in s.
+STATE_AGE_S = 0.05
+
+
+class Answer(Enum):
+    """What became of a request."""
+
+    done = 'done'
+    refused = 'refused'
+    unknown = 'unknown'
+    gone = 'gone'
+
+
+class Acceptance:
+    """Accepts and cancels submissions, and tells their state."""
+
+    def __init__(
+        self,
+        state: CellState,
+        appender: Appender,
+        replica: Replica,
+        clock: Callable[[], float],
+    ) -> None:
+        """Start with the entry's copy of the log."""
+        self.state = state
+        self.appender = appender
+        self.replica = replica
+        self.clock = clock
+        self.under_way: set[SubmissionId] = set()
+
+    def store_fails(self) -> bool:
+        """Tell whether the store has failed for so long that waiting for it helps nobody."""
+        since = self.appender.failing_since
+        return since is not None and self.clock() - since > STORE_FAILING_S
+
+    def wait_s(self, patience_s: float) -> float:
+        """Return how long a caller waits for the store."""
+        return min(STORE_WAIT_S, patience_s)
+
+    async def submit(self, submission: Submission, patience_s: float) -> Answer:
+        """Store a submission before it counts as accepted; the same id again is the same submission.
+
+        Args:
+            submission: what the caller wants to have done.
+            patience_s: how long the caller waits.
+        """
+        if submission.id in self.state.jobs:
+            return Answer.done
+        if self.store_fails() and submission.id not in self.under_way:
+            return Answer.refused
+        return await self.store(submission, patience_s)
+
+    async def store(self, submission: Submission, patience_s: float) -> Answer:
+        """Store one submission; after a doubt about an earlier try, a refusal of this one proves nothing."""
+        earlier_try = submission.id in self.under_way
+        try:
+            await self.appender.append(Accepted(submission), self.wait_s(patience_s))
+        except AppendRefusedError as refusal:
+            logger.info('submission refused: submission={} {}', submission.id, refusal.reason)
+            return Answer.unknown if earlier_try else Answer.refused
+        except LogUnavailableError as doubt:
+            self.under_way.add(submission.id)
+            logger.info('submission in doubt: submission={} {}', submission.id, doubt.reason)
+            return Answer.unknown
+        self.under_way.discard(submission.id)
+        return Answer.done
+
+    async def is_known(self, submission: SubmissionId) -> bool:
+        """Tell whether a submission was accepted, by all that was stored before this call.
+
+        Raises:
+            LogUnavailableError: the store does not answer.
+        """
+        if submission not in self.state.jobs:
+            await self.replica.synchronize()
+        return submission in self.state.jobs
+
+    async def outcome(self, submission: SubmissionId) -> Outcome | None:
+        """Return where a submission stands, None when there is no such submission.
+
+        Raises:
+            LogUnavailableError: the store does not answer, and this entry does not know the submission.
+        """
+        if not await self.is_known(submission):
+            return None
+        if self.state.jobs[submission].state not in FINAL:
+            await self.replica.refresh(STATE_AGE_S)
+        return self.state.jobs[submission].state
+
+    async def cancel(self, submission: SubmissionId, patience_s: float) -> Answer:
+        """Store that a submission is no longer wanted."""
+        try:
+            if not await self.is_known(submission):
+                return Answer.gone
+            if not self.state.jobs[submission].cancelled:
+                await self.appender.append(Cancelled(submission), self.wait_s(patience_s))
+        except AppendRefusedError:
+            return Answer.refused
+        except LogUnavailableError:
+            return Answer.unknown
+        return Answer.done
+
+    def pending(self, queue: str) -> int:
+        """Return the queue's accepted submissions of which no task has started."""
+        return sum(
+            1
+            for job in self.state.jobs.values()
+            if job.state is Outcome.queued and job.submission.policy.queue == queue
+        )
--- /dev/null
+++ b/marigoldlift/submissions/records.py
@@ -0,0 +1,103 @@
+"""Records of the shared log, each under a key of which the store keeps the newest."""
+
+from enum import Enum
+
+import msgspec
+
+from marigoldlift.submissions.model import Submission, SubmissionId
+
+__all__ = (
+    'Accepted',
+    'Cancelled',
+    'Dropped',
+    'KnownWorker',
+    'Leadership',
+    'Outcome',
+    'Progress',
+    'Record',
+    'StepProgress',
+)
+
+
+class Outcome(Enum):
+    """Where a submission stands."""
+
+    queued = 'queued'
+    running = 'running'
+    complete = 'complete'
+    failed = 'failed'
+    cancelled = 'cancelled'
+
+
+class StepProgress(msgspec.Struct, array_like=True):
+    """What is known to have ended of one step of one occurrence.
+
+    Attributes:
+        last_run: highest run that any task of the step was started with.
+        failures: failed runs by index of the task; of a gang under the index 0.
+    """
+
+    occurrence: int
+    step: int
+    last_run: int = 0
+    done: list[int] = []
+    failures: dict[int, int] = {}
+
+
+class Record(msgspec.Struct, array_like=True, tag=True):
+    """Base of all records of the shared log."""
+
+
+class Accepted(Record, tag='s'):
+    """A submission that was accepted."""
+
+    submission: Submission
+
+
+class Cancelled(Record, tag='c'):
+    """A submission that its caller has cancelled."""
+
+    submission: SubmissionId
+
+
+class Progress(Record, tag='p'):
+    """Ends of a submission's tasks that one tenure of a leader knows of.
+
+    The key holds the tenure, so that a record that arrives late from an earlier leader replaces nothing newer.
+    """
+
+    submission: SubmissionId
+    tenure: int
+    outcome: Outcome
+    steps: list[StepProgress] = []
+
+
+class Leadership(Record, tag='l'):
+    """An entry claims, renews or releases the right to give orders.
+
+    Attributes:
+        life: names one life of the entry's process.
+        sent_at: when it was sent, in seconds of the sender's steady clock.
+        address: where other entries reach it.
+    """
+
+    node: str
+    life: str
+    sent_at: float
+    failure_domain: str
+    address: str
+    released: bool = False
+
+
+class KnownWorker(Record, tag='w'):
+    """A worker that may hold tasks; written before its first order."""
+
+    worker: str
+    address: str
+    failure_domain: str
+
+
+class Dropped(Record, tag='d'):
+    """A key is no longer needed; stored as a key without content."""
+
+    key: str
--- /dev/null
+++ b/marigoldlift/submissions/state.py
@@ -0,0 +1,157 @@
+"""State of the cell that folds from the records of the shared log."""
+
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from marigoldlift.submissions.model import Submission, SubmissionId
+from marigoldlift.submissions.records import (
+    Accepted,
+    Cancelled,
+    KnownWorker,
+    Leadership,
+    Outcome,
+    Progress,
+    Record,
+    StepProgress,
+)
+from marigoldlift.submissions.stored import Stored, decode_record
+
+__all__ = ('FINAL', 'CellState', 'Job')
+
+FINAL = frozenset((Outcome.complete, Outcome.failed, Outcome.cancelled))
+
+Observer = Callable[[int, Record], None]
+
+
+class Job:
+    """What the log says of one submission."""
+
+    __slots__ = ('cancelled', 'offset', 'outcome', 'progress', 'seen_at', 'submission', 'tenures')
+
+    def __init__(self, submission: Submission, offset: int, seen_at: float) -> None:
+        """Start with an accepted submission.
+
+        Args:
+            submission: what was accepted.
+            offset: place of its record in the log.
+            seen_at: when this entry has read it, in seconds of the steady clock.
+        """
+        self.submission = submission
+        self.offset = offset
+        self.seen_at = seen_at
+        self.cancelled = False
+        self.outcome = Outcome.queued
+        self.progress: dict[tuple[int, int], StepProgress] = {}
+        self.tenures: set[int] = set()
+
+    @property
+    def state(self) -> Outcome:
+        """Return where the submission stands."""
+        if self.outcome not in FINAL and self.cancelled:
+            return Outcome.cancelled
+        return self.outcome
+
+    def merge(self, record: Progress) -> None:
+        """Add what a record knows; nothing that was known is taken back."""
+        self.tenures.add(record.tenure)
+        if self.outcome not in FINAL:
+            if record.outcome in FINAL or self.outcome is Outcome.queued:
+                self.outcome = record.outcome
+        for step in record.steps:
+            known = self.progress.get((step.occurrence, step.step))
+            self.progress[step.occurrence, step.step] = merge_steps(known, step)
+
+
+def merge_steps(known: StepProgress | None, added: StepProgress) -> StepProgress:
+    """Return what both of two records say of a step."""
+    if known is None:
+        return added
+    failures = {
+        index: max(known.failures.get(index, 0), added.failures.get(index, 0))
+        for index in known.failures.keys() | added.failures.keys()
+    }
+    return StepProgress(
+        occurrence=added.occurrence,
+        step=added.step,
+        last_run=max(known.last_run, added.last_run),
+        done=sorted({*known.done, *added.done}),
+        failures=failures,
+    )
+
+
+class CellState:
+    """All submissions, the newest leadership and the workers that may hold tasks.
+
+    Attributes:
+        leadership: the newest record of that kind, with its offset.
+        observers: called with each record after it took effect.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Start empty.
+
+        Args:
+            clock: steady time in seconds.
+        """
+        self.clock = clock
+        self.jobs: dict[SubmissionId, Job] = {}
+        self.early: dict[SubmissionId, list[Cancelled | Progress]] = {}
+        self.workers: dict[str, KnownWorker] = {}
+        self.leadership: tuple[int, Leadership] | None = None
+        self.observers: list[Observer] = []
+
+    def apply(self, stored: Stored) -> None:
+        """Take one record in; a record that cannot be read is skipped with a log line."""
+        if not stored.content:
+            self.drop(stored.key)
+            return
+        try:
+            record = decode_record(stored.content)
+        except msgspec.DecodeError as fault:
+            logger.warning('record skipped: offset={} key={} {}', stored.offset, stored.key, fault)
+            return
+        self.fold(stored.offset, record)
+        for observer in self.observers:
+            observer(stored.offset, record)
+
+    def fold(self, offset: int, record: Record) -> None:
+        """Change the state by one record."""
+        match record:
+            case Accepted():
+                self.accept(offset, record.submission)
+            case Cancelled() | Progress():
+                self.advance(record)
+            case KnownWorker():
+                self.workers[record.worker] = record
+            case Leadership():
+                if self.leadership is None or offset > self.leadership[0]:
+                    self.leadership = (offset, record)
+
+    def accept(self, offset: int, submission: Submission) -> None:
+        """Keep a submission; one that is known already stays as it was first accepted."""
+        if submission.id in self.jobs:
+            return
+        self.jobs[submission.id] = Job(submission, offset, self.clock())
+        for record in self.early.pop(submission.id, ()):
+            self.advance(record)
+
+    def advance(self, record: Cancelled | Progress) -> None:
+        """Change a submission; pages of a snapshot may name it before it is known."""
+        job = self.jobs.get(record.submission)
+        if job is None:
+            self.early.setdefault(record.submission, []).append(record)
+        elif isinstance(record, Cancelled):
+            job.cancelled = True
+        else:
+            job.merge(record)
+
+    def drop(self, key: str) -> None:
+        """Forget what a key stood for."""
+        kind, _, name = key.partition('/')
+        if kind == 's':
+            self.jobs.pop(SubmissionId(name), None)
+            self.early.pop(SubmissionId(name), None)
+        elif kind == 'w':
+            self.workers.pop(name, None)
