Mend a tenure that outlived its end; count failed runs by number; stand-ins and storms

Failed runs were counted per listing, and ends that an earlier leader had stored are listed again. Ruled out: another entry with a higher token (the refused token was this entry's own, of an earlier tenure).

--- /dev/null
+++ b/marigoldlift/cell_node.py
@@ -0,0 +1,156 @@
+"""One entry's part in the cell: copy of the log, election, acceptance, and the tenure while it leads."""
+
+import asyncio
+import os
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any
+
+import msgspec
+from loguru import logger
+
+from marigoldlift.leadership.election import Candidate, Election
+from marigoldlift.orders.api import Worker, WorkerCalls
+from marigoldlift.replication.api import KeyedLog
+from marigoldlift.replication.appender import Appender
+from marigoldlift.replication.replica import Replica
+from marigoldlift.scheduling.advice import AdviceBroker, AdviceRelay
+from marigoldlift.scheduling.dispatcher import Dispatcher, DispatcherParts
+from marigoldlift.scheduling.registry import Registry
+from marigoldlift.submissions.acceptance import Acceptance
+from marigoldlift.submissions.records import Record
+from marigoldlift.submissions.state import CellState
+
+__all__ = ('CellNode', 'NodeLimits', 'NodeParts', 'report_end')
+
+#: Shortest pauses between two reads of the log and of the workers' list, in s: each read is priced.
+LEADER_PACE_S = 0.025
+FOLLOWER_PACE_S = 0.25
+LEADER_WORKERS_PACE_S = 0.4
+FOLLOWER_WORKERS_PACE_S = 1.0
+
+
+class NodeLimits(msgspec.Struct, frozen=True):
+    """Bounds of the platform.
+
+    Attributes:
+        lease_s: longest lease that workers take.
+        gang_wait_s: how long a gang's member waits for the others.
+        outcome_kept_s: how long the outcome of a submission is told at least.
+    """
+
+    lease_s: float
+    gang_wait_s: float
+    outcome_kept_s: float
+
+
+class NodeParts(msgspec.Struct):
+    """What an entry reaches the platform through.
+
+    Attributes:
+        log: the product's own records.
+        workers_log: the platform's list of workers.
+        decode_worker: returns the worker of a listed entry, None when it names none.
+    """
+
+    log: KeyedLog
+    workers_log: KeyedLog
+    decode_worker: Callable[[str, bytes], Worker | None]
+    calls: WorkerCalls
+    advice: AdviceRelay
+
+
+class CellNode:
+    """Wires the parts of an entry that decide.
+
+    Attributes:
+        dispatcher: the tenure, while this entry leads.
+    """
+
+    def __init__(
+        self,
+        candidate: Candidate,
+        parts: NodeParts,
+        limits: NodeLimits,
+        clock: Callable[[], float],
+    ) -> None:
+        """Build the parts."""
+        self.candidate = candidate
+        self.parts = parts
+        self.limits = limits
+        self.clock = clock
+        self.state = CellState(clock)
+        self.appender = Appender(parts.log, candidate.node, clock)
+        self.replica = Replica(parts.log, self.state.apply, clock, FOLLOWER_PACE_S)
+        self.registry = Registry(parts.decode_worker)
+        self.listing = Replica(
+            parts.workers_log, self.registry.apply, clock, FOLLOWER_WORKERS_PACE_S
+        )
+        self.listing.reset_observers.append(self.registry.reset)
+        self.acceptance = Acceptance(self.state, self.appender, self.replica, clock)
+        self.election = Election(candidate, self.appender, self.replica, clock)
+        self.election.on_change.append(self.follow_leadership)
+        self.state.observers.append(self.observe)
+        self.dispatcher: Dispatcher | None = None
+        self.dispatching: asyncio.Task[None] | None = None
+
+    def observe(self, offset: int, record: Record) -> None:
+        """Pass a record on to the election and to the tenure that runs."""
+        self.election.observe(offset, record)
+        if self.dispatcher is not None:
+            self.dispatcher.observe(offset, record)
+
+    def follow_leadership(self) -> None:
+        """Begin or end the tenure of this entry."""
+        self.stop_dispatching()
+        tenure = self.election.tenure
+        leads = tenure is not None
+        self.replica.pace_s = LEADER_PACE_S if leads else FOLLOWER_PACE_S
+        self.listing.pace_s = LEADER_WORKERS_PACE_S if leads else FOLLOWER_WORKERS_PACE_S
+        if tenure is not None:
+            self.dispatcher = Dispatcher(self.dispatcher_parts(), tenure)
+            self.dispatching = asyncio.create_task(self.dispatcher.run())
+            self.dispatching.add_done_callback(report_end)
+
+    def stop_dispatching(self) -> None:
+        """End the tenure that runs."""
+        if self.dispatching is not None:
+            self.dispatching.cancel()
+        self.dispatcher = None
+        self.dispatching = None
+
+    def dispatcher_parts(self) -> DispatcherParts:
+        """Return what a tenure works with."""
+        return DispatcherParts(
+            state=self.state,
+            replica=self.replica,
+            registry=self.registry,
+            calls=self.parts.calls,
+            appender=self.appender,
+            broker=AdviceBroker(self.parts.advice, self.candidate.address, self.clock),
+            election=self.election,
+            clock=self.clock,
+            lease_s=self.limits.lease_s,
+            gang_wait_s=self.limits.gang_wait_s,
+            outcome_kept_s=self.limits.outcome_kept_s,
+        )
+
+    def loops(self) -> Iterator[Coroutine[Any, Any, None]]:
+        """Yield what has to run as long as the entry serves."""
+        yield self.appender.run()
+        yield self.replica.run()
+        yield self.listing.run()
+        yield self.campaign()
+
+    async def campaign(self) -> None:
+        """Take part in the election once the log and the workers are known."""
+        await self.replica.ready.wait()
+        await self.listing.ready.wait()
+        await self.election.run()
+
+
+def report_end(task: asyncio.Task[None]) -> None:
+    """End the process when a loop has failed, so that it starts anew with what is stored."""
+    if task.cancelled() or task.exception() is None:
+        return
+    logger.opt(exception=task.exception()).critical('loop ended by a fault')
+    os._exit(1)
--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -15,10 +15,13 @@
 __all__ = ('ACT_LIMIT_S', 'Candidate', 'Election')
 
 #: Pause between two renewals, in s.
-RENEW_S = 0.4
+RENEW_S = 0.3
 
-#: Silence of the leader after which another entry claims its place, in s; three renewals may be lost.
-SILENCE_S = 1.5
+#: Silence of the leader after which another entry claims its place, in s; two renewals may be lost.
+SILENCE_S = 1.0
+
+#: Answers of the store by which that silence grows: a renewal waits for a batch under way and is then read.
+SLOW_ANSWERS = 4
 
 #: How long a leader goes on without a confirmed renewal, in s: it bridges short outages of the store.
 #: A successor waits as long for workers that it cannot reach.
@@ -27,6 +30,9 @@
 #: Pause between two looks at the state of the election, in s.
 TICK_S = 0.05
 
+#: Pause after a claim, in s.
+CLAIM_PAUSE_S = 0.3
+
 #: Delay of a claim for a VM of one core, in s; larger VMs claim first.
 CLAIM_DELAY_S = 0.2
 
@@ -141,7 +147,7 @@
         delay = CLAIM_DELAY_S / max(self.candidate.cores, CLAIM_DELAY_S) + self.jitter_s
         if self.holder is None or self.holder.node == self.candidate.node:
             return delay
-        return SILENCE_S + delay
+        return SILENCE_S + SLOW_ANSWERS * self.appender.latency_s + delay
 
     def wants_renewal(self) -> bool:
         """Tell whether the next renewal is due."""
@@ -154,6 +160,7 @@
                 await self.write(released=False)
             elif self.wants_claim():
                 await self.claim()
+                await asyncio.sleep(CLAIM_PAUSE_S)
             await asyncio.sleep(TICK_S)
 
     async def claim(self) -> None:
--- a/marigoldlift/platform/store.py
+++ b/marigoldlift/platform/store.py
@@ -22,7 +22,14 @@
 from marigoldlift.replication.api import LogPage, SnapshotPage
 from marigoldlift.submissions.stored import Stored
 
-__all__ = ('PlatformLog',)
+__all__ = ('OPERATORS_TOPIC', 'WORKERS_TOPIC', 'WORK_TOPIC', 'PlatformLog')
+
+#: Topic of the product's own records; by the first part of its name, the store keeps the newest record of each key.
+WORK_TOPIC = 'keyed.work'
+
+#: Topics that others write: the operators, and the workers about themselves.
+OPERATORS_TOPIC = 'keyed.op'
+WORKERS_TOPIC = 'keyed.servers'
 
 MS_PER_S = 1000
 
--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -23,6 +23,9 @@
 #: Bytes of one batch, below the 2 MB that the store takes in one call.
 BATCH_BYTES = 1_000_000
 
+#: Weight of the newest append in the smoothed latency.
+LATENCY_SHARE = 0.2
+
 #: Pauses between two tries of a batch, in s; the store's refusals are priced like its answers.
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.4
@@ -64,6 +67,7 @@
     without an answer is sent again as it was, and no late copy of it can follow a newer batch.
 
     Attributes:
+        latency_s: smoothed time that the store takes for an append.
         failing_since: when the first of a row of failures began, in seconds of the steady clock.
     """
 
@@ -77,6 +81,7 @@
         self.waiting: list[Entry] = []
         self.arrived = asyncio.Event()
         self.failing_since: float | None = None
+        self.latency_s: float = 0
 
     def new_producer(self) -> str:
         """Return a name that no earlier life of this entry has used."""
@@ -97,7 +102,8 @@
         self.waiting.append(entry)
         self.arrived.set()
         try:
-            return await asyncio.wait_for(asyncio.shield(entry.stored), wait_s)
+            async with asyncio.timeout(wait_s):
+                return await asyncio.shield(entry.stored)
         except TimeoutError:
             return self.abandon(entry)
 
@@ -153,6 +159,7 @@
     async def send(self, batch: list[Entry]) -> int:
         """Make one call, and note how the log fares."""
         records = [(entry.key, entry.content) for entry in batch]
+        sent_at = self.clock()
         try:
             offset = await self.log.append(records, self.producer, self.sequence)
         except SequenceMismatchError as mismatch:
@@ -161,6 +168,7 @@
             self.note_failure(fault)
             raise
         self.failing_since = None
+        self.latency_s += (self.clock() - sent_at - self.latency_s) * LATENCY_SHARE
         return offset
 
     def resolve_mismatch(self, mismatch: SequenceMismatchError) -> int:
--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -92,9 +92,8 @@
             self.busy_until[relay] = answer_at
             try:
                 wait_s = answer_at - now + ANSWER_MARGIN_S
-                return await asyncio.wait_for(
-                    self.calls.advise(relay, step, workers, wait_s), wait_s
-                )
+                async with asyncio.timeout(wait_s):
+                    return await self.calls.advise(relay, step, workers, wait_s)
             except (PlatformError, TimeoutError) as fault:
                 logger.info('advice not given: step={} relay={} {}', step, relay, fault)
                 self.busy_until[relay] = self.clock() + RELAY_PAUSE_S
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -1,6 +1,7 @@
 """One tenure of the leader: takes the cell over, then starts and follows all accepted work."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -19,6 +20,7 @@
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.registry import Registry
+from marigoldlift.scheduling.retention import Retention
 from marigoldlift.scheduling.roster import Roster
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tickets import TicketOffice
@@ -28,7 +30,7 @@
 __all__ = ('Dispatcher', 'DispatcherParts')
 
 #: Longest wait for the workers' answers at a takeover, in s; those that answer later count as unreachable.
-TAKEOVER_WAIT_S = 1.0
+TAKEOVER_WAIT_S = 0.35
 
 #: Pauses between two passes, in s: shortest, and longest when nothing has changed.
 PASS_PACE_S = 0.01
@@ -42,6 +44,7 @@
         clock: steady time in seconds.
         lease_s: longest lease that workers take.
         gang_wait_s: how long a gang's member waits for the others.
+        outcome_kept_s: how long the outcome of a submission is told at least.
     """
 
     state: CellState
@@ -54,6 +57,7 @@
     clock: Callable[[], float]
     lease_s: float
     gang_wait_s: float
+    outcome_kept_s: float
 
 
 class Dispatcher:
@@ -66,7 +70,7 @@
         self.clock = parts.clock
         self.wake = asyncio.Event()
         self.progress = ProgressWriter(parts.appender, tenure)
-        self.events = RunEvents(parts.election, self.wake)
+        self.events = RunEvents(parts.election, tenure, self.wake)
         self.roster = Roster(
             parts.registry,
             parts.state,
@@ -84,6 +88,7 @@
         )
         self.book = JobBook(parts.state, self.planner, self.starter, self.progress, self.clock)
         self.checks = RunChecks(self.book, self.roster, self.starter, self.clock)
+        self.retention = Retention(parts.state, parts.appender, parts.outcome_kept_s)
         self.events.book = self.book
         self.events.roster = self.roster
         for submission in tuple(parts.state.jobs):
@@ -109,10 +114,10 @@
     async def pause(self) -> None:
         """Wait for news, at most one tick."""
         await asyncio.sleep(PASS_PACE_S)
-        try:
-            await asyncio.wait_for(self.wake.wait(), TICK_S)
-        except TimeoutError:
-            return
+        with contextlib.suppress(TimeoutError):
+            # asyncio.wait_for of Python 3.11 would swallow a cancellation that comes as the event is set.
+            async with asyncio.timeout(TICK_S):
+                await self.wake.wait()
         self.wake.clear()
 
     async def take_over(self) -> None:
@@ -144,12 +149,14 @@
 
     def work(self) -> None:
         """Make one round of checks and placements."""
-        if not self.parts.election.may_act():
+        if not self.events.may_act():
             return
         self.roster.refresh()
         self.roster.check()
         self.checks.check_runs()
         self.book.store_begun()
+        if self.retention.is_due():
+            self.starter.spawn(self.retention.drop_old())
         self.planner.run_pass()
 
     def observe(self, offset: int, record: Record) -> None:
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -33,9 +33,10 @@
     book: JobBook
     roster: Roster
 
-    def __init__(self, election: Election, wake: asyncio.Event) -> None:
+    def __init__(self, election: Election, tenure: int, wake: asyncio.Event) -> None:
         """Start during the takeover."""
         self.election = election
+        self.tenure = tenure
         self.wake = wake
         self.clock = election.clock
         self.ready = False
@@ -52,7 +53,7 @@
 
     def may_act(self) -> bool:
         """Tell whether orders may be given now."""
-        return self.election.may_act()
+        return self.election.tenure == self.tenure and self.election.may_act()
 
     def room_changed(self) -> None:
         """Look at what waits soon."""
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -50,7 +50,7 @@
         self.occurrence = occurrence
         known = progress or StepProgress(occurrence, number)
         self.done: set[int] = set(known.done)
-        self.failures: dict[int, int] = dict(known.failures)
+        self.failures = {index: set(runs) for index, runs in known.failures.items()}
         self.last_run = known.last_run
         self.todo: set[int] = set(range(self.step.count)) - self.done
         self.active: dict[int, WorkerSession] = {}
@@ -60,7 +60,6 @@
         self.tickets: dict[str, Ticket | None] = {}
         self.ask_after: float = 0
         self.gang_since: float | None = None
-        self.failed_gang_runs: set[int] = set()
         self.gang_broken = False
         self.old = False
 
@@ -127,17 +126,19 @@
         self.avoid.setdefault(index, {})[worker] = now
 
     def fail(self, index: int, run: int) -> int:
-        """Count a failed run and return the failures so far; a gang fails once for each of its runs."""
-        key = GANG_INDEX if self.step.gang else index
-        if not self.step.gang or run not in self.failed_gang_runs:
-            self.failed_gang_runs.add(run)
-            self.failures[key] = self.failures.get(key, 0) + 1
-        return self.failures[key]
+        """Count a failed run and return the failures so far; a gang fails once for each of its runs.
+
+        An end that an earlier leader has stored may be listed again, so runs are counted by their numbers.
+        """
+        failed = self.failures.setdefault(GANG_INDEX if self.step.gang else index, set())
+        failed.add(run)
+        return len(failed)
 
     def progress(self) -> StepProgress:
         """Return what is to be stored of the step."""
+        failures = {index: sorted(runs) for index, runs in self.failures.items()}
         return StepProgress(
-            self.occurrence, self.number, self.last_run, sorted(self.done), self.failures
+            self.occurrence, self.number, self.last_run, sorted(self.done), failures
         )
 
 
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -34,14 +34,14 @@
 
     Attributes:
         last_run: highest run that any task of the step was started with.
-        failures: failed runs by index of the task; of a gang under the index 0.
+        failures: numbers of the failed runs by index of the task; of a gang under the index 0.
     """
 
     occurrence: int
     step: int
     last_run: int = 0
     done: list[int] = []
-    failures: dict[int, int] = {}
+    failures: dict[int, list[int]] = {}
 
 
 class Record(msgspec.Struct, array_like=True, tag=True):
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -26,9 +26,24 @@
 
 
 class Job:
-    """What the log says of one submission."""
+    """What the log says of one submission.
 
-    __slots__ = ('cancelled', 'offset', 'outcome', 'progress', 'seen_at', 'submission', 'tenures')
+    Attributes:
+        seen_at: when this entry has read it, in seconds of the steady clock.
+        final_at: when this entry has read its outcome.
+        tenures: leaders that have stored progress.
+    """
+
+    __slots__ = (
+        'cancelled',
+        'final_at',
+        'offset',
+        'outcome',
+        'progress',
+        'seen_at',
+        'submission',
+        'tenures',
+    )
 
     def __init__(self, submission: Submission, offset: int, seen_at: float) -> None:
         """Start with an accepted submission.
@@ -45,6 +60,7 @@
         self.outcome = Outcome.queued
         self.progress: dict[tuple[int, int], StepProgress] = {}
         self.tenures: set[int] = set()
+        self.final_at: float | None = None
 
     @property
     def state(self) -> Outcome:
@@ -69,7 +85,7 @@
     if known is None:
         return added
     failures = {
-        index: max(known.failures.get(index, 0), added.failures.get(index, 0))
+        index: sorted({*known.failures.get(index, ()), *added.failures.get(index, ())})
         for index in known.failures.keys() | added.failures.keys()
     }
     return StepProgress(
@@ -142,10 +158,13 @@
         job = self.jobs.get(record.submission)
         if job is None:
             self.early.setdefault(record.submission, []).append(record)
-        elif isinstance(record, Cancelled):
+            return
+        if isinstance(record, Cancelled):
             job.cancelled = True
         else:
             job.merge(record)
+        if job.state in FINAL and job.final_at is None:
+            job.final_at = self.clock()
 
     def drop(self, key: str) -> None:
         """Forget what a key stood for."""
--- /dev/null
+++ b/standins/cell/judge.py
@@ -0,0 +1,77 @@
+"""What must always hold at the workers, checked with each start and end."""
+
+from marigoldlift.submissions.model import Submission, TaskRef
+
+__all__ = ('Judge',)
+
+
+class Judge:
+    """Watches all workers.
+
+    Attributes:
+        violations: broken rules, one line each.
+        done: tasks with an end `done` that was taken note of.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing seen."""
+        self.violations: list[str] = []
+        self.submissions: dict[str, Submission] = {}
+        self.running: dict[TaskRef, set[str]] = {}
+        self.ended_done: set[TaskRef] = set()
+        self.done: set[TaskRef] = set()
+        self.failed: dict[TaskRef, int] = {}
+        self.cancelled: set[str] = set()
+        self.alone: int = 0
+
+    def blame(self, rule: str, task: TaskRef, worker: str) -> None:
+        """Keep a broken rule."""
+        self.violations.append(f'{rule}: task={task.name} worker={worker}')
+
+    def begin(self, task: TaskRef, run: int, worker: str, free_cpu_m: int) -> None:
+        """Check a start."""
+        holders = self.running.setdefault(task, set())
+        if holders:
+            self.blame(f'TWICE with {sorted(holders)} run={run}', task, worker)
+        if task in self.done:
+            self.blame(f'TWICE after done run={run}', task, worker)
+        if free_cpu_m < 0:
+            self.blame('LIMIT', task, worker)
+        submission = self.submissions.get(task.submission)
+        if submission is None:
+            self.blame('UNASKED', task, worker)
+            return
+        self.check_budget(submission, task, worker)
+        for before in submission.steps[task.step].after:
+            self.check_before(submission, before, task, worker)
+        holders.add(worker)
+
+    def check_budget(self, submission: Submission, task: TaskRef, worker: str) -> None:
+        """Check that a task has attempts left."""
+        if self.failed.get(task, 0) >= submission.policy.max_attempts:
+            self.blame('BUDGET', task, worker)
+
+    def check_before(
+        self, submission: Submission, before: int, task: TaskRef, worker: str
+    ) -> None:
+        """Check that the tasks of an earlier step have ended as done."""
+        for index in range(submission.steps[before].count):
+            earlier = TaskRef(task.submission, task.occurrence, before, index)
+            if earlier not in self.ended_done:
+                self.blame(f'ORDER before {earlier.name}', task, worker)
+                return
+
+    def end(self, task: TaskRef, worker: str, kind: str) -> None:
+        """Take in an end."""
+        self.running.get(task, set()).discard(worker)
+        if kind == 'done':
+            self.ended_done.add(task)
+        elif kind == 'alone':
+            self.alone += 1
+
+    def note(self, task: TaskRef, kind: str) -> None:
+        """Take in that an end was taken note of by `last_seen`."""
+        if kind == 'done':
+            self.done.add(task)
+        elif kind == 'failed':
+            self.failed[task] = self.failed.get(task, 0) + 1
--- /dev/null
+++ b/standins/cell/workers.py
@@ -0,0 +1,269 @@
+"""Workers in memory: room, leases on a clock of their own, fencing, ends, gangs, late orders."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from marigoldlift.errors import WorkerRefusedError, WorkerUnavailableError
+from marigoldlift.orders.api import EndedRun, EndKind, HeldRun, Look, StartOrder, Worker
+from marigoldlift.submissions.model import Step, TaskRef
+from standins.cell.judge import Judge
+
+__all__ = ('CallFaults', 'MemoryWorker', 'MemoryWorkers')
+
+ANSWER_S = 0.002
+SILENCE_S = 0.4
+LATE_S = (2.0, 6.0)
+TICK_S = 0.05
+LONGEST_LEASE_MS = 6000
+GANG_WAIT_S = 3.0
+MS = 1000
+
+
+class HeldTask:
+    """A run on a worker."""
+
+    def __init__(self, run: int, step: Step, ends_at: float, now: float) -> None:
+        """Start the work."""
+        self.run = run
+        self.step = step
+        self.started_at = now
+        self.ends_at = ends_at
+        self.stop_at: float | None = None
+
+
+class CallFaults(msgspec.Struct):
+    """Shares of the calls that are struck: not carried out now but late, or carried out without an answer."""
+
+    late: float = 0
+    lost: float = 0
+
+
+class MemoryWorker:
+    """One machine that runs tasks.
+
+    Attributes:
+        up: whether it answers and works.
+        hangs: its tasks stand still.
+        fails: its tasks end as failed.
+    """
+
+    def __init__(self, name: str, cpu_m: int, judge: Judge, rng: random.Random) -> None:
+        """Start the first life."""
+        self.name = name
+        self.cpu_m = cpu_m
+        self.judge = judge
+        self.rng = rng
+        self.rate = rng.uniform(0.98, 1.0)
+        self.up = True
+        self.hangs = False
+        self.fails = False
+        self.draining = False
+        self.born_ms = 0
+        self.be_born()
+
+    def be_born(self) -> None:
+        """Begin a life that knows nothing of the one before."""
+        for task in list(getattr(self, 'held', {})):
+            self.judge.end(task, self.name, 'lost')
+        self.born_ms += 1
+        self.born_at = asyncio.get_running_loop().time()
+        self.held: dict[TaskRef, HeldTask] = {}
+        self.ends: list[EndedRun] = []
+        self.spent: dict[TaskRef, int] = {}
+        self.number = 0
+        self.token = 0
+        self.lease_ms = 0.0
+        self.news = asyncio.Event()
+
+    def entry(self) -> Worker:
+        """Return the worker's report about itself."""
+        return Worker(
+            id=self.name,
+            address=self.name,
+            failure_domain='a',
+            service='service',
+            ready=not self.draining,
+            born_ms=self.born_ms,
+            cpu_m=self.cpu_m,
+            mem_mb=1_000_000,
+            gpus=0,
+            labels=('kind', f'rack-{self.name}'),
+        )
+
+    def clock_ms(self) -> float:
+        """Return the worker's own clock."""
+        return (asyncio.get_running_loop().time() - self.born_at) * MS * self.rate
+
+    def extend(self, until_ms: float | None) -> None:
+        """Renew the lease."""
+        if until_ms is not None:
+            bounded = min(until_ms, self.clock_ms() + LONGEST_LEASE_MS)
+            self.lease_ms = max(self.lease_ms, bounded)
+
+    def check_token(self, token: int) -> None:
+        """Refuse an order of an earlier holder."""
+        if token < self.token:
+            raise WorkerRefusedError('fence', 'a higher token was seen')
+        self.token = token
+
+    def free_cpu_m(self) -> int:
+        """Return the room that is left."""
+        return self.cpu_m - sum(held.step.cpu_m for held in self.held.values())
+
+    def start(self, token: int, order: StartOrder, step: Step, duration_s: float) -> float:
+        """Carry a start out."""
+        self.expire()
+        self.check_token(token)
+        known = self.held.get(order.task)
+        if known is not None and known.run == order.run:
+            return self.clock_ms()
+        if order.run <= self.spent.get(order.task, 0) or known is not None:
+            raise WorkerRefusedError('old', 'a run as high has ended')
+        if order.until_ms <= self.clock_ms():
+            raise WorkerRefusedError('late', 'the lease has passed')
+        self.extend(order.until_ms)
+        now = asyncio.get_running_loop().time()
+        self.held[order.task] = HeldTask(order.run, step, now + duration_s, now)
+        self.judge.begin(order.task, order.run, self.name, self.free_cpu_m())
+        return self.clock_ms()
+
+    def stop(self, token: int, task: TaskRef, run: int) -> None:
+        """Carry a stop out."""
+        self.check_token(token)
+        self.spent[task] = max(self.spent.get(task, 0), run)
+        known = self.held.get(task)
+        if known is not None and known.run <= run and known.stop_at is None:
+            known.stop_at = asyncio.get_running_loop().time() + self.rng.uniform(0, 0.8)
+
+    def look(self, token: int, seen: int, until_ms: int | None) -> None:
+        """Renew the lease and forget ends."""
+        self.expire()
+        self.check_token(token)
+        self.extend(until_ms)
+        for ended in self.ends:
+            if ended.number <= seen:
+                self.judge.note(ended.task, ended.kind.value)
+        self.ends = [ended for ended in self.ends if ended.number > seen]
+
+    def listing(self) -> Look:
+        """Return both lists."""
+        now = asyncio.get_running_loop().time()
+        running = [
+            HeldRun(task, held.run, '', self.percent(held, now))
+            for task, held in self.held.items()
+        ]
+        return Look(self.clock_ms(), self.born_ms, running, list(self.ends), whole=True)
+
+    def percent(self, held: HeldTask, now: float) -> float:
+        """Return the share of the work that is done."""
+        if self.hangs:
+            return 0
+        return (now - held.started_at) / max(held.ends_at - held.started_at, TICK_S) * 100
+
+    def finish(self, task: TaskRef, kind: EndKind) -> None:
+        """End a run, and with it the other members of its gang here."""
+        held = self.held.pop(task)
+        self.number += 1
+        self.spent[task] = max(self.spent.get(task, 0), held.run)
+        self.ends.append(EndedRun(self.number, task, held.run, kind, ''))
+        self.judge.end(task, self.name, kind.value)
+        self.news.set()
+        self.news = asyncio.Event()
+
+    def expire(self) -> None:
+        """End all runs when the lease has passed."""
+        if self.held and self.clock_ms() > self.lease_ms:
+            for task in list(self.held):
+                self.finish(task, EndKind.lapsed)
+
+    def work(self) -> None:
+        """End what is due."""
+        self.expire()
+        now = asyncio.get_running_loop().time()
+        for task, held in list(self.held.items()):
+            if held.stop_at is not None and now >= held.stop_at:
+                self.finish(task, EndKind.stopped)
+            elif not held.step.gang and not self.hangs and now >= held.ends_at:
+                self.finish(task, EndKind.failed if self.fails else EndKind.done)
+
+
+class MemoryWorkers:
+    """All workers, as one entry reaches them.
+
+    Attributes:
+        cut: workers that this entry cannot reach.
+        faults: what happens to calls.
+    """
+
+    def __init__(
+        self,
+        workers: dict[str, MemoryWorker],
+        duration_of: Callable[[TaskRef], float],
+        rng: random.Random,
+    ) -> None:
+        """Start without faults."""
+        self.workers = workers
+        self.duration_of = duration_of
+        self.rng = rng
+        self.cut: set[str] = set()
+        self.faults = CallFaults()
+
+    async def reach(self, worker: Worker, carry_out: Callable[[MemoryWorker], object]) -> object:
+        """Carry an order out, with the faults in force."""
+        target = self.workers[worker.id]
+        if worker.id in self.cut or not target.up:
+            await asyncio.sleep(SILENCE_S)
+            raise WorkerUnavailableError('no answer', may_have_run=True)
+        await asyncio.sleep(self.rng.uniform(0, 2 * ANSWER_S))
+        if self.rng.random() < self.faults.late:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.rng.uniform(*LATE_S), carry_out_late, target, carry_out)
+            await asyncio.sleep(SILENCE_S)
+            raise WorkerUnavailableError('no answer', may_have_run=True)
+        answer = carry_out(target)
+        if self.rng.random() < self.faults.lost:
+            await asyncio.sleep(SILENCE_S)
+            raise WorkerUnavailableError('the answer was lost', may_have_run=True)
+        await asyncio.sleep(self.rng.uniform(0, 2 * ANSWER_S))
+        return answer
+
+    async def start(self, worker: Worker, token: int, order: StartOrder) -> float:
+        """Start a run and return the worker's clock in ms."""
+        judge = self.workers[worker.id].judge
+        step = judge.submissions[order.task.submission].steps[order.task.step]
+        duration_s = self.duration_of(order.task)
+        answer = await self.reach(
+            worker, lambda target: target.start(token, order, step, duration_s)
+        )
+        return float(str(answer))
+
+    async def stop(self, worker: Worker, token: int, task: TaskRef, run: int) -> None:
+        """Ask a run to end."""
+        await self.reach(worker, lambda target: target.stop(token, task, run))
+
+    async def look(
+        self, worker: Worker, token: int, seen: int, until_ms: int | None, wait_ms: int
+    ) -> Look:
+        """Renew the lease, forget the ends up to `seen`, and list what is there."""
+        await self.reach(worker, lambda target: target.look(token, seen, until_ms))
+        target = self.workers[worker.id]
+        if wait_ms and not target.ends:
+            news = target.news
+            try:
+                async with asyncio.timeout(wait_ms / MS):
+                    await news.wait()
+            except TimeoutError:
+                return target.listing()
+        return target.listing()
+
+
+def carry_out_late(target: MemoryWorker, carry_out: Callable[[MemoryWorker], object]) -> None:
+    """Carry an order out whose sender has given up."""
+    if target.up:
+        try:
+            carry_out(target)
+        except WorkerRefusedError:
+            return
--- /dev/null
+++ b/tests/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of several entries on a virtual clock, with the platform's stand-ins."""
--- /dev/null
+++ b/tests/cell/model.py
@@ -0,0 +1,163 @@
+"""A cell of several entries and workers on a virtual clock."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+import msgspec
+
+from marigoldlift.cell_node import CellNode, NodeLimits, NodeParts
+from marigoldlift.leadership.election import Candidate
+from marigoldlift.orders.api import Worker
+from marigoldlift.submissions.acceptance import Answer
+from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId, TaskRef
+from marigoldlift.submissions.records import Outcome
+from standins.cell.judge import Judge
+from standins.cell.log import LogClient, MemoryLog
+from standins.cell.workers import MemoryWorker, MemoryWorkers
+from tests.model.clock import Gate, ModelLoop
+
+__all__ = ('ModelCell', 'ModelEntry', 'policy')
+
+LIMITS = NodeLimits(lease_s=6.0, gang_wait_s=3.0, outcome_kept_s=120.0)
+HEARTBEAT_S = 0.5
+WORK_TICK_S = 0.02
+
+
+def policy(priority: int = 1, max_attempts: int = 3) -> Policy:
+    """Return the policy of a queue without advice."""
+    return Policy('queue', 'service', priority, max_attempts, 2.0, 1000)
+
+
+def decode_worker(key: str, content: bytes) -> Worker:
+    """Return the worker of a listed entry."""
+    return msgspec.msgpack.decode(content, type=Worker)
+
+
+class NoAdvice:
+    """Advice that no queue of the model asks for."""
+
+    async def advise(
+        self, relay: str, step: str, workers: Sequence[str], wait_s: float
+    ) -> dict[str, str]:
+        """Allow every worker."""
+        return dict.fromkeys(workers, 'ticket')
+
+
+class ModelEntry:
+    """One entry: a process that can be paused, killed and started again."""
+
+    def __init__(self, cell: 'ModelCell', name: str) -> None:
+        """Start the first life."""
+        self.cell = cell
+        self.name = name
+        self.calls = MemoryWorkers(cell.workers, cell.duration_of, cell.rng)
+        self.log = LogClient(cell.log, cell.rng)
+        self.lives = 0
+        self.start()
+
+    def start(self) -> None:
+        """Begin a life."""
+        self.lives += 1
+        self.gate = Gate(self.cell.loop)
+        candidate = Candidate(self.name, f'{self.name}-{self.lives}', 'a', self.name, 1.0)
+        parts = NodeParts(
+            log=self.log,
+            workers_log=LogClient(self.cell.workers_log, self.cell.rng),
+            decode_worker=decode_worker,
+            calls=self.calls,
+            advice=NoAdvice(),
+        )
+        self.node = self.gate.context.run(CellNode, candidate, parts, LIMITS, self.cell.loop.time)
+        for work in self.node.loops():
+            self.gate.spawn(work)
+
+    def kill(self) -> None:
+        """End the life at once."""
+        self.gate.kill()
+
+
+class ModelCell:
+    """Entries, workers and the log.
+
+    Attributes:
+        faults: what loops have ended by.
+    """
+
+    def __init__(self, loop: ModelLoop, seed: int, entries: int = 3, workers: int = 4) -> None:
+        """Build the cell within a running loop."""
+        self.loop = loop
+        self.rng = random.Random(seed)
+        self.judge = Judge()
+        self.log = MemoryLog()
+        self.workers_log = MemoryLog()
+        self.durations: dict[TaskRef, float] = {}
+        self.workers = {
+            name: MemoryWorker(name, 8000, self.judge, self.rng)
+            for name in (f'w{number}' for number in range(workers))
+        }
+        self.list_workers()
+        self.entries = [ModelEntry(self, f'e{number}') for number in range(entries)]
+        self.ticking = loop.create_task(self.tick())
+
+    def duration_of(self, task: TaskRef) -> float:
+        """Return how long a task takes, in s."""
+        return self.durations.setdefault(task, self.rng.uniform(0.2, 2.5))
+
+    def list_workers(self) -> None:
+        """Let the workers that are up write their entries."""
+        for worker in self.workers.values():
+            if worker.up:
+                content = msgspec.msgpack.encode(worker.entry())
+                self.workers_log.store([(worker.name, content)])
+
+    async def tick(self) -> None:
+        """Let the workers work."""
+        listed_at = 0.0
+        while True:
+            await asyncio.sleep(WORK_TICK_S)
+            for worker in self.workers.values():
+                if worker.up:
+                    worker.work()
+            if self.loop.time() - listed_at > HEARTBEAT_S:
+                listed_at = self.loop.time()
+                self.list_workers()
+
+    async def submit(
+        self, entry: ModelEntry, name: str, steps: Sequence[Step], **policy_fields: int
+    ) -> Answer:
+        """Hand a submission in."""
+        submission = Submission(
+            SubmissionId(name), 'content', tuple(steps), policy(**policy_fields), entry.name
+        )
+        self.judge.submissions[name] = submission
+        return await entry.node.acceptance.submit(submission, 3.0)
+
+    def outcome(self, name: str) -> Outcome | None:
+        """Return where a submission stands by the first entry that runs."""
+        for entry in self.entries:
+            job = entry.node.state.jobs.get(SubmissionId(name))
+            if not entry.gate.stopped and job is not None:
+                return job.state
+        return None
+
+    def leader(self) -> ModelEntry | None:
+        """Return the entry that leads by its own view and runs."""
+        for entry in self.entries:
+            if not entry.gate.stopped and entry.node.election.tenure is not None:
+                return entry
+        return None
+
+    async def settle(self, names: Sequence[str], limit_s: float) -> None:
+        """Wait until all submissions have an outcome.
+
+        Raises:
+            TimeoutError: some have none.
+        """
+        async with asyncio.timeout(limit_s):
+            while any(self.is_open(name) for name in names):
+                await asyncio.sleep(0.1)
+
+    def is_open(self, name: str) -> bool:
+        """Tell whether a submission has no outcome yet."""
+        return self.outcome(name) not in {Outcome.complete, Outcome.failed, Outcome.cancelled}
--- /dev/null
+++ b/tests/cell/storms.py
@@ -0,0 +1,156 @@
+"""Random stories: load and faults drawn from a seed."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from marigoldlift.submissions.model import Step
+from standins.cell.log import LogFault
+from tests.cell.model import ModelCell, ModelEntry
+
+__all__ = ('storm',)
+
+LEAD_S = 1.5
+STORM_S = 25.0
+HEALED_S = 90.0
+
+Fault = Callable[[ModelCell], Coroutine[Any, Any, None]]
+
+
+def pick_entry(cell: ModelCell) -> ModelEntry:
+    """Return the leader half of the time, else any entry."""
+    leader = cell.leader()
+    if leader is not None and cell.rng.random() < 0.5:
+        return leader
+    return cell.rng.choice(cell.entries)
+
+
+async def kill_entry(cell: ModelCell) -> None:
+    """Kill an entry and start it again."""
+    entry = pick_entry(cell)
+    entry.kill()
+    await asyncio.sleep(cell.rng.uniform(0.2, 4))
+    entry.start()
+
+
+async def kill_all(cell: ModelCell) -> None:
+    """Kill all entries and start them again."""
+    for entry in cell.entries:
+        entry.kill()
+    await asyncio.sleep(1)
+    for started in cell.entries:
+        started.start()
+
+
+async def pause_entry(cell: ModelCell) -> None:
+    """Freeze an entry for a while."""
+    gate = pick_entry(cell).gate
+    gate.pause()
+    await asyncio.sleep(cell.rng.uniform(0.5, 8))
+    gate.resume()
+
+
+async def strike_log(cell: ModelCell) -> None:
+    """Let the log fail some or all entries."""
+    fault = cell.rng.choice(list(LogFault))
+    struck = cell.rng.sample(cell.entries, cell.rng.randint(1, len(cell.entries)))
+    for entry in struck:
+        entry.log.fault = fault
+    await asyncio.sleep(cell.rng.uniform(0.5, 8))
+    for healed in struck:
+        healed.log.fault = None
+
+
+async def drop_history(cell: ModelCell) -> None:
+    """Let the logs forget all but the newest records."""
+    cell.log.drop_history()
+    cell.workers_log.drop_history()
+
+
+async def cut_workers(cell: ModelCell) -> None:
+    """Cut some workers off from some entries."""
+    struck = cell.rng.sample(cell.entries, cell.rng.randint(1, len(cell.entries)))
+    names = set(cell.rng.sample(sorted(cell.workers), cell.rng.randint(1, 2)))
+    for entry in struck:
+        entry.calls.cut |= names
+    await asyncio.sleep(cell.rng.uniform(0.5, 9))
+    for healed in struck:
+        healed.calls.cut -= names
+
+
+async def spoil_calls(cell: ModelCell) -> None:
+    """Let orders be carried out late, or their answers be lost."""
+    for entry in cell.entries:
+        entry.calls.faults.late = cell.rng.choice((0, 0.1, 0.3))
+        entry.calls.faults.lost = cell.rng.choice((0, 0.1, 0.3))
+    await asyncio.sleep(cell.rng.uniform(1, 6))
+    for healed in cell.entries:
+        healed.calls.faults.late = 0
+        healed.calls.faults.lost = 0
+
+
+async def rebear_worker(cell: ModelCell) -> None:
+    """Crash a worker and start it again under its id."""
+    worker = cell.rng.choice(list(cell.workers.values()))
+    worker.up = False
+    await asyncio.sleep(cell.rng.choice((0.05, 1, 5)))
+    worker.be_born()
+    worker.up = True
+
+
+async def hang_worker(cell: ModelCell) -> None:
+    """Let the tasks of a worker stand still."""
+    worker = cell.rng.choice(list(cell.workers.values()))
+    worker.hangs = True
+    await asyncio.sleep(cell.rng.uniform(1, 6))
+    worker.hangs = False
+
+
+FAULTS: tuple[Fault, ...] = (
+    kill_entry,
+    kill_all,
+    pause_entry,
+    strike_log,
+    drop_history,
+    cut_workers,
+    spoil_calls,
+    rebear_worker,
+    hang_worker,
+)
+
+
+async def load(cell: ModelCell, names: list[str]) -> None:
+    """Hand submissions in, and cancel a few."""
+    for number in range(40):
+        await asyncio.sleep(cell.rng.expovariate(40 / STORM_S))
+        entry = cell.rng.choice(cell.entries)
+        if entry.gate.stopped:
+            continue
+        steps = [Step(count=cell.rng.randint(1, 6), cpu_m=cell.rng.choice((500, 2000, 4000)))]
+        if cell.rng.random() < 0.4:
+            steps.append(Step(count=cell.rng.randint(1, 3), cpu_m=1000, after=(0,)))
+        name = f'job{number:02}'
+        handed_in = entry.gate.spawn(cell.submit(entry, name, steps, max_attempts=5))
+        names.append(name)
+        await asyncio.wait((handed_in,), timeout=0.5)
+
+
+async def storm(cell: ModelCell) -> None:
+    """Load the cell under random faults, heal it, and wait for all outcomes."""
+    await asyncio.sleep(LEAD_S)
+    names: list[str] = []
+    loading = cell.loop.create_task(load(cell, names))
+    striking = [
+        cell.loop.create_task(strike(cell, cell.rng.uniform(0, STORM_S)))
+        for _ in range(cell.rng.randint(1, 6))
+    ]
+    await asyncio.wait((loading, *striking))
+    await asyncio.sleep(8)
+    accepted = [name for name in names if f's/{name}' in cell.log.newest]
+    await cell.settle(accepted, HEALED_S)
+
+
+async def strike(cell: ModelCell, after_s: float) -> None:
+    """Play one fault."""
+    await asyncio.sleep(after_s)
+    await cell.rng.choice(FAULTS)(cell)
--- /dev/null
+++ b/tests/cell/test_calm.py
@@ -0,0 +1,121 @@
+"""The whole path without faults, and each fault by itself."""
+
+import asyncio
+
+from marigoldlift.submissions.acceptance import Answer
+from marigoldlift.submissions.model import Step
+from marigoldlift.submissions.records import Outcome
+from standins.cell.log import LogFault
+from tests.cell.model import ModelCell
+
+STEPS = (Step(count=6, cpu_m=2000), Step(count=3, cpu_m=1000, after=(0,)))
+LEAD_S = 1.5
+
+
+async def load(cell: ModelCell, count: int, prefix: str = 'job') -> list[str]:
+    """Hand submissions in at entries in turn."""
+    names = [f'{prefix}{number:02}' for number in range(count)]
+    for number, name in enumerate(names):
+        entry = cell.entries[number % len(cell.entries)]
+        if not entry.gate.stopped:
+            assert await cell.submit(entry, name, STEPS) is Answer.done
+    return names
+
+
+def test_submissions_complete(play):
+    """Guards the thin path: acceptance, both steps in order, outcome at every entry."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        names = await load(cell, 6)
+        await cell.settle(names, 60)
+        await asyncio.sleep(1)
+        for entry in cell.entries:
+            states = {job.state for job in entry.node.state.jobs.values()}
+            assert states == {Outcome.complete}
+
+    play(story)
+
+
+def test_same_id_at_two_entries_is_one_submission(play):
+    """Guards against tasks that run twice since their submission came twice."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        first, second, _ = cell.entries
+        answers = await asyncio.gather(
+            cell.submit(first, 'same', STEPS), cell.submit(second, 'same', STEPS)
+        )
+        assert answers == [Answer.done, Answer.done]
+        await cell.settle(['same'], 60)
+        await cell.submit(first, 'same', STEPS)
+        await asyncio.sleep(5)
+
+    play(story)
+
+
+def test_killed_leader_is_replaced(play):
+    """Guards against work that is lost or doubled when the leader dies with runs under way."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        names = await load(cell, 9)
+        await asyncio.sleep(0.7)
+        cell.leader().kill()
+        await cell.settle(names, 60)
+
+    play(story)
+
+
+def test_tenure_ends_when_news_come_with_the_cancellation(play):
+    """Guards against a tenure that goes on after its end: wait_for swallowed the cancellation."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        names = await load(cell, 3)
+        leader = cell.leader()
+        dispatching = leader.node.dispatching
+        await asyncio.sleep(0.3)
+        leader.node.dispatcher.wake.set()
+        leader.node.election.end('other')
+        await asyncio.sleep(0.5)
+        assert dispatching.done()
+        await cell.settle(names, 60)
+
+    play(story)
+
+
+def test_outage_of_the_log(play):
+    """Guards against lost ends and doubled starts when the log is away longer than a leader may act."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        names = await load(cell, 9)
+        for entry in cell.entries:
+            entry.log.fault = LogFault.silent
+        await asyncio.sleep(7)
+        for healed in cell.entries:
+            healed.log.fault = None
+        await cell.settle(names, 60)
+
+    play(story)
+
+
+def test_failed_run_is_counted_once_over_a_takeover(play):
+    """Guards against attempts that are counted twice: ends are listed again to the next leader."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        bad = cell.workers['w0']
+        bad.fails = True
+        await cell.submit(cell.entries[0], 'job', (Step(count=30, cpu_m=500),))
+        for _ in range(12):
+            await asyncio.sleep(0.4)
+            leader = cell.leader()
+            if leader is not None:
+                await leader.node.election.begin_again()
+        bad.fails = False
+        await cell.settle(['job'], 60)
+        assert cell.outcome('job') is Outcome.complete or max(cell.judge.failed.values()) >= 3
+
+    play(story, workers=2)
