Learn what an earlier leader stores late; keep the room of runs that are being stopped

Ruled out: late starts (none near), leases (none lapsed). A reborn worker's runs are all in doubt until it has answered under a higher token.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -90,7 +90,7 @@
         self.appender = appender
         self.clock = clock
         self.replica = replica
-        self.jitter_s = random.uniform(0, CLAIM_JITTER_S)
+        self.jitter_s = random.Random(candidate.life).uniform(0, CLAIM_JITTER_S)
         self.holder: Leadership | None = None
         self.offset = -1
         self.tenure: int | None = None
--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -7,6 +7,10 @@
 
 __all__ = ('Phase', 'Run', 'RunTable')
 
+#: How long a run that is being stopped may be listed neither as running nor as ended, in s, and still take room; the
+#: platform gives workers 0.9 s for a stop.
+STOP_S = 1.5
+
 #: Ends that are remembered for each worker; it lists 500 at a time.
 ENDED_KEPT = 2000
 
@@ -40,6 +44,7 @@
         'started_at',
         'step',
         'stop_sent_at',
+        'stop_since',
         'task',
         'unanswered',
     )
@@ -54,6 +59,7 @@
         self.started_at = now
         self.moved_at = now
         self.stop_sent_at: float | None = None
+        self.stop_since: float | None = None
         self.unanswered = phase is Phase.sent
         self.fence: int | None = None
         self.percent: float = 0
@@ -70,6 +76,19 @@
         if self.phase is Phase.sent:
             self.phase = Phase.held
 
+    def stop(self, now: float) -> None:
+        """Note that a stop was sent."""
+        self.phase = Phase.stopping
+        self.stop_sent_at = now
+        if self.stop_since is None:
+            self.stop_since = now
+
+    def doubt(self, token: int, now: float) -> None:
+        """Count the run as unanswered until a look under a token that high proves more."""
+        self.unanswered = True
+        self.fence = token
+        self.since = now
+
     def is_surely_absent(self, sent_at: float, token: int) -> bool:
         """Tell whether a look that does not list the run proves that it is not there and never will be.
 
@@ -79,6 +98,8 @@
         """
         if self.since >= sent_at:
             return False
+        if self.stop_since is not None and sent_at - self.stop_since < STOP_S:
+            return False
         return not self.unanswered or (self.fence is not None and token >= self.fence)
 
 
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -20,6 +20,10 @@
 #: Silence after which a worker gets no new work, in s; a look that waits takes 0.7 s.
 SUSPECT_S = 1.3
 
+#: Silence of a new life after which nothing of an earlier one can run there, in s: orders may be carried out 12 s
+#: late and give a lease of 6 s.
+SILENT_LIFE_S = 20
+
 #: Refusal of an order whose fencing token is too low.
 FENCED = 'fence'
 
@@ -91,6 +95,7 @@
         self.contact_at = clock()
         self.urgent = asyncio.Event()
         self.full_until: float = 0
+        self.opened_at = clock()
 
     def answers(self) -> bool:
         """Tell whether the worker has answered lately, so that new work may go there."""
@@ -98,6 +103,8 @@
 
     def is_lost(self) -> bool:
         """Tell whether all that the worker held has surely ended with its lease."""
+        if self.clock.read_ms is None:
+            return self.now() - self.opened_at > SILENT_LIFE_S
         return self.clock.has_lapsed(self.now())
 
     def release(self, task: TaskRef) -> None:
@@ -105,20 +112,22 @@
         if self.room.pop(task) is not None:
             self.observer.room_changed()
 
-    async def start(
-        self, task: TaskRef, run: int, step: Step, content: str, ticket: str, checkpoint: str
-    ) -> bool:
+    async def start(self, known: Run, content: str, ticket: str) -> bool:
         """Order a run whose room is taken already.
 
+        Args:
+            known: the run.
+            content: text of the submission.
+            ticket: leave of the placement advice, empty where the queue has none.
+
         Returns:
-            True when it runs, False when it surely does not; a doubt is resolved first.
+            True when it runs or may run, False when it surely does not.
 
         Raises:
             WorkerRefusedError: the worker has refused it, and why.
         """
         until_ms = self.clock.grant(self.now(), self.lease_s)
-        order = StartOrder(task, run, content, until_ms or 0, checkpoint, ticket)
-        known = self.room.runs[task]
+        order = StartOrder(known.task, known.run, content, until_ms or 0, known.checkpoint, ticket)
         token = self.token
         try:
             clock_ms = await self.calls.start(self.worker, token, order)
@@ -162,8 +171,7 @@
             fault,
         )
         self.raise_token()
-        known.since = self.now()
-        known.fence = self.token
+        known.doubt(self.token, self.now())
 
     def raise_token(self) -> None:
         """Use a higher fencing token from now on, and look at once."""
@@ -182,8 +190,7 @@
         known = self.room.runs.get(task)
         if known is None:
             return
-        known.phase = Phase.stopping
-        known.stop_sent_at = self.now()
+        known.stop(self.now())
         try:
             await self.calls.stop(self.worker, self.token, task, known.run)
         except (WorkerRefusedError, WorkerUnavailableError) as fault:
--- a/marigoldlift/scheduling/book.py
+++ b/marigoldlift/scheduling/book.py
@@ -9,7 +9,7 @@
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tasks import JobRun, StepRun
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
-from marigoldlift.submissions.records import Outcome
+from marigoldlift.submissions.records import Outcome, Progress
 from marigoldlift.submissions.state import FINAL, CellState
 
 __all__ = ('JobBook',)
@@ -56,6 +56,12 @@
         self.jobs[submission] = opened
         for step in opened.steps.values():
             self.planner.add(step)
+        self.close_if_done(opened)
+
+    def close_if_done(self, job: JobRun) -> None:
+        """Close a submission all of whose tasks have ended as done."""
+        if job.is_done:
+            self.close(job, Outcome.complete)
 
     def cancel(self, submission: SubmissionId) -> None:
         """Close a submission that its caller no longer wants."""
@@ -80,9 +86,27 @@
             job.objective_s,
         )
 
-    def forget(self, submission: SubmissionId) -> None:
-        """Note that the outcome of a submission is stored."""
-        self.closed.discard(submission)
+    def learn(self, record: Progress, tenure: int) -> None:
+        """Take in stored progress; an earlier leader may store some until it reads of its successor."""
+        if record.outcome in FINAL:
+            self.closed.discard(record.submission)
+        job = self.jobs.get(record.submission)
+        if job is None or record.tenure == tenure:
+            return
+        for progress in record.steps:
+            step = job.steps.get((progress.occurrence, progress.step))
+            if step is not None:
+                step.learn(progress)
+                self.planner.add(step)
+        if record.outcome in FINAL:
+            logger.info(
+                'outcome of an earlier leader: submission={} outcome={}',
+                job.id,
+                record.outcome.value,
+            )
+            self.close(job, record.outcome)
+        else:
+            self.close_if_done(job)
 
     def step_of(self, task: TaskRef) -> StepRun | None:
         """Return the step of a task of an open submission."""
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -25,7 +25,7 @@
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tickets import TicketOffice
 from marigoldlift.submissions.records import Accepted, Cancelled, Progress, Record
-from marigoldlift.submissions.state import FINAL, CellState
+from marigoldlift.submissions.state import CellState
 
 __all__ = ('Dispatcher', 'DispatcherParts')
 
@@ -168,5 +168,5 @@
                 self.wake.set()
             case Cancelled():
                 self.book.cancel(record.submission)
-            case Progress() if record.outcome in FINAL:
-                self.book.forget(record.submission)
+            case Progress():
+                self.book.learn(record, self.tenure)
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -110,8 +110,7 @@
         if other is not None and other is not session:
             self.book.starter.stop(other, step.task(index))
         step.finish(index)
-        if step.job.is_done:
-            self.book.close(step.job, Outcome.complete)
+        self.book.close_if_done(step.job)
         self.wake.set()
 
     def run_found(self, session: WorkerSession, held: HeldRun) -> Step | None:
--- a/marigoldlift/scheduling/roster.py
+++ b/marigoldlift/scheduling/roster.py
@@ -142,8 +142,8 @@
     def replace(self, session: WorkerSession, worker: Worker) -> None:
         """Begin anew with a worker that has started again under its id.
 
-        What ran there is gone. A start without an answer may still arrive in the new life, so it stays in doubt
-        until the worker has answered under a higher token.
+        A start may have arrived in the new life, answered or not, so all runs are in doubt until the worker has
+        answered under a higher token.
         """
         logger.info('worker reborn: worker={} born_ms={}', worker.id, worker.born_ms)
         self.qualities.pop(worker.id, None)
@@ -152,15 +152,11 @@
         )
         fresh.token = session.token + 1
         self.sessions[worker.id] = fresh
-        for known in list(session.room.runs.values()):
+        for known in tuple(session.room.runs.values()):
             session.room.pop(known.task)
-            if known.unanswered:
-                known.since = self.clock()
-                known.fence = fresh.token
-                fresh.room.take(known)
-                self.observer.run_moved(session, fresh, known)
-            else:
-                self.observer.run_vanished(session, known)
+            known.doubt(fresh.token, self.clock())
+            fresh.room.take(known)
+            self.observer.run_moved(session, fresh, known)
         self.follow(fresh)
 
     def usable(self, service: str) -> list[WorkerSession]:
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -51,32 +51,31 @@
     def start(self, step: StepRun, index: int, session: WorkerSession, run: int) -> None:
         """Take the room of a task and order its start."""
         ref = step.task(index)
-        session.room.take(Run(ref, run, step.step, Phase.sent, self.clock()))
+        ordered = Run(ref, run, step.step, Phase.sent, self.clock())
+        ordered.checkpoint = step.checkpoint(index)
+        session.room.take(ordered)
         step.begin(index, session, run)
-        self.spawn(self.send(step, index, session, run))
+        self.spawn(self.send(step, session, ordered))
 
-    async def send(self, step: StepRun, index: int, session: WorkerSession, run: int) -> None:
+    async def send(self, step: StepRun, session: WorkerSession, ordered: Run) -> None:
         """Order a start, and let the task wait again when it surely does not run."""
         leave = step.tickets.get(session.worker.id)
         ticket = leave.ticket if leave else ''
         content = step.job.submission.content
-        checkpoint = step.checkpoint(index)
         try:
-            runs = await session.start(
-                step.task(index), run, step.step, content, ticket, checkpoint
-            )
+            runs = await session.start(ordered, content, ticket)
         except WorkerRefusedError as refusal:
             logger.info(
                 'start refused: task={} run={} worker={} reason={}',
-                step.task(index).name,
-                run,
+                ordered.task.name,
+                ordered.run,
                 session.worker.id,
                 refusal.worker_code,
             )
             self.take_refusal(step, session, refusal.worker_code)
             runs = False
         if not runs:
-            self.give_back(step, index, session)
+            self.give_back(step, ordered.task.index, session)
 
     def take_refusal(self, step: StepRun, session: WorkerSession, reason: str) -> None:
         """Learn from the reason of a refusal."""
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -134,6 +134,14 @@
         failed.add(run)
         return len(failed)
 
+    def learn(self, progress: StepProgress) -> None:
+        """Take in what an earlier leader has stored."""
+        self.done.update(progress.done)
+        self.todo.difference_update(progress.done)
+        self.last_run = max(self.last_run, progress.last_run)
+        for index, runs in progress.failures.items():
+            self.failures.setdefault(index, set()).update(runs)
+
     def progress(self) -> StepProgress:
         """Return what is to be stored of the step."""
         failures = {index: sorted(runs) for index, runs in self.failures.items()}
