Store placements before starts, under a producer that the next leader fences

Now a leader stores where each task will run before it orders the start. All leaders append as one producer with the tenure as epoch, so a deposed one can place nothing more; only tasks placed on unreachable workers wait. Ruled out: shorter waits (leases last 6 s), and reading the own record back instead of the epoch (one more read for each start).

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -10,11 +10,12 @@
 
 from marigoldlift.leadership.election import Candidate, Election
 from marigoldlift.orders.api import Worker, WorkerCalls
-from marigoldlift.replication.api import KeyedLog
+from marigoldlift.replication.api import KeyedLog, Producer
 from marigoldlift.replication.appender import Appender
 from marigoldlift.replication.replica import Replica
 from marigoldlift.scheduling.advice import AdviceBroker, AdviceRelay
-from marigoldlift.scheduling.dispatcher import Dispatcher, DispatcherParts
+from marigoldlift.scheduling.dispatcher import Dispatcher
+from marigoldlift.scheduling.parts import DispatcherParts
 from marigoldlift.scheduling.registry import Registry
 from marigoldlift.submissions.acceptance import Acceptance
 from marigoldlift.submissions.records import Record
@@ -22,6 +23,9 @@
 
 __all__ = ('CellNode', 'NodeLimits', 'NodeParts', 'report_end')
 
+#: Epoch of an entry's own records; each life of an entry has a producer of its own.
+FIRST_EPOCH = 1
+
 #: Shortest pauses between two reads of the log and of the workers' list, in s: each read is priced.
 LEADER_PACE_S = 0.025
 FOLLOWER_PACE_S = 0.25
@@ -79,7 +83,7 @@
         self.limits = limits
         self.clock = clock
         self.state = CellState(clock)
-        self.appender = Appender(parts.log, candidate.node, clock)
+        self.appender = Appender(parts.log, Producer(candidate.life, FIRST_EPOCH), clock)
         self.replica = Replica(parts.log, self.state.apply, clock, FOLLOWER_PACE_S)
         self.registry = Registry(parts.decode_worker)
         self.listing = Replica(
@@ -125,7 +129,7 @@
             replica=self.replica,
             registry=self.registry,
             calls=self.parts.calls,
-            appender=self.appender,
+            log=self.parts.log,
             broker=AdviceBroker(self.parts.advice, self.candidate.address, self.clock),
             election=self.election,
             clock=self.clock,
--- a/marigoldlift/platform/store.py
+++ b/marigoldlift/platform/store.py
@@ -19,7 +19,7 @@
 from marigoldlift.platform.calls import CallUnansweredError, Reply
 from marigoldlift.platform.store_route import StoreRoute
 from marigoldlift.platform.wire import AppendReply, NewestReply
-from marigoldlift.replication.api import LogPage, SnapshotPage
+from marigoldlift.replication.api import LogPage, Producer, SnapshotPage
 from marigoldlift.submissions.stored import Stored
 
 __all__ = ('OPERATORS_TOPIC', 'WORKERS_TOPIC', 'WORK_TOPIC', 'PlatformLog')
@@ -63,11 +63,12 @@
         return f'/-/{verb}?topic={self.topic}&part=0{query}'
 
     async def append(
-        self, records: Sequence[tuple[str, bytes]], producer: str, sequence: int
+        self, records: Sequence[tuple[str, bytes]], producer: Producer, sequence: int
     ) -> int:
         """Store records all or nothing, once for each sequence number of a producer."""
         body = b''.join(encode_stored(key, content) for key, content in records)
-        path = self.path('log-append', f'&producer={quote(producer)}&epoch=1&seq={sequence}')
+        identity = f'&producer={quote(producer.name)}&epoch={producer.epoch}'
+        path = self.path('log-append', f'{identity}&seq={sequence}' if records else identity)
         try:
             reply = await self.route.call('POST', path, body, ANSWER_S)
         except CallUnansweredError as fault:
--- a/marigoldlift/replication/api.py
+++ b/marigoldlift/replication/api.py
@@ -7,7 +7,14 @@
 
 from marigoldlift.submissions.stored import Stored
 
-__all__ = ('KeyedLog', 'LogPage', 'SnapshotPage')
+__all__ = ('KeyedLog', 'LogPage', 'Producer', 'SnapshotPage')
+
+
+class Producer(msgspec.Struct, frozen=True):
+    """Who stores records: the log numbers a producer's appends, and refuses those of an earlier epoch."""
+
+    name: str
+    epoch: int
 
 
 class LogPage(msgspec.Struct, frozen=True):
@@ -29,9 +36,11 @@
     """One partition of a log that keeps the newest record of each key."""
 
     async def append(
-        self, records: Sequence[tuple[str, bytes]], producer: str, sequence: int
+        self, records: Sequence[tuple[str, bytes]], producer: Producer, sequence: int
     ) -> int:
-        """Store records all or nothing, once for each sequence number of a producer.
+        """Store records all or nothing, once for each sequence number of a producer's epoch.
+
+        Without records, the log refuses earlier epochs of the producer from then on.
 
         Returns:
             The offset of the first record.
--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -1,7 +1,6 @@
 """Ordered group commit: one batch in flight, repeated until its fate is known."""
 
 import asyncio
-import uuid
 from collections.abc import Callable
 
 from loguru import logger
@@ -11,7 +10,7 @@
     AppendRefusedError,
     SequenceMismatchError,
 )
-from marigoldlift.replication.api import KeyedLog
+from marigoldlift.replication.api import KeyedLog, Producer
 from marigoldlift.submissions.records import Record
 from marigoldlift.submissions.stored import encode_record, record_key
 
@@ -67,25 +66,43 @@
     without an answer is sent again as it was, and no late copy of it can follow a newer batch.
 
     Attributes:
+        in_doubt: the batch under way may be stored already.
+        fenced: the log takes no more records of this producer's epoch.
         latency_s: smoothed time that the store takes for an append.
         failing_since: when the first of a row of failures began, in seconds of the steady clock.
     """
 
-    def __init__(self, log: KeyedLog, node: str, clock: Callable[[], float]) -> None:
-        """Start without records."""
+    def __init__(self, log: KeyedLog, producer: Producer, clock: Callable[[], float]) -> None:
+        """Start without records.
+
+        Args:
+            log: where the records go.
+            producer: name and epoch that no other life of an entry uses.
+            clock: steady time in seconds.
+        """
         self.log = log
         self.clock = clock
-        self.node = node
-        self.producer = self.new_producer()
+        self.producer = producer
         self.sequence = 0
         self.waiting: list[Entry] = []
         self.arrived = asyncio.Event()
         self.failing_since: float | None = None
         self.latency_s: float = 0
+        self.fenced = False
+        self.in_doubt = False
 
-    def new_producer(self) -> str:
-        """Return a name that no earlier life of this entry has used."""
-        return f'{self.node}-{uuid.uuid4().hex}'
+    async def fence(self) -> bool:
+        """Let the log refuse earlier epochs of the producer; False when it gives no answer now.
+
+        Raises:
+            SequenceMismatchError: a later epoch exists.
+        """
+        try:
+            await self.log.append((), self.producer, 0)
+        except (AppendInDoubtError, AppendRefusedError) as fault:
+            self.note_failure(fault)
+            return False
+        return True
 
     async def append(self, record: Record, wait_s: float) -> int:
         """Store a record and return its offset.
@@ -141,20 +158,29 @@
     async def store(self, batch: list[Entry]) -> None:
         """Send a batch until it is stored, or until all its callers have left before it could be."""
         pause = FIRST_PAUSE_S
-        in_doubt = False
-        while batch:
-            try:
-                offset = await self.send(batch)
-            except AppendInDoubtError:
-                in_doubt = True
-            except AppendRefusedError:
-                if not in_doubt:
-                    batch = self.drop_expired(batch)
-            else:
-                self.confirm(batch, offset)
+        self.in_doubt = False
+        while batch and not self.fenced:
+            if await self.try_batch(batch):
                 return
+            if not self.in_doubt:
+                batch = self.drop_expired(batch)
             await asyncio.sleep(pause)
             pause = min(pause * 2, LONGEST_PAUSE_S)
+        for entry in batch:
+            entry.settle(AppendRefusedError('a later epoch of the producer exists'))
+
+    async def try_batch(self, batch: list[Entry]) -> bool:
+        """Send a batch once; True when it is stored."""
+        try:
+            offset = await self.send(batch)
+        except AppendInDoubtError:
+            self.in_doubt = True
+        except AppendRefusedError:
+            return False
+        else:
+            self.confirm(batch, offset)
+            return True
+        return False
 
     async def send(self, batch: list[Entry]) -> int:
         """Make one call, and note how the log fares."""
@@ -172,15 +198,14 @@
         return offset
 
     def resolve_mismatch(self, mismatch: SequenceMismatchError) -> int:
-        """Tell whether the batch is stored already; else go on under a new name."""
+        """Tell whether the batch is stored already; else nothing more is stored under this epoch."""
         logger.warning(
             'append: {} sent={} producer={}', mismatch.reason, self.sequence, self.producer
         )
         if mismatch.expected == self.sequence + 1:
             return -1
-        self.producer = self.new_producer()
-        self.sequence = 0
-        raise AppendInDoubtError('the log had forgotten the producer')
+        self.fenced = True
+        raise AppendRefusedError('the log takes no more records of this epoch')
 
     def note_failure(self, fault: Exception) -> None:
         """Log the first of a row of failures."""
--- a/marigoldlift/scheduling/book.py
+++ b/marigoldlift/scheduling/book.py
@@ -9,14 +9,11 @@
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tasks import JobRun, StepRun
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
-from marigoldlift.submissions.records import Outcome, Progress
+from marigoldlift.submissions.records import Outcome
 from marigoldlift.submissions.state import FINAL, CellState
 
 __all__ = ('JobBook',)
 
-#: How long a submission that has begun waits for its first end before that is stored, in s.
-BEGUN_NOTE_S = 0.7
-
 
 class JobBook:
     """Submissions that have no outcome yet.
@@ -24,7 +21,6 @@
     Attributes:
         jobs: open submissions.
         closed: submissions with an outcome that may not be stored yet.
-        unnoted: submissions that have begun, with the time of that, while it is not stored.
     """
 
     def __init__(
@@ -43,16 +39,15 @@
         self.clock = clock
         self.jobs: dict[SubmissionId, JobRun] = {}
         self.closed: set[SubmissionId] = set()
-        self.unnoted: dict[JobRun, float] = {}
 
-    def open(self, submission: SubmissionId, tenure: int) -> None:
+    def open(self, submission: SubmissionId) -> None:
         """Let the steps of a submission wait for their turn, unless it is open or closed already."""
         job = self.state.jobs.get(submission)
         if job is None or submission in self.jobs or submission in self.closed:
             return
         if job.state in FINAL:
             return
-        opened = JobRun(job, old=job.offset < tenure)
+        opened = JobRun(job)
         self.jobs[submission] = opened
         for step in opened.steps.values():
             self.planner.add(step)
@@ -74,7 +69,6 @@
         job.outcome = outcome
         self.jobs.pop(job.id, None)
         self.closed.add(job.id)
-        self.unnoted.pop(job, None)
         for step in job.steps.values():
             self.starter.stop_step(step)
         self.progress.note(job)
@@ -86,27 +80,9 @@
             job.objective_s,
         )
 
-    def learn(self, record: Progress, tenure: int) -> None:
-        """Take in stored progress; an earlier leader may store some until it reads of its successor."""
-        if record.outcome in FINAL:
-            self.closed.discard(record.submission)
-        job = self.jobs.get(record.submission)
-        if job is None or record.tenure == tenure:
-            return
-        for progress in record.steps:
-            step = job.steps.get((progress.occurrence, progress.step))
-            if step is not None:
-                step.learn(progress)
-                self.planner.add(step)
-        if record.outcome in FINAL:
-            logger.info(
-                'outcome of an earlier leader: submission={} outcome={}',
-                job.id,
-                record.outcome.value,
-            )
-            self.close(job, record.outcome)
-        else:
-            self.close_if_done(job)
+    def forget(self, submission: SubmissionId) -> None:
+        """Note that the outcome of a submission is stored."""
+        self.closed.discard(submission)
 
     def step_of(self, task: TaskRef) -> StepRun | None:
         """Return the step of a task of an open submission."""
@@ -123,17 +99,3 @@
             logger.warning('run of an unknown submission: task={}', task.name)
             return Step(count=1)
         return job.submission.steps[task.step]
-
-    def note_run(self, step: StepRun, started_at: float) -> None:
-        """Note that a submission has begun."""
-        if not step.job.begun_noted:
-            self.unnoted.setdefault(step.job, started_at)
-
-    def store_begun(self) -> None:
-        """Store that submissions have begun whose first end takes a while."""
-        latest = self.clock() - BEGUN_NOTE_S
-        for job in tuple(self.unnoted):
-            if self.unnoted[job] < latest:
-                self.unnoted.pop(job)
-                job.begun_noted = True
-                self.progress.note(job)
--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -60,7 +60,6 @@
         ):
             self.starter.stop_again(session, run.task)
             return
-        self.book.note_run(step, run.started_at)
         if run.phase is not Phase.held:
             return
         if leaving and session.answers():
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -2,32 +2,30 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
 
-import msgspec
 from loguru import logger
 
-from marigoldlift.errors import LogUnavailableError
-from marigoldlift.leadership.election import Election
-from marigoldlift.orders.api import WorkerCalls
+from marigoldlift.errors import LogUnavailableError, SequenceMismatchError
+from marigoldlift.replication.api import Producer
 from marigoldlift.replication.appender import Appender
-from marigoldlift.replication.replica import Replica
-from marigoldlift.scheduling.advice import AdviceBroker
 from marigoldlift.scheduling.book import JobBook
 from marigoldlift.scheduling.checks import RunChecks
 from marigoldlift.scheduling.events import RunEvents
+from marigoldlift.scheduling.parts import DispatcherParts
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
-from marigoldlift.scheduling.registry import Registry
 from marigoldlift.scheduling.retention import Retention
 from marigoldlift.scheduling.roster import Roster
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tickets import TicketOffice
 from marigoldlift.submissions.records import Accepted, Cancelled, Progress, Record
-from marigoldlift.submissions.state import CellState
+from marigoldlift.submissions.state import FINAL
 
-__all__ = ('Dispatcher', 'DispatcherParts')
+__all__ = ('Dispatcher',)
+
+#: Producer of all leaders' records; its epoch is the tenure, so that the log refuses those of an earlier one.
+LEADER = 'leader'
 
 #: Longest wait for the workers' answers at a takeover, in s; those that answer later count as unreachable.
 TAKEOVER_WAIT_S = 0.35
@@ -37,29 +35,6 @@
 TICK_S = 0.1
 
 
-class DispatcherParts(msgspec.Struct):
-    """What a tenure works with.
-
-    Attributes:
-        clock: steady time in seconds.
-        lease_s: longest lease that workers take.
-        gang_wait_s: how long a gang's member waits for the others.
-        outcome_kept_s: how long the outcome of a submission is told at least.
-    """
-
-    state: CellState
-    replica: Replica
-    registry: Registry
-    calls: WorkerCalls
-    appender: Appender
-    broker: AdviceBroker
-    election: Election
-    clock: Callable[[], float]
-    lease_s: float
-    gang_wait_s: float
-    outcome_kept_s: float
-
-
 class Dispatcher:
     """Decides and follows everything between acceptance and outcome."""
 
@@ -69,18 +44,20 @@
         self.tenure = tenure
         self.clock = parts.clock
         self.wake = asyncio.Event()
-        self.progress = ProgressWriter(parts.appender, tenure)
+        self.log_is_read = False
+        self.appender = Appender(parts.log, Producer(LEADER, tenure + 1), self.clock)
+        self.progress = ProgressWriter(self.appender, tenure)
         self.events = RunEvents(parts.election, tenure, self.wake)
         self.roster = Roster(
             parts.registry,
             parts.state,
             parts.calls,
-            parts.appender,
+            self.appender,
             self.events,
             tenure,
             parts.lease_s,
         )
-        self.starter = Starter(self.roster, self.clock, self.events.step_returned)
+        self.starter = Starter(self.roster, self.progress, self.events)
         placer = Placer(self.roster.quality, self.clock)
         tickets = TicketOffice(parts.broker, placer, self.starter, self.clock, self.wake.set)
         self.planner = Planner(
@@ -88,23 +65,23 @@
         )
         self.book = JobBook(parts.state, self.planner, self.starter, self.progress, self.clock)
         self.checks = RunChecks(self.book, self.roster, self.starter, self.clock)
-        self.retention = Retention(parts.state, parts.appender, parts.outcome_kept_s)
+        self.retention = Retention(parts.state, self.appender, parts.outcome_kept_s)
         self.events.book = self.book
         self.events.roster = self.roster
-        for submission in tuple(parts.state.jobs):
-            self.book.open(submission, tenure)
 
     async def run(self) -> None:
         """Take over, then work until cancelled."""
-        writer = asyncio.create_task(self.progress.run())
+        loops = [asyncio.create_task(work) for work in (self.appender.run(), self.progress.run())]
         try:
             await self.take_over()
-            while True:
+            while not self.appender.fenced:
                 self.work()
                 await self.pause()
         finally:
-            writer.cancel()
+            for task in loops:
+                task.cancel()
             self.stop()
+        self.parts.election.end('fenced by the log')
 
     def stop(self) -> None:
         """Leave sessions and orders to the next leader."""
@@ -121,14 +98,19 @@
         self.wake.clear()
 
     async def take_over(self) -> None:
-        """Fence earlier leaders off, learn what runs, then read the log to its end."""
+        """Fence earlier leaders off at the log, read it to its end, then fence them off at the workers."""
+        while not await self.fence_log():
+            await asyncio.sleep(TICK_S)
+        while not await self.read_log():
+            await asyncio.sleep(TICK_S)
+        self.log_is_read = True
+        for submission in tuple(self.parts.state.jobs):
+            self.book.open(submission)
         self.roster.open_known()
         deadline = self.clock() + TAKEOVER_WAIT_S
         while self.clock() < deadline and not self.roster.all_synced():
             await asyncio.sleep(PASS_PACE_S)
-        while not await self.read_log():
-            await asyncio.sleep(TICK_S)
-        self.events.end_takeover()
+        self.events.ready = True
         self.roster.check()
         logger.info(
             'takeover done: tenure={} submissions={} workers={} unreachable={}',
@@ -138,6 +120,14 @@
             sorted(self.roster.dark),
         )
 
+    async def fence_log(self) -> bool:
+        """Let the log refuse records of earlier leaders; False when it does not answer."""
+        try:
+            return await self.appender.fence()
+        except SequenceMismatchError:
+            self.appender.fenced = True
+            return True
+
     async def read_log(self) -> bool:
         """Read the log to its end; False when it does not answer."""
         try:
@@ -154,7 +144,6 @@
         self.roster.refresh()
         self.roster.check()
         self.checks.check_runs()
-        self.book.store_begun()
         if self.retention.is_due():
             self.starter.spawn(self.retention.drop_old())
         self.planner.run_pass()
@@ -164,9 +153,10 @@
         match record:
             case Accepted():
                 self.parts.broker.note_relay(record.submission.relay)
-                self.book.open(record.submission.id, self.tenure)
+                if self.log_is_read:
+                    self.book.open(record.submission.id)
                 self.wake.set()
             case Cancelled():
                 self.book.cancel(record.submission)
-            case Progress():
-                self.book.learn(record, self.tenure)
+            case Progress() if record.outcome in FINAL:
+                self.book.forget(record.submission)
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -1,6 +1,7 @@
 """What sessions find out about runs, and what follows from it."""
 
 import asyncio
+from functools import partial
 
 from loguru import logger
 
@@ -40,17 +41,8 @@
         self.wake = wake
         self.clock = election.clock
         self.ready = False
-        self.early_ends: list[tuple[WorkerSession, EndedRun]] = []
         self.claimed_at = self.clock()
 
-    def end_takeover(self) -> None:
-        """Take in what was listed before the log was read to its end."""
-        self.ready = True
-        early = self.early_ends
-        self.early_ends = []
-        for session, ended in early:
-            self.run_ended(session, ended, None)
-
     def may_act(self) -> bool:
         """Tell whether orders may be given now."""
         return self.election.tenure == self.tenure and self.election.may_act()
@@ -66,9 +58,6 @@
 
     def run_ended(self, session: WorkerSession, ended: EndedRun, known: Run | None) -> None:
         """Take in an end; the worker keeps it until it is stored."""
-        if not self.ready and known is None:
-            self.early_ends.append((session, ended))
-            return
         step = self.book.step_of(ended.task)
         if step is None:
             session.store_confirmed(ended.number)
@@ -76,7 +65,7 @@
         self.roster.quality(session.worker.id).note(ended.kind, self.clock())
         step.save(ended.task.index, ended.checkpoint)
         step.last_run = max(step.last_run, ended.run)
-        self.book.progress.note(step.job, (session, ended.number))
+        self.book.progress.note(step.job, partial(session.store_confirmed, ended.number))
         self.settle(step, session, ended)
 
     def settle(self, step: StepRun, session: WorkerSession, ended: EndedRun) -> None:
@@ -118,7 +107,7 @@
         step = self.book.step_of(held.task)
         index = held.task.index
         if step is None:
-            return self.book.demand_of(held.task) if self.ready else None
+            return self.book.demand_of(held.task)
         if index in step.done or index in step.active:
             return step.step
         step.begin(index, session, held.run)
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -84,10 +84,8 @@
             self.waiting.pop(step)
 
     def may_start(self, step: StepRun, wall_ms: float) -> bool:
-        """Tell whether a step's turn has come, and no unreachable worker may still run it."""
-        if step.old and self.roster.dark:
-            return False
-        return step.job.is_turn(step, wall_ms)
+        """Tell whether a step's turn has come, and some of its tasks surely run nowhere."""
+        return step.job.is_turn(step, wall_ms) and bool(step.startable(self.roster.dark))
 
     def workers(self, step: StepRun) -> list[WorkerSession]:
         """Return the workers that the step may use, apart from advice and room."""
@@ -129,7 +127,7 @@
     def place_tasks(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
         """Start single tasks while they fit."""
         placed = False
-        for index in sorted(step.todo):
+        for index in step.startable(self.roster.dark):
             session = self.placer.place_one(step, index, allowed)
             if session is None and not step.avoid.get(index):
                 return placed
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -1,11 +1,11 @@
 """Stores what has ended, before workers are told that they may forget it."""
 
 import asyncio
+from collections.abc import Callable
 
 from loguru import logger
 
 from marigoldlift.errors import PlatformError
-from marigoldlift.orders.session import WorkerSession
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.tasks import JobRun
 from marigoldlift.submissions.model import SubmissionId
@@ -13,8 +13,8 @@
 
 __all__ = ('ProgressWriter',)
 
-#: How long ends are gathered before they are stored, in s.
-GATHER_S = 0.01
+#: How long changes are gathered before they are handed to the log, in s.
+GATHER_S = 0.002
 
 #: How long one record waits for the store before it is handed in again, in s.
 WAIT_S = 30
@@ -25,7 +25,7 @@
 #: Outcome of an open submission, by whether any of its tasks was started.
 STARTED = (Outcome.queued, Outcome.running)
 
-EndNumber = tuple[WorkerSession, int]
+Stored = Callable[[], None]
 
 
 class ProgressWriter:
@@ -36,18 +36,29 @@
         self.appender = appender
         self.tenure = tenure
         self.changed: dict[SubmissionId, JobRun] = {}
-        self.ends: dict[SubmissionId, list[EndNumber]] = {}
+        self.callbacks: dict[SubmissionId, list[Stored]] = {}
         self.writing: set[SubmissionId] = set()
         self.wake = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def note(self, job: JobRun, end: EndNumber | None = None) -> None:
-        """Note that a submission has changed, by an end that a worker keeps until it is stored."""
+    def note(self, job: JobRun, stored: Stored | None = None) -> None:
+        """Note that a submission has changed.
+
+        Args:
+            job: the submission.
+            stored: called once a record that holds the change is stored.
+        """
         self.changed[job.id] = job
-        if end is not None:
-            self.ends.setdefault(job.id, []).append(end)
+        if stored is not None:
+            self.callbacks.setdefault(job.id, []).append(stored)
         self.wake.set()
 
+    async def store_now(self, job: JobRun) -> None:
+        """Wait until a record that holds all that is known of a submission now is stored."""
+        stored = asyncio.Event()
+        self.note(job, stored.set)
+        await stored.wait()
+
     async def run(self) -> None:
         """Write until cancelled; one record of a submission at a time, so that the newest comes last."""
         try:
@@ -66,16 +77,16 @@
         for submission in idle:
             job = self.changed.pop(submission)
             self.writing.add(submission)
-            task = asyncio.create_task(self.write(job, self.ends.pop(submission, [])))
+            task = asyncio.create_task(self.write(job, self.callbacks.pop(submission, [])))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def write(self, job: JobRun, ends: list[EndNumber]) -> None:
-        """Store one record, however long it takes, and let the workers forget its ends."""
+    async def write(self, job: JobRun, callbacks: list[Stored]) -> None:
+        """Store one record, however long it takes, and tell those who wait for it."""
         while not await self.store(job):
             await asyncio.sleep(RETRY_S)
-        for session, number in ends:
-            session.store_confirmed(number)
+        for stored in callbacks:
+            stored()
         self.writing.discard(job.id)
         if job.id in self.changed:
             self.wake.set()
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -1,13 +1,15 @@
 """Carries out what was placed: starts and stops, and what follows from refusals."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
+from typing import Protocol
 
 from loguru import logger
 
 from marigoldlift.errors import WorkerRefusedError
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.roster import Roster
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import TaskRef
@@ -21,20 +23,25 @@
 STOP_AGAIN_S = 0.5
 
 
-class Starter:
-    """Sends orders without holding the scheduling pass up.
+class TenureEvents(Protocol):
+    """What a starter asks and tells the tenure."""
+
+    def may_act(self) -> bool:
+        """Tell whether orders may be given now."""
+
+    def step_returned(self, step: StepRun) -> None:
+        """Let a step wait again."""
+
 
-    Attributes:
-        returned: called with each step that has a task to start again.
-    """
+class Starter:
+    """Sends orders without holding the scheduling pass up."""
 
-    def __init__(
-        self, roster: Roster, clock: Callable[[], float], returned: Callable[[StepRun], None]
-    ) -> None:
+    def __init__(self, roster: Roster, progress: ProgressWriter, events: TenureEvents) -> None:
         """Start without orders under way."""
         self.roster = roster
-        self.clock = clock
-        self.returned = returned
+        self.progress = progress
+        self.events = events
+        self.clock = roster.clock
         self.tasks: set[asyncio.Task[None]] = set()
 
     def spawn(self, work: Coroutine[None, None, None]) -> None:
@@ -58,7 +65,12 @@
         self.spawn(self.send(step, session, ordered))
 
     async def send(self, step: StepRun, session: WorkerSession, ordered: Run) -> None:
-        """Order a start, and let the task wait again when it surely does not run."""
+        """Store where the task will run, order its start, and let it wait again when it surely does not run."""
+        await self.progress.store_now(step.job)
+        if not self.is_wanted(step, session, ordered):
+            session.drop(ordered)
+            self.give_back(step, ordered.task.index, session)
+            return
         leave = step.tickets.get(session.worker.id)
         ticket = leave.ticket if leave else ''
         content = step.job.submission.content
@@ -77,6 +89,16 @@
         if not runs:
             self.give_back(step, ordered.task.index, session)
 
+    def is_wanted(self, step: StepRun, session: WorkerSession, ordered: Run) -> bool:
+        """Tell whether a start is still to be sent after its placement was stored."""
+        if step.job.outcome is not None or step.gang_broken or not self.events.may_act():
+            return False
+        if step.active.get(ordered.task.index) is not session or ordered.phase is not Phase.sent:
+            return False
+        return step.job.submission.policy.advice is None or step.holds_ticket(
+            session.worker.id, self.clock()
+        )
+
     def take_refusal(self, step: StepRun, session: WorkerSession, reason: str) -> None:
         """Learn from the reason of a refusal."""
         if reason == 'ticket':
@@ -92,7 +114,7 @@
         """Let a task wait again, unless it runs elsewhere by now."""
         if step.active.get(index) is session:
             step.requeue(index)
-            self.returned(step)
+            self.events.step_returned(step)
 
     def stop(self, session: WorkerSession, task: TaskRef) -> None:
         """Order the end of a run."""
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -1,5 +1,7 @@
 """Open submissions in the hands of the leader: what waits, what runs, what has ended."""
 
+from collections.abc import Container
+
 import msgspec
 
 from marigoldlift.orders.session import WorkerSession
@@ -32,12 +34,13 @@
         todo: indices that wait to be started.
         active: sessions of the tasks that take room somewhere, by index.
         last_run: highest run that any task was started with.
+        first_run: highest run that was stored when this tenure began.
         avoid: workers on which a task has failed, by index, with the time of that.
         tickets: leave by worker; None for a worker that may not run the step.
         ask_after: when the advice may be asked again; infinite while a call is under way.
         gang_since: when the members of the gang's current run began to start, None while none runs.
         gang_broken: a member of the current run has ended, so that all must end before the next run.
-        old: the step may have been started by an earlier leader.
+        old_places: workers on which an earlier leader has placed tasks that were not found yet, by index.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         self.done: set[int] = set(known.done)
         self.failures = {index: set(runs) for index, runs in known.failures.items()}
         self.last_run = known.last_run
+        self.first_run = known.last_run
         self.todo: set[int] = set(range(self.step.count)) - self.done
         self.active: dict[int, WorkerSession] = {}
         self.runs: dict[int, int] = {}
@@ -61,7 +65,7 @@
         self.ask_after: float = 0
         self.gang_since: float | None = None
         self.gang_broken = False
-        self.old = False
+        self.old_places = dict(known.placed)
 
     @property
     def is_done(self) -> bool:
@@ -73,6 +77,11 @@
         """Return the name that the placement advice knows the step by."""
         return f'{self.job.submission.id}.{self.occurrence}.{self.number}'
 
+    def holds_ticket(self, worker: str, now: float) -> bool:
+        """Tell whether the step may be started on a worker now."""
+        ticket = self.tickets.get(worker)
+        return ticket is not None and ticket.until > now
+
     def task(self, index: int) -> TaskRef:
         """Return a task of the step."""
         return TaskRef(self.job.submission.id, self.occurrence, self.number, index)
@@ -82,12 +91,18 @@
         if self.step.gang:
             starts_anew = self.gang_since is None
             return self.last_run + int(starts_anew)
-        return max(self.runs.get(index, 0), self.base_run) + 1
+        return max(self.runs.get(index, 0), self.first_run) + 1
 
-    @property
-    def base_run(self) -> int:
-        """Return the run that tasks without a known run have used up."""
-        return self.last_run if self.old else 0
+    def startable(self, dark: Container[str]) -> list[int]:
+        """Return the waiting tasks that surely run nowhere.
+
+        Args:
+            dark: workers that have not answered since the takeover.
+        """
+        blocked = {index for index, worker in self.old_places.items() if worker in dark}
+        if self.step.gang and blocked:
+            return []
+        return sorted(self.todo - blocked)
 
     def checkpoint(self, index: int) -> str:
         """Return the saved state that a start of the task carries."""
@@ -101,6 +116,7 @@
     def begin(self, index: int, session: WorkerSession, run: int) -> None:
         """Note that a task takes room on a worker."""
         self.todo.discard(index)
+        self.old_places.pop(index, None)
         self.active[index] = session
         self.runs[index] = run
         self.last_run = max(self.last_run, run)
@@ -134,19 +150,14 @@
         failed.add(run)
         return len(failed)
 
-    def learn(self, progress: StepProgress) -> None:
-        """Take in what an earlier leader has stored."""
-        self.done.update(progress.done)
-        self.todo.difference_update(progress.done)
-        self.last_run = max(self.last_run, progress.last_run)
-        for index, runs in progress.failures.items():
-            self.failures.setdefault(index, set()).update(runs)
-
     def progress(self) -> StepProgress:
         """Return what is to be stored of the step."""
         failures = {index: sorted(runs) for index, runs in self.failures.items()}
+        placed = self.old_places | {
+            index: session.worker.id for index, session in self.active.items()
+        }
         return StepProgress(
-            self.occurrence, self.number, self.last_run, sorted(self.done), failures
+            self.occurrence, self.number, self.last_run, sorted(self.done), failures, placed
         )
 
 
@@ -156,29 +167,21 @@
     Attributes:
         since: when it was accepted, in seconds of the steady clock.
         begun: whether any task was started.
-        begun_noted: whether that is stored.
         outcome: final outcome once there is one.
     """
 
-    def __init__(self, job: Job, *, old: bool) -> None:
-        """Start from what the log says.
-
-        Args:
-            job: the submission and its progress.
-            old: an earlier leader may have started tasks of it.
-        """
+    def __init__(self, job: Job) -> None:
+        """Start from what the log says of a submission."""
         self.job = job
         self.submission: Submission = job.submission
         self.since = job.seen_at
         self.begun = job.outcome is Outcome.running
-        self.begun_noted = self.begun
         self.outcome: Outcome | None = None
         self.steps: dict[tuple[int, int], StepRun] = {}
         for occurrence in range(self.submission.occurrences):
             for number, _ in enumerate(self.submission.steps):
-                step = StepRun(self, number, occurrence, job.progress.get((occurrence, number)))
-                step.old = old
-                self.steps[occurrence, number] = step
+                known = job.progress.get((occurrence, number))
+                self.steps[occurrence, number] = StepRun(self, number, occurrence, known)
         self.objective_s = objective_s(self.submission)
 
     @property
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -62,9 +62,7 @@
         if step.job.submission.policy.advice is None:
             return list(usable)
         now = self.clock()
-        return [
-            session for session in usable if is_valid(step.tickets.get(session.worker.id), now)
-        ]
+        return [session for session in usable if step.holds_ticket(session.worker.id, now)]
 
     def ask_if_needed(self, step: StepRun, usable: Sequence[WorkerSession]) -> None:
         """Ask for more tickets when those at hand cannot place the step."""
@@ -98,7 +96,7 @@
             if rooms >= len(step.todo):
                 break
             rooms += self.placer.room(session, step)
-            if not is_valid(step.tickets.get(session.worker.id), now):
+            if not step.holds_ticket(session.worker.id, now):
                 named.append(session.worker.id)
         return named[:CALL_WORKERS]
 
@@ -126,8 +124,3 @@
             step.tickets[worker] = Ticket(ticket, until) if ticket else None
         logger.debug('advice: step={} asked={} allowed={}', step.name, len(named), len(allowed))
         self.answered()
-
-
-def is_valid(ticket: Ticket | None, now: float) -> bool:
-    """Tell whether a ticket may be used now."""
-    return ticket is not None and ticket.until > now
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -34,6 +34,7 @@
 
     Attributes:
         last_run: highest run that any task of the step was started with.
+        placed: workers that unended tasks were ordered to run on, by index.
         failures: numbers of the failed runs by index of the task; of a gang under the index 0.
     """
 
@@ -42,6 +43,7 @@
     last_run: int = 0
     done: list[int] = []
     failures: dict[int, list[int]] = {}
+    placed: dict[int, str] = {}
 
 
 class Record(msgspec.Struct, array_like=True, tag=True):
@@ -61,9 +63,9 @@
 
 
 class Progress(Record, tag='p'):
-    """Ends of a submission's tasks that one tenure of a leader knows of.
+    """Placements and ends of a submission's tasks, as the leader of one tenure knows them.
 
-    The key holds the tenure, so that a record that arrives late from an earlier leader replaces nothing newer.
+    It is stored before a start is ordered, so that the next leader knows which workers may hold a task.
     """
 
     submission: SubmissionId
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -81,7 +81,7 @@
 
 
 def merge_steps(known: StepProgress | None, added: StepProgress) -> StepProgress:
-    """Return what both of two records say of a step."""
+    """Return what an earlier and a newer record say of a step; the newer one knows all placements."""
     if known is None:
         return added
     failures = {
@@ -94,6 +94,7 @@
         last_run=max(known.last_run, added.last_run),
         done=sorted({*known.done, *added.done}),
         failures=failures,
+        placed=added.placed,
     )
 
 
--- a/standins/cell/log.py
+++ b/standins/cell/log.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 from enum import Enum
 
+import msgspec
+
 from marigoldlift.errors import (
     AppendInDoubtError,
     AppendRefusedError,
@@ -12,7 +14,7 @@
     RetentionPassedError,
     SequenceMismatchError,
 )
-from marigoldlift.replication.api import LogPage, SnapshotPage
+from marigoldlift.replication.api import LogPage, Producer, SnapshotPage
 from marigoldlift.submissions.stored import Stored
 
 __all__ = ('LogClient', 'LogFault', 'MemoryLog')
@@ -28,6 +30,7 @@
 REPEATS = 5
 
 PAGE = 500
+MS_PER_S = 1000
 
 
 class LogFault(Enum):
@@ -39,6 +42,13 @@
     late = 'late'
 
 
+class Produced(msgspec.Struct):
+    """What the log knows of a producer: its epoch, and the last answers by sequence number."""
+
+    epoch: int
+    answers: dict[int, int] = {}
+
+
 class MemoryLog:
     """One partition, shared by all clients.
 
@@ -53,7 +63,7 @@
         self.records: list[Stored] = []
         self.first = 0
         self.newest: dict[str, Stored] = {}
-        self.producers: dict[str, list[tuple[int, int]]] = {}
+        self.producers: dict[str, Produced] = {}
         self.arrived = asyncio.Event()
 
     def store(self, records: Sequence[tuple[str, bytes]]) -> int:
@@ -69,18 +79,26 @@
         self.arrived = asyncio.Event()
         return start
 
-    def produce(self, records: Sequence[tuple[str, bytes]], producer: str, sequence: int) -> int:
+    def produce(
+        self, records: Sequence[tuple[str, bytes]], producer: Producer, sequence: int
+    ) -> int:
         """Store records once for each sequence number."""
-        known = self.producers.setdefault(producer, [])
-        for number, offset in known:
-            if number == sequence:
-                return offset
-        if known and sequence != known[-1][0] + 1:
-            raise SequenceMismatchError(known[-1][0] + 1)
-        offset = self.store(records)
-        known.append((sequence, offset))
-        del known[:-REPEATS]
-        return offset
+        known = self.producers.setdefault(producer.name, Produced(producer.epoch))
+        if producer.epoch < known.epoch:
+            raise SequenceMismatchError(None)
+        if producer.epoch > known.epoch:
+            known = Produced(producer.epoch)
+            self.producers[producer.name] = known
+        if not records:
+            return len(self.records)
+        repeated = known.answers.get(sequence)
+        if repeated is not None:
+            return repeated
+        if known.answers and sequence != max(known.answers) + 1:
+            raise SequenceMismatchError(max(known.answers) + 1)
+        known.answers[sequence] = self.store(records)
+        known.answers.pop(sequence - REPEATS, None)
+        return known.answers[sequence]
 
     def drop_history(self) -> None:
         """Keep only the newest record of each key."""
@@ -116,7 +134,7 @@
             raise LogUnavailableError('turned away')
 
     async def append(
-        self, records: Sequence[tuple[str, bytes]], producer: str, sequence: int
+        self, records: Sequence[tuple[str, bytes]], producer: Producer, sequence: int
     ) -> int:
         """Store records all or nothing, once for each sequence number of a producer."""
         try:
@@ -125,20 +143,19 @@
             if self.fault is LogFault.refuse:
                 raise AppendRefusedError(fault.reason) from fault
             raise AppendInDoubtError(fault.reason) from fault
-        struck = self.rng.random() < self.share
-        if struck and self.fault is LogFault.late:
-            asyncio.get_running_loop().call_later(
-                self.rng.uniform(*LATE_S), self.produce_late, records, producer, sequence
-            )
-        elif not struck or self.fault is None:
+        if self.fault is None or self.rng.random() > self.share:
             return self.log.produce(records, producer, sequence)
+        if self.fault is LogFault.late:
+            delay_s = self.rng.uniform(*LATE_S)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self.produce_late, records, producer, sequence)
         else:
             self.log.produce(records, producer, sequence)
         await asyncio.sleep(SILENCE_S)
         raise AppendInDoubtError('the answer was lost')
 
     def produce_late(
-        self, records: Sequence[tuple[str, bytes]], producer: str, sequence: int
+        self, records: Sequence[tuple[str, bytes]], producer: Producer, sequence: int
     ) -> None:
         """Carry an append out whose caller has given up."""
         try:
@@ -152,7 +169,7 @@
         if start >= len(self.log.records) and wait_ms:
             arrived = self.log.arrived
             try:
-                async with asyncio.timeout(wait_ms / 1000):
+                async with asyncio.timeout(wait_ms / MS_PER_S):
                     await arrived.wait()
             except TimeoutError:
                 return LogPage(len(self.log.records), [])
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -18,8 +18,10 @@
 LATE_S = (2.0, 6.0)
 TICK_S = 0.05
 LONGEST_LEASE_MS = 6000
-GANG_WAIT_S = 3.0
 MS = 1000
+SLOWEST_CLOCK = 0.98
+MEMORY_MB = 1_000_000
+LONGEST_STOP_S = 0.8
 
 
 class HeldTask:
@@ -56,7 +58,7 @@
         self.cpu_m = cpu_m
         self.judge = judge
         self.rng = rng
-        self.rate = rng.uniform(0.98, 1.0)
+        self.rate = rng.uniform(SLOWEST_CLOCK, 1)
         self.up = True
         self.hangs = False
         self.fails = False
@@ -75,7 +77,7 @@
         self.spent: dict[TaskRef, int] = {}
         self.number = 0
         self.token = 0
-        self.lease_ms = 0.0
+        self.lease_ms: float = 0
         self.news = asyncio.Event()
 
     def entry(self) -> Worker:
@@ -88,7 +90,7 @@
             ready=not self.draining,
             born_ms=self.born_ms,
             cpu_m=self.cpu_m,
-            mem_mb=1_000_000,
+            mem_mb=MEMORY_MB,
             gpus=0,
             labels=('kind', f'rack-{self.name}'),
         )
@@ -136,17 +138,17 @@
         self.spent[task] = max(self.spent.get(task, 0), run)
         known = self.held.get(task)
         if known is not None and known.run <= run and known.stop_at is None:
-            known.stop_at = asyncio.get_running_loop().time() + self.rng.uniform(0, 0.8)
+            known.stop_at = asyncio.get_running_loop().time() + self.rng.uniform(0, LONGEST_STOP_S)
 
     def look(self, token: int, seen: int, until_ms: int | None) -> None:
         """Renew the lease and forget ends."""
         self.expire()
         self.check_token(token)
         self.extend(until_ms)
-        for ended in self.ends:
-            if ended.number <= seen:
-                self.judge.note(ended.task, ended.kind.value)
-        self.ends = [ended for ended in self.ends if ended.number > seen]
+        forgotten = [ended for ended in self.ends if ended.number <= seen]
+        for noted in forgotten:
+            self.judge.note(noted.task, noted.kind.value)
+            self.ends.remove(noted)
 
     def listing(self) -> Look:
         """Return both lists; a run that is being stopped stands in neither, though it takes room."""
@@ -185,10 +187,17 @@
         self.expire()
         now = asyncio.get_running_loop().time()
         for task, held in list(self.held.items()):
-            if held.stop_at is not None and now >= held.stop_at:
-                self.finish(task, EndKind.stopped)
-            elif not held.step.gang and not self.hangs and now >= held.ends_at:
-                self.finish(task, EndKind.failed if self.fails else EndKind.done)
+            kind = self.due_end(held, now)
+            if kind is not None:
+                self.finish(task, kind)
+
+    def due_end(self, held: HeldTask, now: float) -> EndKind | None:
+        """Return how a run ends now, None while it goes on."""
+        if held.stop_at is not None and now >= held.stop_at:
+            return EndKind.stopped
+        if self.hangs or now < held.ends_at:
+            return None
+        return EndKind.failed if self.fails else EndKind.done
 
 
 class MemoryWorkers:
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -92,10 +92,8 @@
         self.log = MemoryLog()
         self.workers_log = MemoryLog()
         self.durations: dict[TaskRef, float] = {}
-        self.workers = {
-            name: MemoryWorker(name, 8000, self.judge, self.rng)
-            for name in (f'w{number}' for number in range(workers))
-        }
+        names = [f'w{number}' for number in range(workers)]
+        self.workers = {name: MemoryWorker(name, 8000, self.judge, self.rng) for name in names}
         self.list_workers()
         self.entries = [ModelEntry(self, f'e{number}') for number in range(entries)]
         self.ticking = loop.create_task(self.tick())
@@ -113,7 +111,7 @@
 
     async def tick(self) -> None:
         """Let the workers work."""
-        listed_at = 0.0
+        listed_at = self.loop.time()
         while True:
             await asyncio.sleep(WORK_TICK_S)
             for worker in self.workers.values():
--- a/tests/cell/storms.py
+++ b/tests/cell/storms.py
@@ -20,7 +20,7 @@
 def pick_entry(cell: ModelCell) -> ModelEntry:
     """Return the leader half of the time, else any entry."""
     leader = cell.leader()
-    if leader is not None and cell.rng.random() < 0.5:
+    if leader is not None and cell.rng.choice((True, False)):
         return leader
     return cell.rng.choice(cell.entries)
 
@@ -127,7 +127,7 @@
         if entry.gate.stopped:
             continue
         steps = [Step(count=cell.rng.randint(1, 6), cpu_m=cell.rng.choice((500, 2000, 4000)))]
-        if cell.rng.random() < 0.4:
+        if cell.rng.choice((True, False)):
             steps.append(Step(count=cell.rng.randint(1, 3), cpu_m=1000, after=(0,)))
         name = f'job{number:02}'
         handed_in = entry.gate.spawn(cell.submit(entry, name, steps, max_attempts=5))
