--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -7,10 +7,6 @@
 
 __all__ = ('Phase', 'Run', 'RunTable')
 
-#: How long a run that is being stopped may be listed neither as running nor as ended, in s, and still take room; the
-#: platform gives workers 0.9 s for a stop.
-STOP_S = 1.5
-
 #: Ends that are remembered for each worker; it lists 500 at a time.
 ENDED_KEPT = 2000
 
@@ -44,7 +40,6 @@
         'started_at',
         'step',
         'stop_sent_at',
-        'stop_since',
         'task',
         'unanswered',
     )
@@ -59,7 +54,6 @@
         self.started_at = now
         self.moved_at = now
         self.stop_sent_at: float | None = None
-        self.stop_since: float | None = None
         self.unanswered = phase is Phase.sent
         self.fence: int | None = None
         self.percent: float = 0
@@ -80,8 +74,6 @@
         """Note that a stop was sent."""
         self.phase = Phase.stopping
         self.stop_sent_at = now
-        if self.stop_since is None:
-            self.stop_since = now
 
     def doubt(self, token: int, now: float) -> None:
         """Count the run as unanswered until a look under a token that high proves more."""
@@ -98,8 +90,6 @@
         """
         if self.since >= sent_at:
             return False
-        if self.stop_since is not None and sent_at - self.stop_since < STOP_S:
-            return False
         return not self.unanswered or (self.fence is not None and token >= self.fence)
 
 
--- a/marigoldlift/scheduling/roster.py
+++ b/marigoldlift/scheduling/roster.py
@@ -92,7 +92,7 @@
                 self.open(worker, self.tenure)
             elif is_other_life(session.worker, worker):
                 self.replace(session, worker)
-            elif session.worker != worker:
+            elif session.worker != worker and worker.born_ms >= session.worker.born_ms:
                 self.update(session, worker)
 
     def open(self, worker: Worker, tenure: int) -> WorkerSession:
