Spread advice over all known entries at once; check less often; keep gangs within a failure domain

Steps that wait for advice also counted as misses and ended the passes early. Housekeeping ran with each pass over all runs.

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -18,7 +18,7 @@
 from marigoldlift.scheduling.parts import DispatcherParts
 from marigoldlift.scheduling.registry import Registry
 from marigoldlift.submissions.acceptance import Acceptance
-from marigoldlift.submissions.records import Record
+from marigoldlift.submissions.records import Accepted, Record
 from marigoldlift.submissions.state import CellState
 
 __all__ = ('CellNode', 'NodeLimits', 'NodeParts', 'report_end')
@@ -94,11 +94,14 @@
         self.election = Election(candidate, self.appender, self.replica, clock)
         self.election.on_change.append(self.follow_leadership)
         self.state.observers.append(self.observe)
+        self.broker = AdviceBroker(parts.advice, candidate.address, clock)
         self.dispatcher: Dispatcher | None = None
         self.dispatching: asyncio.Task[None] | None = None
 
     def observe(self, offset: int, record: Record) -> None:
         """Pass a record on to the election and to the tenure that runs."""
+        if isinstance(record, Accepted):
+            self.broker.note_relay(record.submission.relay)
         self.election.observe(offset, record)
         if self.dispatcher is not None:
             self.dispatcher.observe(offset, record)
@@ -130,7 +133,7 @@
             registry=self.registry,
             calls=self.parts.calls,
             log=self.parts.log,
-            broker=AdviceBroker(self.parts.advice, self.candidate.address, self.clock),
+            broker=self.broker,
             election=self.election,
             clock=self.clock,
             lease_s=self.limits.lease_s,
--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -34,10 +34,13 @@
 CLAIM_PAUSE_S = 0.3
 
 #: Delay of a claim for a VM of one core, in s; larger VMs claim first.
-CLAIM_DELAY_S = 0.2
+CLAIM_DELAY_S = 0.4
+
+#: Processor time below which a VM waits no longer, in cores.
+SMALLEST_CORES = 0.2
 
 #: Largest random part of that delay, in s; it keeps entries from claiming at once.
-CLAIM_JITTER_S = 0.25
+CLAIM_JITTER_S = 0.15
 
 #: How long a renewal waits for the store, in s.
 RENEWAL_WAIT_S = 1.0
@@ -144,7 +147,7 @@
 
     def patience(self) -> float:
         """Return how long the leader may be silent, in s; a leader whose process was replaced is gone."""
-        delay = CLAIM_DELAY_S / max(self.candidate.cores, CLAIM_DELAY_S) + self.jitter_s
+        delay = CLAIM_DELAY_S / max(self.candidate.cores, SMALLEST_CORES) + self.jitter_s
         if self.holder is None or self.holder.node == self.candidate.node:
             return delay
         return SILENCE_S + SLOW_ANSWERS * self.appender.latency_s + delay
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -34,6 +34,9 @@
 PASS_PACE_S = 0.01
 TICK_S = 0.1
 
+#: Rest after a pass as a multiple of its time, so that passes leave the processor to orders and answers.
+PASS_REST = 2
+
 
 class Dispatcher:
     """Decides and follows everything between acceptance and outcome."""
@@ -45,6 +48,8 @@
         self.clock = parts.clock
         self.wake = asyncio.Event()
         self.log_is_read = False
+        self.checked_at = self.clock()
+        self.pass_s: float = 0
         self.appender = Appender(parts.log, Producer(LEADER, tenure + 1), self.clock)
         self.progress = ProgressWriter(self.appender, tenure)
         self.events = RunEvents(parts.election, tenure, self.wake)
@@ -90,7 +95,7 @@
 
     async def pause(self) -> None:
         """Wait for news, at most one tick."""
-        await asyncio.sleep(PASS_PACE_S)
+        await asyncio.sleep(max(PASS_PACE_S, self.pass_s * PASS_REST))
         with contextlib.suppress(TimeoutError):
             # asyncio.wait_for of Python 3.11 would swallow a cancellation that comes as the event is set.
             async with asyncio.timeout(TICK_S):
@@ -141,18 +146,25 @@
         """Make one round of checks and placements."""
         if not self.events.may_act():
             return
+        now = self.clock()
+        if now - self.checked_at >= TICK_S:
+            self.checked_at = now
+            self.check()
+        self.planner.run_pass()
+        self.pass_s = self.clock() - now
+
+    def check(self) -> None:
+        """Make the regular checks."""
         self.roster.refresh()
         self.roster.check()
         self.checks.check_runs()
         if self.retention.is_due():
             self.starter.spawn(self.retention.drop_old())
-        self.planner.run_pass()
 
     def observe(self, offset: int, record: Record) -> None:
         """Take in a record of the log."""
         match record:
             case Accepted():
-                self.parts.broker.note_relay(record.submission.relay)
                 if self.log_is_read:
                     self.book.open(record.submission.id)
                 self.wake.set()
--- a/marigoldlift/scheduling/placement.py
+++ b/marigoldlift/scheduling/placement.py
@@ -87,7 +87,7 @@
         shunned = set().union(*map(self.shunned, step_run.avoid.values()))
         usable = [session for session in sessions if session.worker.id not in shunned]
         groups = self.racks(usable) if step_run.step.same_rack else []
-        for group in (*groups, usable):
+        for group in (*groups, *self.failure_domains(usable), usable):
             places = self.fill(step_run, group)
             if places is not None:
                 return places
@@ -101,6 +101,13 @@
                 groups.setdefault(label, []).append(session)
         return list(groups.values())
 
+    def failure_domains(self, sessions: Sequence[WorkerSession]) -> list[list[WorkerSession]]:
+        """Group workers by failure domain; a gang within one survives a cut between them."""
+        groups: dict[str, list[WorkerSession]] = {}
+        for session in sessions:
+            groups.setdefault(session.worker.failure_domain, []).append(session)
+        return list(groups.values())
+
     def fill(
         self, step_run: StepRun, sessions: Sequence[WorkerSession]
     ) -> list[WorkerSession] | None:
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -5,6 +5,7 @@
 
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.placement import Placer
+from marigoldlift.scheduling.pool import Pool
 from marigoldlift.scheduling.roster import Roster
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tasks import StepRun
@@ -53,7 +54,7 @@
         self.clock = clock
         self.gang_limit_s = gang_wait_s * GANG_START_SHARE
         self.waiting: dict[StepRun, None] = {}
-        self.usable: dict[str, list[WorkerSession]] = {}
+        self.pools: dict[str, Pool] = {}
         self.reserved: set[str] = set()
         self.misses = 0
 
@@ -66,7 +67,7 @@
         """Place what can be placed now."""
         now = self.clock()
         wall_ms = time.time() * MS_PER_S
-        self.usable = {}
+        self.pools = {}
         self.reserved = set()
         self.misses = 0
         self.drop_finished()
@@ -87,42 +88,35 @@
         """Tell whether a step's turn has come, and some of its tasks surely run nowhere."""
         return step.job.is_turn(step, wall_ms) and bool(step.startable(self.roster.dark))
 
-    def workers(self, step: StepRun) -> list[WorkerSession]:
-        """Return the workers that the step may use, apart from advice and room."""
-        service = step.job.submission.policy.service
-        if service not in self.usable:
-            self.usable[service] = self.roster.usable(service)
-        label = step.step.requires
-        urgent = step.job.submission.policy.priority == 0
-        return [
-            session
-            for session in self.usable[service]
-            if (not label or label in session.worker.labels)
-            and (urgent or session.worker.id not in self.reserved)
-        ]
+    def pool(self, service: str) -> Pool:
+        """Return the workers of a service that may get new work in this pass."""
+        known = self.pools.get(service)
+        if known is None:
+            known = Pool(self.roster.usable(service))
+            self.pools[service] = known
+        return known
 
     def place(self, step: StepRun) -> None:
         """Start what can be started of a step, and ask for tickets for the rest."""
-        usable = self.workers(step)
-        if not self.leaves_urgent_room(step, usable):
+        pool = self.pool(step.job.submission.policy.service)
+        if self.yields_to_urgent(step, pool):
             self.misses += 1
             return
-        allowed = self.tickets.allowed(step, usable)
-        if step.step.gang:
-            placed = self.place_gang(step, allowed)
-        else:
-            placed = self.place_tasks(step, allowed)
-        if step.todo and not step.gang_since:
-            self.misses += 0 if placed else 1
-            self.tickets.ask_if_needed(step, usable)
-
-    def leaves_urgent_room(self, step: StepRun, usable: list[WorkerSession]) -> bool:
-        """Tell whether less urgent work leaves the share that urgent work needs at once."""
-        if step.job.submission.policy.priority == 0:
-            return True
-        total = sum(session.worker.cpu_m for session in usable)
-        free = sum(max(0, session.room.cpu_m) for session in usable)
-        return free - step.step.cpu_m >= total * URGENT_SHARE
+        allowed = self.tickets.allowed(step, pool)
+        if not step.job.is_urgent:
+            allowed = [session for session in allowed if session.worker.id not in self.reserved]
+        placed = (
+            self.place_gang(step, allowed) if step.step.gang else self.place_tasks(step, allowed)
+        )
+        if step.todo and step.gang_since is None:
+            self.misses += int(bool(allowed) and not placed)
+            self.tickets.ask_if_needed(step, pool)
+
+    def yields_to_urgent(self, step: StepRun, pool: Pool) -> bool:
+        """Tell whether less urgent work would take the share that urgent work needs at once."""
+        if step.job.is_urgent or step.gang_since is not None:
+            return False
+        return pool.free_cpu_m() - step.step.cpu_m < pool.cpu_m * URGENT_SHARE
 
     def place_tasks(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
         """Start single tasks while they fit."""
--- a/marigoldlift/scheduling/roster.py
+++ b/marigoldlift/scheduling/roster.py
@@ -86,14 +86,19 @@
 
     def refresh(self) -> None:
         """Follow the registry."""
-        for worker in list(self.registry.workers.values()):
+        for worker in tuple(self.registry.workers.values()):
             session = self.sessions.get(worker.id)
             if session is None:
                 self.open(worker, self.tenure)
-            elif is_other_life(session.worker, worker):
-                self.replace(session, worker)
-            elif session.worker != worker and worker.born_ms >= session.worker.born_ms:
-                self.update(session, worker)
+            elif session.worker != worker:
+                self.follow_entry(session, worker)
+
+    def follow_entry(self, session: WorkerSession, worker: Worker) -> None:
+        """Take in a changed entry; one of an earlier life than the session's is left out."""
+        if is_other_life(session.worker, worker):
+            self.replace(session, worker)
+        elif worker.born_ms >= session.worker.born_ms:
+            self.update(session, worker)
 
     def open(self, worker: Worker, tenure: int) -> WorkerSession:
         """Begin a session and follow it."""
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -194,6 +194,11 @@
         """Tell whether all tasks have ended as done."""
         return all(step.is_done for step in self.steps.values())
 
+    @property
+    def is_urgent(self) -> bool:
+        """Tell whether the queue has the highest priority."""
+        return self.submission.policy.priority == 0
+
     def is_turn(self, step: StepRun, wall_ms: float) -> bool:
         """Tell whether the steps before are done and the occurrence is due."""
         due_ms = self.submission.first_due_ms + step.occurrence * self.submission.interval_ms
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -8,6 +8,7 @@
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.advice import AdviceBroker
 from marigoldlift.scheduling.placement import Placer, room_for
+from marigoldlift.scheduling.pool import Pool
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tasks import StepRun, Ticket
 
@@ -27,6 +28,9 @@
 #: Workers asked for each one that the step needs, since only a share of them may run it.
 WORKERS_FOR_ONE = 5
 
+#: Wait for a free entry from which only urgent steps are asked for, in s; answers for others would only queue up.
+LONGEST_DELAY_S = 1.0
+
 #: Most workers that one call may name.
 CALL_WORKERS = 100
 
@@ -57,18 +61,24 @@
         self.clock = clock
         self.answered = answered
 
-    def allowed(self, step: StepRun, usable: Sequence[WorkerSession]) -> list[WorkerSession]:
+    def allowed(self, step: StepRun, pool: Pool) -> list[WorkerSession]:
         """Return the workers for which the step holds a valid ticket; all where the queue needs none."""
         if step.job.submission.policy.advice is None:
-            return list(usable)
+            return list(pool.fitting(step.step))
         now = self.clock()
-        return [session for session in usable if step.holds_ticket(session.worker.id, now)]
+        return [
+            pool.sessions[worker]
+            for worker in step.tickets
+            if worker in pool.sessions and step.holds_ticket(worker, now)
+        ]
 
-    def ask_if_needed(self, step: StepRun, usable: Sequence[WorkerSession]) -> None:
+    def ask_if_needed(self, step: StepRun, pool: Pool) -> None:
         """Ask for more tickets when those at hand cannot place the step."""
         if step.job.submission.policy.advice is None or self.clock() < step.ask_after:
             return
-        named = self.question(step, usable)
+        if not step.job.is_urgent and self.broker.delay_s() > LONGEST_DELAY_S:
+            return
+        named = self.question(step, list(pool.fitting(step.step)))
         if named:
             step.ask_after = math.inf
             self.starter.spawn(self.ask(step, named))
