Metrics, settings that change while running, and log lines for steps that wait

Gangs ask for tickets for half as much room again as they need, and reserve the workers they may use.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -4,6 +4,7 @@
 import gc
 import signal
 import uuid
+from pathlib import Path
 
 from loguru import logger
 
@@ -15,17 +16,22 @@
 from marigoldlift.platform.configuration import CellConfiguration, ConfigurationReader
 from marigoldlift.platform.front import Front
 from marigoldlift.platform.node_settings import NodeSettings
-from marigoldlift.platform.servers import PeerServer, listen, ready_handler
+from marigoldlift.platform.servers import PeerServer, listen, ready_handler, text_handler
+from marigoldlift.platform.settings_watch import SettingsWatch
 from marigoldlift.platform.store import OPERATORS_TOPIC, WORK_TOPIC, WORKERS_TOPIC, PlatformLog
 from marigoldlift.platform.store_route import StoreRoute
 from marigoldlift.platform.workers import PlatformWorkers, decode_worker
 from marigoldlift.replication.replica import Replica
-from marigoldlift.submissions.records import Accepted, Leadership, Record
 from marigoldlift.telemetry.logs import configure_logging
+from marigoldlift.telemetry.metric_table import Metric
+from marigoldlift.telemetry.metrics import Metrics
 from marigoldlift.util import steady_now
 
 __all__ = ('Entry', 'run_cell_entry')
 
+#: Port of the metrics, as deploy/system.toml names it.
+METRICS_PORT = 7720
+
 #: Shortest pause between two reads of what operators write, in s: each read is priced.
 OPERATORS_PACE_S = 0.1
 
@@ -40,7 +46,13 @@
 
 
 class Entry:
-    """One entry of the cell."""
+    """One entry of the cell.
+
+    Attributes:
+        watch: follows the settings file; set before the entry runs.
+    """
+
+    watch: SettingsWatch
 
     def __init__(self, settings: NodeSettings) -> None:
         """Build the parts."""
@@ -49,13 +61,14 @@
         own_address = settings.peer_address
         self.route = StoreRoute(self.calls, settings.store_address, own_address, steady_now)
         self.route.learn(settings.seeds)
+        self.metrics = Metrics()
         self.advice = PlatformAdvice(self.calls, settings.advice_address, own_address)
         self.node = self.build_node()
-        self.node.state.observers.append(self.learn_peers)
+        self.node.peer_observers.append(self.route.learn_one)
         reader = ConfigurationReader(self.configure)
         operators = PlatformLog(self.route, OPERATORS_TOPIC)
         self.operators = Replica(operators, reader.apply, steady_now, OPERATORS_PACE_S)
-        self.front = Front(self.node.acceptance, own_address, self.is_stale)
+        self.front = Front(self.node.acceptance, own_address, self.is_stale, self.metrics)
         self.stopping = asyncio.Event()
 
     def build_node(self) -> CellNode:
@@ -74,6 +87,7 @@
             decode_worker=decode_worker,
             calls=PlatformWorkers(self.calls),
             advice=self.advice,
+            metrics=self.metrics,
         )
         limits = NodeLimits(
             settings.longest_lease_s, settings.gang_wait_s, settings.outcome_kept_s
@@ -83,13 +97,12 @@
     def configure(self, configuration: CellConfiguration) -> None:
         """Put a configuration in force."""
         self.front.configuration = configuration
+        self.metrics.set(Metric.configuration_version, configuration.version)
 
-    def learn_peers(self, offset: int, record: Record) -> None:
-        """Note the addresses of other entries."""
-        if isinstance(record, Accepted):
-            self.route.learn((record.submission.relay,))
-        elif isinstance(record, Leadership):
-            self.route.learn((record.address,))
+    def render_metrics(self) -> str:
+        """Return all metrics as text."""
+        self.node.set_gauges()
+        return self.metrics.render()
 
     def is_stale(self) -> bool:
         """Tell whether the store has not answered for a while."""
@@ -106,14 +119,18 @@
         """Serve until asked to stop."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        loop.add_signal_handler(signal.SIGHUP, self.watch.wanted.set)
         peers = PeerServer(self.route, self.advice)
         servers = [
             await listen(self.settings.caller_address, self.front.handle),
             await listen(self.settings.ready_address, ready_handler(self.is_ready)),
             await listen(self.settings.peer_address, peers.handle),
+            await listen(f'{self.settings.ip}:{METRICS_PORT}', text_handler(self.render_metrics)),
+        ]
+        tasks = [
+            asyncio.create_task(work)
+            for work in (*self.node.loops(), self.operators.run(), self.watch.run())
         ]
-        tasks = [asyncio.create_task(work) for work in (*self.node.loops(), self.operators.run())]
         for task in tasks:
             task.add_done_callback(report_end)
         gc.freeze()
@@ -135,17 +152,27 @@
             await asyncio.sleep(DRAIN_TICK_S)
         logger.info('stopped')
 
-    def reload(self) -> None:
-        """Read the settings file again."""
-        logger.info('settings reload requested')
+    def reconfigure(self, settings: NodeSettings) -> None:
+        """Use changed addresses of the platform; all else is in force from the next start."""
+        self.route.address = settings.store_address
+        self.advice.address = settings.advice_address
+        self.route.learn(settings.seeds)
+
 
+def run_cell_entry(settings: NodeSettings, path: Path, text: str) -> None:
+    """Run an entry until it is asked to stop.
 
-def run_cell_entry(settings: NodeSettings) -> None:
-    """Run an entry until it is asked to stop."""
+    Args:
+        settings: parsed settings.
+        path: the file that they come from.
+        text: its content.
+    """
     configure_logging('info', VmId(settings.node), Incarnation(uuid.uuid4().hex))
-    asyncio.run(serve(settings))
+    asyncio.run(serve(settings, path, text))
 
 
-async def serve(settings: NodeSettings) -> None:
+async def serve(settings: NodeSettings, path: Path, text: str) -> None:
     """Build an entry within the loop and run it."""
-    await Entry(settings).run()
+    entry = Entry(settings)
+    entry.watch = SettingsWatch(path, text, entry.reconfigure)
+    await entry.run()
--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -18,8 +18,10 @@
 from marigoldlift.scheduling.parts import DispatcherParts
 from marigoldlift.scheduling.registry import Registry
 from marigoldlift.submissions.acceptance import Acceptance
-from marigoldlift.submissions.records import Accepted, Record
+from marigoldlift.submissions.records import Accepted, Leadership, Outcome, Record
 from marigoldlift.submissions.state import CellState
+from marigoldlift.telemetry.metric_table import Metric
+from marigoldlift.telemetry.metrics import Metrics
 
 __all__ = ('CellNode', 'NodeLimits', 'NodeParts', 'report_end')
 
@@ -61,12 +63,14 @@
     decode_worker: Callable[[str, bytes], Worker | None]
     calls: WorkerCalls
     advice: AdviceRelay
+    metrics: Metrics
 
 
 class CellNode:
     """Wires the parts of an entry that decide.
 
     Attributes:
+        peer_observers: called with the address of each entry that writes to the log.
         dispatcher: the tenure, while this entry leads.
     """
 
@@ -83,7 +87,9 @@
         self.limits = limits
         self.clock = clock
         self.state = CellState(clock)
-        self.appender = Appender(parts.log, Producer(candidate.life, FIRST_EPOCH), clock)
+        self.appender = Appender(
+            parts.log, Producer(candidate.life, FIRST_EPOCH), clock, parts.metrics
+        )
         self.replica = Replica(parts.log, self.state.apply, clock, FOLLOWER_PACE_S)
         self.registry = Registry(parts.decode_worker)
         self.listing = Replica(
@@ -95,6 +101,7 @@
         self.election.on_change.append(self.follow_leadership)
         self.state.observers.append(self.observe)
         self.broker = AdviceBroker(parts.advice, candidate.address, clock)
+        self.peer_observers: list[Callable[[str], None]] = []
         self.dispatcher: Dispatcher | None = None
         self.dispatching: asyncio.Task[None] | None = None
 
@@ -102,10 +109,18 @@
         """Pass a record on to the election and to the tenure that runs."""
         if isinstance(record, Accepted):
             self.broker.note_relay(record.submission.relay)
+            self.note_peer(record.submission.relay)
+        elif isinstance(record, Leadership):
+            self.note_peer(record.address)
         self.election.observe(offset, record)
         if self.dispatcher is not None:
             self.dispatcher.observe(offset, record)
 
+    def note_peer(self, address: str) -> None:
+        """Tell of an entry that has written to the log."""
+        for observer in self.peer_observers:
+            observer(address)
+
     def follow_leadership(self) -> None:
         """Begin or end the tenure of this entry."""
         self.stop_dispatching()
@@ -139,8 +154,21 @@
             lease_s=self.limits.lease_s,
             gang_wait_s=self.limits.gang_wait_s,
             outcome_kept_s=self.limits.outcome_kept_s,
+            metrics=self.parts.metrics,
         )
 
+    def set_gauges(self) -> None:
+        """Bring the gauges up to date before they are read."""
+        metrics = self.parts.metrics
+        now = self.clock()
+        metrics.set(Metric.leading, int(self.election.tenure is not None))
+        metrics.set(Metric.log_age, now - self.replica.fresh_at, stream='work')
+        metrics.set(Metric.log_age, now - self.listing.fresh_at, stream='workers')
+        metrics.set(Metric.members, len(self.broker.busy_until), state='alive')
+        states = [job.state.value for job in self.state.jobs.values()]
+        for state in Outcome:
+            metrics.set(Metric.jobs, states.count(state.value), state=state.value)
+
     def loops(self) -> Iterator[Coroutine[Any, Any, None]]:
         """Yield what has to run as long as the entry serves."""
         yield self.appender.run()
--- a/marigoldlift/cmdline.py
+++ b/marigoldlift/cmdline.py
@@ -64,13 +64,14 @@
     if len(words) > 1 or not path:
         report(f'usage: {node_settings.SETTINGS_VARIABLE}=FILE {PROGRAM} {CELL_VERB}')
         return ExitCode.usage
+    source = pathlib.Path(path)
     try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
+        text = source.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as fault:
         report(f'{path}: {fault}')
         return ExitCode.usage
     settings = node_settings.parse_node_settings(text)
-    importlib.import_module('marigoldlift.cell').run_cell_entry(settings)
+    importlib.import_module('marigoldlift.cell').run_cell_entry(settings, source, text)
     return ExitCode.done
 
 
--- a/marigoldlift/journal/tests/test_histories.py
+++ b/marigoldlift/journal/tests/test_histories.py
@@ -4,8 +4,7 @@
 from collections import Counter
 
 import looptime
-from hypothesis import given, settings
-from hypothesis import strategies
+from hypothesis import given, settings, strategies
 
 from marigoldlift import errors
 from marigoldlift.journal.messages import SnapshotChunk, decode_record
--- a/marigoldlift/ownership/reconciler.py
+++ b/marigoldlift/ownership/reconciler.py
@@ -21,8 +21,8 @@
 from marigoldlift.jobs.state import LIVE_PHASES, NOT_STARTED_PREFIX, WORKER_LOST_PREFIX
 from marigoldlift.jobs.task_ids import JobTaskRef, parse_task_id, task_id_of_job, task_id_of_key
 from marigoldlift.journal.messages import (
-    KeyClosed,
     JobCancelled,
+    KeyClosed,
     KeyStatus,
     Record,
     TaskFinished,
--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -14,6 +14,9 @@
 from marigoldlift.platform.wire import StepBody, SubmissionBody
 from marigoldlift.submissions.acceptance import Acceptance, Answer
 from marigoldlift.submissions.model import Step, Submission, SubmissionId
+from marigoldlift.telemetry.metric_table import Metric
+from marigoldlift.telemetry.metrics import Metrics
+from marigoldlift.util import steady_now
 
 __all__ = ('Front',)
 
@@ -54,11 +57,15 @@
         configuration: the newest configuration, None before the first was read.
         may_be_stale: tells whether the configuration may be older than the store's.
         leaving: the entry is about to stop, so that clients should open new connections elsewhere.
-        counts: answers by status code.
+        metrics: counts answers, and the time until them.
     """
 
     def __init__(
-        self, acceptance: Acceptance, relay: str, may_be_stale: Callable[[], bool]
+        self,
+        acceptance: Acceptance,
+        relay: str,
+        may_be_stale: Callable[[], bool],
+        metrics: Metrics,
     ) -> None:
         """Start without a configuration."""
         self.acceptance = acceptance
@@ -67,18 +74,20 @@
         self.configuration: CellConfiguration | None = None
         self.leaving = False
         self.under_way = 0
-        self.counts: dict[int, int] = {}
+        self.metrics = metrics
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.under_way += 1
+        arrived_at = steady_now()
         try:
             response = await self.answer(request)
         finally:
             self.under_way -= 1
         if self.leaving:
             response.force_close()
-        self.counts[response.status] = self.counts.get(response.status, 0) + 1
+        self.metrics.add(Metric.requests, workspace=request.method, status=str(response.status))
+        self.metrics.observe(Metric.request, steady_now() - arrived_at, service=request.method)
         return response
 
     async def answer(self, request: web.BaseRequest) -> web.Response:
--- a/marigoldlift/platform/servers.py
+++ b/marigoldlift/platform/servers.py
@@ -10,7 +10,7 @@
 from marigoldlift.platform.calls import CallUnansweredError
 from marigoldlift.platform.store_route import RELAY_PREFIX, StoreRoute
 
-__all__ = ('Handler', 'PeerServer', 'listen', 'ready_handler')
+__all__ = ('Handler', 'PeerServer', 'listen', 'ready_handler', 'text_handler')
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -45,6 +45,15 @@
     return handle
 
 
+def text_handler(render: Callable[[], str]) -> Handler:
+    """Return the handler that answers each request with a text."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:  # noqa: WPS430 the state is one callable
+        return web.Response(text=render())
+
+    return handle
+
+
 class PeerServer:
     """Makes calls to the platform for other entries."""
 
--- a/marigoldlift/platform/store_route.py
+++ b/marigoldlift/platform/store_route.py
@@ -56,8 +56,12 @@
     def learn(self, addresses: Iterable[str]) -> None:
         """Note other entries."""
         for address in addresses:
-            if address and address != self.own_address:
-                self.peers.setdefault(address, 0)
+            self.learn_one(address)
+
+    def learn_one(self, address: str) -> None:
+        """Note another entry."""
+        if address and address != self.own_address:
+            self.peers.setdefault(address, 0)
 
     @property
     def is_direct(self) -> bool:
--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -13,6 +13,8 @@
 from marigoldlift.replication.api import KeyedLog, Producer
 from marigoldlift.submissions.records import Record
 from marigoldlift.submissions.stored import encode_record, record_key
+from marigoldlift.telemetry.metric_table import Metric
+from marigoldlift.telemetry.metrics import Metrics
 
 __all__ = ('Appender',)
 
@@ -72,15 +74,23 @@
         failing_since: when the first of a row of failures began, in seconds of the steady clock.
     """
 
-    def __init__(self, log: KeyedLog, producer: Producer, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        log: KeyedLog,
+        producer: Producer,
+        clock: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
         """Start without records.
 
         Args:
             log: where the records go.
             producer: name and epoch that no other life of an entry uses.
             clock: steady time in seconds.
+            metrics: counts appends.
         """
         self.log = log
+        self.metrics = metrics
         self.clock = clock
         self.producer = producer
         self.sequence = 0
@@ -194,6 +204,8 @@
             self.note_failure(fault)
             raise
         self.failing_since = None
+        self.metrics.add(Metric.log_appends, outcome='stored')
+        self.metrics.observe(Metric.log_append, self.clock() - sent_at, stream='work')
         self.latency_s += (self.clock() - sent_at - self.latency_s) * LATENCY_SHARE
         return offset
 
@@ -208,7 +220,8 @@
         raise AppendRefusedError('the log takes no more records of this epoch')
 
     def note_failure(self, fault: Exception) -> None:
-        """Log the first of a row of failures."""
+        """Count a failure, and log the first of a row."""
+        self.metrics.add(Metric.log_appends, outcome=getattr(fault, 'code', 'failed'))
         if self.failing_since is None:
             self.failing_since = self.clock()
             logger.warning('appends fail: code={} reason={}', getattr(fault, 'code', ''), fault)
--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -80,11 +80,17 @@
                 self.busy_until.pop(relay, None)
         return min(self.busy_until, key=lambda address: max(self.busy_until[address], now))
 
+    def cost_s(self, policy: AdvicePolicy | None, workers: int) -> float:
+        """Return how long the advice takes for a call, in s."""
+        if policy is None:
+            return 0
+        return (policy.decide_ms + policy.worker_ms * workers) / MS_PER_S
+
     async def ask(
         self, policy: AdvicePolicy, step: str, workers: Sequence[str]
     ) -> dict[str, str] | None:
         """Return the tickets of the workers that may run a step, None when no entry could find out."""
-        cost_s = (policy.decide_ms + policy.worker_ms * len(workers)) / MS_PER_S
+        cost_s = self.cost_s(policy, len(workers))
         for _ in range(TRIES):
             relay = self.choose()
             now = self.clock()
--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -15,6 +15,9 @@
 #: How long a run may stand still before it is stopped and its worker is doubted, in s.
 STALL_S = 2.0
 
+#: Share of the work from which a run is as good as done; looks give whole percents.
+DONE_PERCENT = 99
+
 #: Time before a draining worker leaves at which its runs are moved, in s; a stop takes up to 0.9 s.
 LEAVE_MARGIN_S = 1.3
 
@@ -71,7 +74,12 @@
             self.starter.stop_again(session, run.task)
 
     def is_stalled(self, session: WorkerSession, run: Run, now: float) -> bool:
-        """Tell whether a run makes no progress while its worker answers."""
+        """Tell whether a run makes no progress while its worker answers.
+
+        A member of a gang that has done its own work waits for the others.
+        """
         if run.step.long_running or run.step.fills or not session.answers():
             return False
+        if run.percent >= DONE_PERCENT:
+            return False
         return now - max(run.moved_at, run.started_at) > STALL_S
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -50,9 +50,11 @@
         self.log_is_read = False
         self.checked_at = self.clock()
         self.pass_s: float = 0
-        self.appender = Appender(parts.log, Producer(LEADER, tenure + 1), self.clock)
+        self.appender = Appender(
+            parts.log, Producer(LEADER, tenure + 1), self.clock, parts.metrics
+        )
         self.progress = ProgressWriter(self.appender, tenure)
-        self.events = RunEvents(parts.election, tenure, self.wake)
+        self.events = RunEvents(parts.election, tenure, self.wake, parts.metrics)
         self.roster = Roster(
             parts.registry,
             parts.state,
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -14,9 +14,14 @@
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Step
 from marigoldlift.submissions.records import Outcome
+from marigoldlift.telemetry.metric_table import Metric
+from marigoldlift.telemetry.metrics import Metrics
 
 __all__ = ('RunEvents',)
 
+#: Answer to a start that was carried out.
+STARTED = 'started'
+
 #: Pause between two claims after another holder's token was seen, in s.
 CLAIM_PAUSE_S = 1.0
 
@@ -34,10 +39,13 @@
     book: JobBook
     roster: Roster
 
-    def __init__(self, election: Election, tenure: int, wake: asyncio.Event) -> None:
+    def __init__(
+        self, election: Election, tenure: int, wake: asyncio.Event, metrics: Metrics
+    ) -> None:
         """Start during the takeover."""
         self.election = election
         self.tenure = tenure
+        self.metrics = metrics
         self.wake = wake
         self.clock = election.clock
         self.ready = False
@@ -58,6 +66,7 @@
 
     def run_ended(self, session: WorkerSession, ended: EndedRun, known: Run | None) -> None:
         """Take in an end; the worker keeps it until it is stored."""
+        self.metrics.add(Metric.task_ends, outcome=ended.kind.value)
         step = self.book.step_of(ended.task)
         if step is None:
             session.store_confirmed(ended.number)
@@ -117,6 +126,15 @@
             step.gang_since = self.clock()
         return step.step
 
+    def start_answered(self, step: StepRun, reason: str) -> None:
+        """Count a start, by the worker's answer."""
+        self.metrics.add(Metric.starts, outcome=reason)
+        if reason == STARTED:
+            policy = step.job.submission.policy
+            self.metrics.observe(
+                Metric.task_wait, self.clock() - step.job.since, kind=policy.queue
+            )
+
     def run_vanished(self, session: WorkerSession, run: Run) -> None:
         """Let a task wait again whose run is surely gone."""
         logger.info(
--- a/marigoldlift/scheduling/parts.py
+++ b/marigoldlift/scheduling/parts.py
@@ -11,6 +11,7 @@
 from marigoldlift.scheduling.advice import AdviceBroker
 from marigoldlift.scheduling.registry import Registry
 from marigoldlift.submissions.state import CellState
+from marigoldlift.telemetry.metrics import Metrics
 
 __all__ = ('DispatcherParts',)
 
@@ -36,3 +37,4 @@
     lease_s: float
     gang_wait_s: float
     outcome_kept_s: float
+    metrics: Metrics
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -10,6 +10,7 @@
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.scheduling.tickets import TicketOffice
+from marigoldlift.scheduling.waiting import WaitReport
 
 __all__ = ('Planner',)
 
@@ -57,6 +58,7 @@
         self.pools: dict[str, Pool] = {}
         self.reserved: set[str] = set()
         self.misses = 0
+        self.waits = WaitReport(placer, clock)
 
     def add(self, step: StepRun) -> None:
         """Let a step wait for room."""
@@ -77,6 +79,8 @@
             self.place(candidate)
             if self.misses >= MISSES:
                 break
+        if self.waits.is_due():
+            self.waits.report(self.waiting, self.pool)
 
     def drop_finished(self) -> None:
         """Leave out the steps that no longer wait."""
@@ -139,7 +143,7 @@
             return False
         places = self.placer.place_gang(step, allowed)
         if places is None:
-            self.reserve(step, allowed)
+            self.reserve(step)
             return False
         run = step.next_run(0)
         step.gang_since = self.clock()
@@ -157,7 +161,7 @@
             return False
         return self.place_tasks(step, allowed)
 
-    def reserve(self, step: StepRun, allowed: list[WorkerSession]) -> None:
-        """Keep less urgent work off the workers of the first gang that waits for room."""
+    def reserve(self, step: StepRun) -> None:
+        """Keep less urgent work off the workers that the first waiting gang may use, valid ticket or not."""
         if not self.reserved:
-            self.reserved = {session.worker.id for session in allowed}
+            self.reserved = {worker for worker, ticket in step.tickets.items() if ticket}
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -32,6 +32,9 @@
     def step_returned(self, step: StepRun) -> None:
         """Let a step wait again."""
 
+    def start_answered(self, step: StepRun, reason: str) -> None:
+        """A worker has answered a start, or surely did not get it."""
+
 
 class Starter:
     """Sends orders without holding the scheduling pass up."""
@@ -85,7 +88,10 @@
                 refusal.worker_code,
             )
             self.take_refusal(step, session, refusal.worker_code)
+            self.events.start_answered(step, refusal.worker_code)
             runs = False
+        else:
+            self.events.start_answered(step, 'started' if runs else 'unreachable')
         if not runs:
             self.give_back(step, ordered.task.index, session)
 
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -31,6 +31,9 @@
 #: Wait for a free entry from which only urgent steps are asked for, in s; answers for others would only queue up.
 LONGEST_DELAY_S = 1.0
 
+#: Room that a question aims at, as a multiple of what is needed; some is taken before the answer comes.
+SPARE_ROOM = 1.5
+
 #: Most workers that one call may name.
 CALL_WORKERS = 100
 
@@ -97,16 +100,18 @@
         ] + self.expired(step, known)
 
     def expired(self, step: StepRun, known: Sequence[WorkerSession]) -> list[str]:
-        """Return the workers whose tickets are no longer valid, as many as the waiting tasks need."""
-        now = self.clock()
+        """Return workers whose tickets will be invalid when the answer comes, enough for the waiting tasks."""
+        answered_at = self.clock() + self.broker.cost_s(
+            step.job.submission.policy.advice, len(known)
+        )
         rooms = 0
         named = []
         by_room = sorted(known, key=lambda holder: -self.placer.room(holder, step))
         for session in by_room:
-            if rooms >= len(step.todo):
+            if rooms >= len(step.todo) * SPARE_ROOM:
                 break
             rooms += self.placer.room(session, step)
-            if not step.holds_ticket(session.worker.id, now):
+            if not step.holds_ticket(session.worker.id, answered_at):
                 named.append(session.worker.id)
         return named[:CALL_WORKERS]
 
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -65,6 +65,9 @@
     task_wait = MetricSpec(
         SUMMARY, 'seconds', ('kind',), 'Time from acceptance to start of a task.'
     )
+    leading = MetricSpec(GAUGE, '', (), 'Whether this entry gives the orders: 1 or 0.')
+    log_age = MetricSpec(GAUGE, 'seconds', ('stream',), 'Time since the log last answered a read.')
+    starts = MetricSpec(COUNTER, '', ('outcome',), 'Starts ordered, by answer.')
     configuration_version = MetricSpec(GAUGE, '', (), 'Offset of the last accepted change.')
     members = MetricSpec(GAUGE, '', ('state',), 'Entries known, by state.')
     peer_call = MetricSpec(SUMMARY, 'seconds', ('method',), 'Time of a call to a peer.')
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -12,6 +12,7 @@
 from marigoldlift.submissions.acceptance import Answer
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Outcome
+from marigoldlift.telemetry.metrics import Metrics
 from standins.cell.judge import Judge
 from standins.cell.log import LogClient, MemoryLog
 from standins.cell.workers import MemoryWorker, MemoryWorkers
@@ -67,6 +68,7 @@
             decode_worker=decode_worker,
             calls=self.calls,
             advice=NoAdvice(),
+            metrics=Metrics(),
         )
         self.node = self.gate.context.run(CellNode, candidate, parts, LIMITS, self.cell.loop.time)
         for work in self.node.loops():
