Refuse a submission that the store has surely not taken, where the caller left between two tries

Found by a new test of the appender: a record that was refused each time was told to be in doubt (504) when its caller's time ended between two tries.

--- /dev/null
+++ b/marigoldlift/platform/tests/test_node_settings.py
@@ -0,0 +1,54 @@
+"""Settings of the platform: parsed once, with every fault named."""
+
+import pytest
+
+from marigoldlift.errors import SettingsError
+from marigoldlift.platform.node_settings import parse_node_settings
+
+GOOD = """node_name=edge-a-1
+zone=a
+ip=10.1.0.13
+listen.front=10.1.0.13:8161
+listen.ready=10.1.0.13:8167
+listen.control=10.1.0.13:8166
+internal_ports=7720,7735
+seeds=10.1.0.13:8166,10.2.0.30:8166
+limits.cpu_share=0.5
+limits.cores=2
+bounds.hold_max_ms=6000
+bounds.gang_ms=3000
+bounds.status_s=120
+bounds.grace_s=6
+orders=call
+advice=10.200.1.9:8169
+platform.addr=10.200.1.7:8169
+a.new.field=ignored
+"""
+
+
+def test_fields_are_typed():
+    """Guards against units and lists that are read wrongly."""
+    settings = parse_node_settings(GOOD)
+    assert settings.node == 'edge-a-1'
+    assert settings.cores == pytest.approx(1.0)
+    assert settings.longest_lease_s == pytest.approx(6.0)
+    assert settings.seeds == ('10.1.0.13:8166', '10.2.0.30:8166')
+
+
+def test_every_fault_is_named():
+    """Guards against a faulty file that shows one fault at a time, or a traceback."""
+    broken = GOOD.replace('gang_ms=3000', 'gang_ms=soon').replace('front=10.1.0.13:', 'front=')
+    broken = broken.replace('orders=call', 'orders=pigeon').replace('node_name=edge-a-1\n', '')
+    raised = pytest.raises(SettingsError, parse_node_settings, broken)
+    named = '\n'.join(raised.value.faults)
+    for expected in ('node_name: missing', "'soon'", "'8161'", "'pigeon'", 'allowed: call'):
+        assert expected in named
+
+
+@pytest.mark.parametrize('cut', range(0, len(GOOD), 37))
+def test_half_a_file_is_refused(cut):
+    """Guards against a file that is read while it is written."""
+    try:
+        parse_node_settings(GOOD[:cut])
+    except SettingsError as error:
+        assert error.faults
--- /dev/null
+++ b/marigoldlift/platform/tests/test_wire.py
@@ -0,0 +1,131 @@
+"""Decoding of what the platform sends, with rows and entries of other writers among it."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies
+
+from marigoldlift.errors import (
+    AppendInDoubtError,
+    AppendRefusedError,
+    SequenceMismatchError,
+    WorkerRefusedError,
+    WorkerUnavailableError,
+)
+from marigoldlift.orders.api import EndKind
+from marigoldlift.platform.calls import Reply
+from marigoldlift.platform.configuration import ConfigurationReader
+from marigoldlift.platform.store import decode_stored, encode_stored, read_append
+from marigoldlift.platform.wire import LookReply
+from marigoldlift.platform.workers import check_order, decode_worker, read_look
+from marigoldlift.submissions.stored import Stored
+
+JUNK = strategies.recursive(
+    strategies.none() | strategies.booleans() | strategies.integers() | strategies.text(),
+    lambda inner: strategies.lists(inner) | strategies.dictionaries(strategies.text(), inner),
+    max_leaves=8,
+)
+
+
+def test_records_survive_the_wire():
+    """Guards against offsets and keys that are read from the wrong place."""
+    body = b''.join(encode_stored(key, content) for key, content in (('a', b'1'), ('b', b'')))
+    records = list(decode_stored(bytes(16) + body, 7))
+    assert records == [Stored(7, 'a', b'1'), Stored(8, 'b', b'')]
+
+
+@given(strategies.binary(max_size=60))
+@settings(max_examples=200, derandomize=True)
+def test_cut_off_records_are_left_out(rubbish):
+    """Guards against a reader that fails on half an answer."""
+    whole = encode_stored('key', b'content')
+    records = list(decode_stored(bytes(16) + whole + rubbish, 0))
+    assert records[0] == Stored(0, 'key', b'content')
+
+
+@pytest.mark.parametrize(
+    ('reply', 'error'),
+    [
+        (Reply(503, b''), AppendRefusedError),
+        (Reply(429, b''), AppendRefusedError),
+        (Reply(507, b''), AppendRefusedError),
+        (Reply(409, b'{"reason":"fenced"}'), SequenceMismatchError),
+        (Reply(500, b''), AppendInDoubtError),
+        (Reply(200, b'half'), AppendInDoubtError),
+    ],
+)
+def test_append_answers(reply, error):
+    """Guards against a refusal that is told as a doubt, or a doubt as a refusal."""
+    with pytest.raises(error):
+        read_append(reply)
+
+
+@pytest.mark.parametrize(
+    ('reply', 'code'),
+    [
+        (Reply(409, b'{"clock_ms":1,"reason":"fence"}'), 'fence'),
+        (Reply(429, b''), 'unhealthy'),
+        (Reply(503, b''), 'unhealthy'),
+        (Reply(421, b''), 'instance'),
+        (Reply(400, b''), 'invalid'),
+    ],
+)
+def test_refusals_of_workers(reply, code):
+    """Guards against an order that is taken for done or for doubtful when it was refused."""
+    with pytest.raises(WorkerRefusedError) as caught:
+        check_order(reply)
+    assert caught.value.worker_code == code
+
+
+def test_server_fault_of_a_worker_is_a_doubt():
+    """Guards against a second start after a fault that may have come late."""
+    with pytest.raises(WorkerUnavailableError) as caught:
+        check_order(Reply(500, b''))
+    assert caught.value.may_have_run
+
+
+def test_rows_of_another_form_are_skipped():
+    """Guards against one odd row that hides all others."""
+    look = read_look(
+        LookReply(
+            clock_ms=1,
+            running=[['odd'], ['0123456789abcdef.0.0.1', 1, '', 41, 7], [None, 1, '', 3]],
+            finished=[[1, '0123456789abcdef.0.0.2', 1, 'done', ''], [2, 'x', 1, 'unknown', '']],
+        )
+    )
+    assert [held.task.index for held in look.running] == [1]
+    assert [ended.kind for ended in look.ended] == [EndKind.done]
+
+
+@given(JUNK)
+@settings(max_examples=200, derandomize=True)
+def test_entries_of_other_writers_name_no_worker(junk):
+    """Guards against a registry reader that fails on another writer's entry."""
+    content = msgspec.json.encode(junk)
+    assert decode_worker('key', content) is None
+
+
+def test_worker_entry():
+    """Guards against capacity and state that are read wrongly."""
+    content = (
+        b'{"service":"s","addr":"10.0.0.1:80","zone":"a","state":"draining","remaining_ms":900,'
+        b'"capacity":{"cpu":16000,"mem_mb":32768},"labels":["a","r1"],"born":5,"seq":9,"new":1}'
+    )
+    worker = decode_worker('i-1', content)
+    assert worker is not None
+    assert (worker.ready, worker.cpu_m, worker.born_ms, worker.leaving_ms) == (
+        False,
+        16000,
+        5,
+        900,
+    )
+
+
+def test_configuration_never_goes_back():
+    """Guards against an older version that is read again after history was lost."""
+    seen = []
+    reader = ConfigurationReader(lambda configuration: seen.append(configuration.version))
+    for version in (3, 7, 5, 7):
+        content = b'{"version":%d,"routes":[]}' % version
+        reader.apply(Stored(0, 'config', content))
+    reader.apply(Stored(0, 'config', b'rubbish'))
+    assert seen == [3, 7]
--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -68,7 +68,9 @@
     without an answer is sent again as it was, and no late copy of it can follow a newer batch.
 
     Attributes:
-        in_doubt: the batch under way may be stored already.
+        batch: records under way.
+        in_doubt: the batch may be stored already.
+        idle: set while no call is under way.
         fenced: the log takes no more records of this producer's epoch.
         latency_s: smoothed time that the store takes for an append.
         failing_since: when the first of a row of failures began, in seconds of the steady clock.
@@ -95,7 +97,10 @@
         self.producer = producer
         self.sequence = 0
         self.waiting: list[Entry] = []
+        self.batch: list[Entry] = []
         self.arrived = asyncio.Event()
+        self.idle = asyncio.Event()
+        self.idle.set()
         self.failing_since: float | None = None
         self.latency_s: float = 0
         self.fenced = False
@@ -132,13 +137,17 @@
             async with asyncio.timeout(wait_s):
                 return await asyncio.shield(entry.stored)
         except TimeoutError:
+            await self.idle.wait()
             return self.abandon(entry)
 
     def abandon(self, entry: Entry) -> int:
-        """Take back a record that was never sent."""
-        if entry in self.waiting:
-            self.waiting.remove(entry)
-            raise AppendRefusedError('the log gave no answer to earlier records in time')
+        """Take back a record that is surely not stored: it was never sent, or each call was refused."""
+        if entry.stored.done():
+            return entry.stored.result()
+        for entries in (self.waiting, [] if self.in_doubt else self.batch):
+            if entry in entries:
+                entries.remove(entry)
+                raise AppendRefusedError('the log did not take the record in time')
         raise AppendInDoubtError('the log gave no answer in time')
 
     async def run(self) -> None:
@@ -146,9 +155,8 @@
         while True:
             await self.arrived.wait()
             await asyncio.sleep(LINGER_S)
-            batch = self.take_batch()
-            if batch:
-                await self.store(batch)
+            self.batch = self.take_batch()
+            await self.store()
             if not self.waiting:
                 self.arrived.clear()
 
@@ -165,31 +173,34 @@
         self.waiting = self.waiting[count:]
         return batch
 
-    async def store(self, batch: list[Entry]) -> None:
-        """Send a batch until it is stored, or until all its callers have left before it could be."""
+    async def store(self) -> None:
+        """Send the batch until it is stored, or until all its callers have left before it could be."""
         pause = FIRST_PAUSE_S
         self.in_doubt = False
-        while batch and not self.fenced:
-            if await self.try_batch(batch):
+        while self.batch and not self.fenced:
+            if await self.try_batch():
                 return
             if not self.in_doubt:
-                batch = self.drop_expired(batch)
+                self.drop_expired()
             await asyncio.sleep(pause)
             pause = min(pause * 2, LONGEST_PAUSE_S)
-        for entry in batch:
+        for entry in self.batch:
             entry.settle(AppendRefusedError('a later epoch of the producer exists'))
 
-    async def try_batch(self, batch: list[Entry]) -> bool:
-        """Send a batch once; True when it is stored."""
+    async def try_batch(self) -> bool:
+        """Send the batch once; True when it is stored."""
+        self.idle.clear()
         try:
-            offset = await self.send(batch)
+            offset = await self.send(self.batch)
         except AppendInDoubtError:
             self.in_doubt = True
         except AppendRefusedError:
             return False
         else:
-            self.confirm(batch, offset)
+            self.confirm(self.batch, offset)
             return True
+        finally:
+            self.idle.set()
         return False
 
     async def send(self, batch: list[Entry]) -> int:
@@ -226,13 +237,13 @@
             self.failing_since = self.clock()
             logger.warning('appends fail: code={} reason={}', getattr(fault, 'code', ''), fault)
 
-    def drop_expired(self, batch: list[Entry]) -> list[Entry]:
+    def drop_expired(self) -> None:
         """Leave out the records whose callers no longer wait; none of the batch was ever stored."""
         now = self.clock()
-        expired = [entry for entry in batch if entry.until <= now]
+        expired = [entry for entry in self.batch if entry.until <= now]
         for dropped in expired:
+            self.batch.remove(dropped)
             dropped.settle(AppendRefusedError('the log refused the record until the caller left'))
-        return [entry for entry in batch if entry.until > now]
 
     def confirm(self, batch: list[Entry], offset: int) -> None:
         """Tell all callers of a stored batch."""
--- /dev/null
+++ b/marigoldlift/replication/tests/test_appender.py
@@ -0,0 +1,85 @@
+"""Group commit under lost answers, refusals and fencing."""
+
+import asyncio
+import random
+
+import pytest
+
+from marigoldlift.errors import AppendInDoubtError, AppendRefusedError
+from marigoldlift.replication.api import Producer
+from marigoldlift.replication.appender import Appender
+from marigoldlift.submissions.model import SubmissionId
+from marigoldlift.submissions.records import Cancelled
+from marigoldlift.telemetry.metrics import Metrics
+from standins.cell.log import LogClient, LogFault, MemoryLog
+
+pytestmark = pytest.mark.looptime
+
+
+def cancelled(number):
+    """Return a record with a key of its own."""
+    return Cancelled(SubmissionId(f'job{number}'))
+
+
+@pytest.fixture
+async def client():
+    """Return a log that loses every answer once a fault is set."""
+    opened = LogClient(MemoryLog(), random.Random(1))
+    opened.share = 1
+    return opened
+
+
+@pytest.fixture
+async def appender(client):
+    """Return an appender that runs."""
+    made = Appender(client, Producer('e', 1), asyncio.get_running_loop().time, Metrics())
+    running = asyncio.create_task(made.run())
+    yield made
+    running.cancel()
+
+
+async def test_records_of_many_callers_are_one_append(client, appender):
+    """Guards against a call for each record: the store takes a few hundred a second."""
+    offsets = await asyncio.gather(
+        *(appender.append(cancelled(number), 1) for number in range(20))
+    )
+    assert offsets == list(range(20))
+    assert appender.sequence == 1
+
+
+async def test_lost_answer_stores_once(client, appender):
+    """Guards against a record that is stored twice when the answer to it was lost."""
+    client.fault = LogFault.lose
+    waiting = asyncio.create_task(appender.append(cancelled(1), 5))
+    await asyncio.sleep(1)
+    client.fault = None
+    assert await waiting == 0
+    assert len(client.log.records) == 1
+
+
+async def test_refusal_is_told_only_when_nothing_was_stored(client, appender):
+    """Guards against "not accepted" for a record that a lost answer hides."""
+    client.fault = LogFault.refuse
+    with pytest.raises(AppendRefusedError):
+        await appender.append(cancelled(1), 1)
+    await asyncio.sleep(1)
+    client.fault = LogFault.lose
+    with pytest.raises(AppendInDoubtError):
+        await appender.append(cancelled(2), 0.5)
+    assert [stored.key for stored in client.log.records] == ['c/job2']
+
+
+async def test_later_epoch_fences_an_earlier_leader(client):
+    """Guards against placements that an earlier leader stores after its successor has read the log."""
+    clock = asyncio.get_running_loop().time
+    earlier = Appender(client, Producer('leader', 5), clock, Metrics())
+    later = Appender(client, Producer('leader', 9), clock, Metrics())
+    running = [asyncio.create_task(made.run()) for made in (earlier, later)]
+    await earlier.append(cancelled(1), 1)
+    assert await later.fence()
+    with pytest.raises(AppendRefusedError):
+        await earlier.append(cancelled(2), 1)
+    assert earlier.fenced
+    await later.append(cancelled(3), 1)
+    for task in running:
+        task.cancel()
--- /dev/null
+++ b/marigoldlift/replication/tests/test_replica.py
@@ -0,0 +1,70 @@
+"""Tail of the log over lost history and outages."""
+
+import asyncio
+import random
+
+import pytest
+
+from marigoldlift.errors import LogUnavailableError
+from marigoldlift.replication.replica import Replica
+from standins.cell.log import LogClient, LogFault, MemoryLog
+
+pytestmark = pytest.mark.looptime
+
+PACE_S = 0.01
+
+
+@pytest.fixture
+async def client():
+    """Return a log with two records of one key."""
+    opened = LogClient(MemoryLog(), random.Random(1))
+    opened.log.store([('a', b'1'), ('a', b'2')])
+    return opened
+
+
+@pytest.fixture
+async def seen():
+    """Return the list that records are applied to."""
+    return []
+
+
+@pytest.fixture
+async def replica(client, seen):
+    """Return a replica that runs."""
+    made = Replica(client, seen.append, asyncio.get_running_loop().time, PACE_S)
+    running = asyncio.create_task(made.run())
+    yield made
+    running.cancel()
+
+
+async def test_snapshot_then_tail(client, seen, replica):
+    """Guards against records that are applied twice or not at all after the snapshot."""
+    await replica.ready.wait()
+    client.log.store([('b', b'3')])
+    await asyncio.sleep(0.1)
+    assert [stored.content for stored in seen] == [b'2', b'3']
+
+
+async def test_lost_history_is_replaced_by_a_snapshot(client, seen, replica):
+    """Guards against an entry that stands still when its next record is no longer kept."""
+    await replica.ready.wait()
+    client.fault = LogFault.refuse
+    client.log.store([('b', b'3'), ('b', b'4')])
+    client.log.drop_history()
+    await asyncio.sleep(1)
+    client.fault = None
+    await asyncio.sleep(1)
+    assert [stored.content for stored in seen] == [b'2', b'2', b'4']
+
+
+async def test_synchronize_reads_what_was_stored_before(client, seen, replica):
+    """Guards against "no such submission" for one that another entry has just accepted."""
+    replica.pace_s = 100
+    await replica.ready.wait()
+    await asyncio.sleep(2)
+    client.log.store([('b', b'3')])
+    await replica.synchronize()
+    assert seen[-1].content == b'3'
+    client.fault = LogFault.refuse
+    with pytest.raises(LogUnavailableError):
+        await replica.synchronize()
