--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -101,13 +101,22 @@
             return reply(HTTPStatus.SERVICE_UNAVAILABLE if stale else HTTPStatus.NOT_FOUND)
         name = request.path[len(queue.prefix) :]
         if not name and request.method == 'GET':
-            return reply(HTTPStatus.OK, {'pending': self.acceptance.pending(queue.policy.queue)})
+            return self.pending(queue)
         if len(name) != ID_LENGTH or not HEX_DIGITS.issuperset(name):
             return fault_reply(
                 HTTPStatus.NOT_FOUND, 'the path ends with no id of 16 hexadecimal digits'
             )
         return await self.on_submission(request, queue, SubmissionId(name))
 
+    def pending(self, queue: Queue) -> web.Response:
+        """Tell how many submissions of a queue wait."""
+        try:
+            waiting = self.acceptance.pending(queue.policy.queue)
+        except LogUnavailableError as fault:
+            logger.info('pending not known: queue={} {}', queue.policy.queue, fault.reason)
+            return reply(HTTPStatus.SERVICE_UNAVAILABLE)
+        return reply(HTTPStatus.OK, {'pending': waiting})
+
     async def on_submission(
         self,
         request: web.BaseRequest,
--- a/marigoldlift/platform/store.py
+++ b/marigoldlift/platform/store.py
@@ -37,6 +37,12 @@
 #: 0.3 s where it is slow.
 ANSWER_S = 0.8
 
+#: Most bytes of one read, in kB; the slowest VMs have links of 5 Mbit/s and take 0.2 s for them.
+READ_KB = 128
+
+#: Longest wait for a page of a snapshot, in s; it has up to 1 MB, in base64, and takes 2 s over the slowest link.
+PAGE_S = 8.0
+
 LENGTH = struct.Struct('>I')
 POSITION = struct.Struct('>QQ')
 
@@ -79,7 +85,7 @@
 
     async def read(self, start: int, wait_ms: int) -> LogPage:
         """Return the records from an offset on, waiting for the first one."""
-        path = self.path('log-read', f'&from={start}&wait_ms={wait_ms}')
+        path = self.path('log-read', f'&from={start}&wait_ms={wait_ms}&max_kb={READ_KB}')
         reply = await self.fetch(path, ANSWER_S + wait_ms / MS_PER_S)
         if reply.status == GONE:
             raise RetentionPassedError(start)
@@ -91,7 +97,7 @@
     async def newest(self, after: str) -> SnapshotPage:
         """Return the newest records of the keys that follow a key."""
         query = f'&after={quote(after, safe="")}' if after else ''
-        reply = await self.fetch(self.path('log-newest', query), ANSWER_S)
+        reply = await self.fetch(self.path('log-newest', query), PAGE_S)
         if reply.status != OK:
             raise LogUnavailableError(f'snapshot answered {reply.status}')
         try:
--- a/marigoldlift/platform/tests/test_front.py
+++ b/marigoldlift/platform/tests/test_front.py
@@ -4,6 +4,7 @@
 from aiohttp import test_utils
 from hypothesis import given, settings, strategies
 
+from marigoldlift.errors import LogUnavailableError
 from marigoldlift.platform.configuration import CellConfiguration, Queue
 from marigoldlift.platform.front import Front, read_submission, submission_decoder
 from marigoldlift.submissions.acceptance import Answer
@@ -91,6 +92,16 @@
     assert await ask(client, 'GET', '/q1/') == (200, {'pending': 12})
 
 
+async def test_pending_is_not_told_before_the_log_is_read(front, client, monkeypatch):
+    """Guards against "nothing waits" from an entry that has just started."""
+
+    def unread(queue):
+        raise LogUnavailableError('the snapshot is not read yet')
+
+    monkeypatch.setattr(front.acceptance, 'pending', unread)
+    assert (await ask(client, 'GET', '/q1/'))[0] == 503
+
+
 async def test_unknown_queue(front, client):
     """Guards against 404 by an entry that has no configuration or one that may be old."""
     assert (await ask(client, 'POST', f'/other/{NAME}', data=BODY))[0] == 404
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -123,7 +123,13 @@
         return Answer.done
 
     def pending(self, queue: str) -> int:
-        """Return the queue's accepted submissions of which no task has started."""
+        """Return the queue's accepted submissions of which no task has started.
+
+        Raises:
+            LogUnavailableError: this entry has not read the log yet.
+        """
+        if not self.replica.ready.is_set():
+            raise LogUnavailableError('the snapshot is not read yet')
         return sum(
             1
             for job in self.state.jobs.values()
