--- /dev/null
+++ b/marigoldlift/client/tests/test_log_trace.py
@@ -0,0 +1,46 @@
+"""Stories of single requests from the logs of several entries."""
+
+import pytest
+
+from marigoldlift.client.log_trace import trace_logs
+from marigoldlift.cmdline import main
+from marigoldlift.errors import InvalidInputError
+
+FIRST = """{"time":"10:00:01","message":"submission accepted: submission=aa","vm_id":"e1"}
+{"time":"10:00:02","message":"submission accepted: submission=bb","vm_id":"e1"}
+{"time":"10:00:09","message":"leadership ends: tenure=1","vm_id":"e1"}
+half a line {"time":"10:0
+"""
+SECOND = """  3.1 e2 {"time":"10:00:03","message":"takeover done: tenure=9","vm_id":"e2"}
+  4.1 e2 {"time":"10:00:04","message":"submission closed: submission=aa","vm_id":"e2"}
+"""
+
+
+@pytest.fixture
+def logs(tmp_path):
+    """Return the paths of two logs."""
+    paths = (tmp_path / 'one', tmp_path / 'two')
+    paths[0].write_text(FIRST)
+    paths[1].write_text(SECOND)
+    return [str(path) for path in paths]
+
+
+def test_story_is_in_order_of_time(logs):
+    """Guards against a story that leaves a takeover out or mixes in other requests."""
+    story = trace_logs('aa', logs).splitlines()
+    assert [line.split()[0] for line in story] == ['10:00:01', '10:00:03', '10:00:04']
+
+
+def test_unknown_request_and_file(logs):
+    """Guards against an empty story, or a traceback for a file that is not there."""
+    with pytest.raises(InvalidInputError):
+        trace_logs('cc', logs)
+    with pytest.raises(InvalidInputError):
+        trace_logs('aa', ['missing'])
+
+
+def test_verb(logs, capsys):
+    """Guards against a verb that the command line does not know."""
+    assert main(['trace', 'aa', *logs]) == 0
+    assert 'takeover done' in capsys.readouterr().out
+    assert main(['trace', 'cc', *logs]) != 0
--- a/marigoldlift/cmdline.py
+++ b/marigoldlift/cmdline.py
@@ -4,7 +4,7 @@
 import os
 import pathlib
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from types import MappingProxyType
 from typing import TextIO
 
@@ -16,10 +16,13 @@
 PROGRAM = 'marigoldlift'
 ENTRY_VERB = 'entry'
 CELL_VERB = 'cell'
+TRACE_VERB = 'trace'
 ENTRY_USAGE = f'usage: {PROGRAM} {ENTRY_VERB} --settings FILE'
 SETTINGS_FLAG = '--settings'
 HELP_FLAGS = frozenset(('-h', '--help'))
 
+Runner = Callable[[Sequence[str]], int]
+
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the program and return its exit code.
@@ -29,7 +32,7 @@
     """
     words = list(sys.argv[1:] if arguments is None else arguments)
     try:
-        return DAEMONS.get(words[0] if words else '', run_client)(words)
+        return runner_of(words)(words)
     except SettingsError as error:
         for fault in error.faults:
             report(fault)
@@ -39,6 +42,22 @@
         return ExitCode.usage
 
 
+def runner_of(words: Sequence[str]) -> Runner:
+    """Return what runs a verb; `trace` with log files needs no entry to ask."""
+    verb = words[0] if words else ''
+    has_flags = any(word.startswith('--') for word in words)
+    if verb == TRACE_VERB and len(words) > 2 and not has_flags:
+        return run_log_trace
+    return DAEMONS.get(verb, run_client)
+
+
+def run_log_trace(words: Sequence[str]) -> int:
+    """Print the story of one request from log files."""
+    _, name, *paths = words
+    show(importlib.import_module('marigoldlift.client.log_trace').trace_logs(name, paths))
+    return ExitCode.done
+
+
 def run_daemon(words: Sequence[str]) -> int:
     """Run an entry; the client and Fire are not imported, since the daemon's memory is bounded."""
     if HELP_FLAGS.intersection(words):
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -3,6 +3,8 @@
 import time
 from collections.abc import Callable
 
+from loguru import logger
+
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.pool import Pool
@@ -112,6 +114,15 @@
         placed = (
             self.place_gang(step, allowed) if step.step.gang else self.place_tasks(step, allowed)
         )
+        if placed:
+            logger.info(
+                'step placed: step={} run={} active={} todo={} age_s={:.2f}',
+                step.name,
+                step.last_run,
+                len(step.active),
+                len(step.todo),
+                self.clock() - step.job.since,
+            )
         if step.todo and step.gang_since is None:
             self.misses += int(bool(allowed) and not placed)
             self.tickets.ask_if_needed(step, pool)
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -85,6 +85,9 @@
             logger.info('submission in doubt: submission={} {}', submission.id, doubt.reason)
             return Answer.unknown
         self.under_way.discard(submission.id)
+        logger.info(
+            'submission accepted: submission={} queue={}', submission.id, submission.policy.queue
+        )
         return Answer.done
 
     async def is_known(self, submission: SubmissionId) -> bool:
