--- a/marigoldlift/client/log_trace.py
+++ b/marigoldlift/client/log_trace.py
@@ -53,10 +53,11 @@
 
 def within(lines: Iterable[LogLine], own: Sequence[LogLine]) -> Iterator[LogLine]:
     """Yield the request's lines, and those of the cell between the first and the last of them."""
+    first = own[0].time
+    last = own[-1].time
     for line in lines:
-        if line in own:
-            yield line
-        elif own[0].time <= line.time <= own[-1].time and CELL_LINES.match(line.message):
+        is_meanwhile = first <= line.time <= last
+        if line in own or (is_meanwhile and CELL_LINES.match(line.message)):
             yield line
 
 
