--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -1,6 +1,7 @@
 """Who gives orders: the writer of the newest leadership record in the shared log."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -71,6 +72,7 @@
     Attributes:
         tenure: offset of the record that made this entry the leader, None while another leads.
         holder: the leader, None while there is none.
+        read_s: how long the log took for the last read before a claim.
         seen_at: when the holder's newest record was read, in seconds of the steady clock.
     """
 
@@ -99,6 +101,7 @@
         self.tenure: int | None = None
         self.seen_at = clock()
         self.sent_at = clock()
+        self.read_s: float = 0
         self.confirmed_at = clock()
         self.retired = False
         self.on_change: list[Callable[[], None]] = []
@@ -150,7 +153,7 @@
         delay = CLAIM_DELAY_S / max(self.candidate.cores, SMALLEST_CORES) + self.jitter_s
         if self.holder is None or self.holder.node == self.candidate.node:
             return delay
-        return SILENCE_S + SLOW_ANSWERS * self.appender.latency_s + delay
+        return SILENCE_S + SLOW_ANSWERS * max(self.appender.latency_s, self.read_s) + delay
 
     def wants_renewal(self) -> bool:
         """Tell whether the next renewal is due."""
@@ -169,12 +172,20 @@
     async def claim(self) -> None:
         """Claim the leadership, unless the log tells of a newer claim."""
         try:
-            await self.replica.synchronize()
-            if self.wants_claim():
-                await self.write(released=False)
-                await self.replica.synchronize()
+            await self.read_log()
         except LogUnavailableError as fault:
             logger.info('no claim without the log: {}', fault.reason)
+            return
+        if self.wants_claim():
+            await self.write(released=False)
+            with contextlib.suppress(LogUnavailableError):
+                await self.replica.synchronize()
+
+    async def read_log(self) -> None:
+        """Read the log to its end, and note how long that takes."""
+        started_at = self.clock()
+        await self.replica.synchronize()
+        self.read_s = self.clock() - started_at
 
     async def write(self, *, released: bool) -> None:
         """Store a record; reading it back makes it count."""
--- /dev/null
+++ b/marigoldlift/leadership/tests/test_election.py
@@ -0,0 +1,124 @@
+"""Claims, renewals and their limits."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from marigoldlift.leadership.election import ACT_LIMIT_S, Candidate, Election
+from marigoldlift.replication.api import Producer
+from marigoldlift.replication.appender import Appender
+from marigoldlift.replication.replica import Replica
+from marigoldlift.submissions.stored import decode_record
+from marigoldlift.telemetry.metrics import Metrics
+from standins.cell.log import LogClient, LogFault, MemoryLog
+
+pytestmark = pytest.mark.looptime
+
+PACE_S = 0.05
+
+
+class Member:
+    """One entry that takes part in the election."""
+
+    def __init__(self, log, name, life='1'):
+        clock = asyncio.get_running_loop().time
+        self.log = LogClient(log, random.Random(1))
+        self.appender = Appender(self.log, Producer(f'{name}{life}', 1), clock, Metrics())
+        self.replica = Replica(self.log, self.apply, clock, PACE_S)
+        candidate = Candidate(name, f'{name}{life}', 'a', name, 1.0)
+        self.election = Election(candidate, self.appender, self.replica, clock)
+        loops = (self.appender.run(), self.replica.run(), self.campaign())
+        self.tasks = [asyncio.create_task(work) for work in loops]
+
+    def apply(self, stored):
+        self.election.observe(stored.offset, decode_record(stored.content))
+
+    async def campaign(self):
+        await self.replica.ready.wait()
+        await self.election.run()
+
+    def stop(self):
+        for task in self.tasks:
+            task.cancel()
+
+
+@pytest.fixture
+async def log():
+    """Return an empty log."""
+    return MemoryLog()
+
+
+@contextlib.asynccontextmanager
+async def running(log):
+    """Run three members of one cell; the clock of a fixture differs from that of its test."""
+    made = [Member(log, name) for name in ('a', 'b', 'c')]
+    await asyncio.sleep(3)
+    yield made
+    for member in made:
+        member.stop()
+
+
+def leaders(members):
+    """Return the members that lead by their own view."""
+    return [member for member in members if member.election.tenure is not None]
+
+
+def leader(members):
+    """Return the only member that leads."""
+    found = leaders(members)
+    assert len(found) == 1
+    return found[0]
+
+
+async def test_one_leader_and_its_successor(log):
+    """Guards against two leaders, or none, and against a tenure that is no higher than the last."""
+    async with running(log) as members:
+        first = leader(members)
+        tenure = first.election.tenure
+        first.stop()
+        await asyncio.sleep(3)
+        second = leader([member for member in members if member is not first])
+        assert second.election.tenure > tenure
+
+
+async def test_leader_without_the_log_stops_acting(log):
+    """Guards against orders of a leader that may have a successor."""
+    async with running(log) as members:
+        first = leader(members)
+        first.log.fault = LogFault.silent
+        await asyncio.sleep(ACT_LIMIT_S + 1)
+        assert not first.election.may_act()
+        assert len([member for member in members if member.election.may_act()]) == 1
+
+
+async def test_slow_log_causes_no_claims(log, monkeypatch):
+    """Guards against claims of all entries when each answer of the log takes long."""
+    async with running(log) as members:
+        first = leader(members)
+        monkeypatch.setattr('standins.cell.log.ANSWER_S', 0.6)
+        await asyncio.sleep(10)
+        assert leaders(members) == [first]
+        assert {record.key for record in log.records[3:]} == {f'l/{first.election.candidate.node}'}
+
+
+async def test_record_of_an_earlier_life_makes_no_leader(log):
+    """Guards against a tenure number that is used again after a restart."""
+    before = Member(log, 'a')
+    await asyncio.sleep(2)
+    tenure = before.election.tenure
+    before.stop()
+    after = Member(log, 'a', life='2')
+    await asyncio.sleep(2)
+    assert after.election.tenure > tenure
+    after.stop()
+
+
+async def test_released_leadership_is_claimed_at_once(log):
+    """Guards against a pause in service with each planned stop."""
+    async with running(log) as members:
+        first = leader(members)
+        await first.election.retire()
+        await asyncio.sleep(0.9)
+        assert leader(members) is not first
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -126,10 +126,17 @@
             step.gang_since = self.clock()
         return step.step
 
+    def note_begun(self, step: StepRun) -> None:
+        """Store that a submission has begun; one that is only placed still counts as waiting."""
+        if not step.job.begun:
+            step.job.begun = True
+            self.book.progress.note(step.job)
+
     def start_answered(self, step: StepRun, reason: str) -> None:
         """Count a start, by the worker's answer."""
         self.metrics.add(Metric.starts, outcome=reason)
         if reason == STARTED:
+            self.note_begun(step)
             policy = step.job.submission.policy
             self.metrics.observe(
                 Metric.task_wait, self.clock() - step.job.since, kind=policy.queue
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -142,7 +142,6 @@
                 return placed
             if session is not None:
                 self.starter.start(step, index, session, step.next_run(index))
-                step.job.begun = True
                 placed = True
         return placed
 
@@ -158,7 +157,6 @@
             return False
         run = step.next_run(0)
         step.gang_since = self.clock()
-        step.job.begun = True
         for index, session in enumerate(places):
             self.starter.start(step, index, session, run)
         return True
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -91,7 +91,7 @@
             self.events.start_answered(step, refusal.worker_code)
             runs = False
         else:
-            self.events.start_answered(step, 'started' if runs else 'unreachable')
+            self.events.start_answered(step, outcome_of(ordered, runs=runs))
         if not runs:
             self.give_back(step, ordered.task.index, session)
 
@@ -139,3 +139,10 @@
         if known.stop_sent_at is None or self.clock() - known.stop_sent_at > STOP_AGAIN_S:
             known.stop_sent_at = self.clock()
             self.stop(session, task)
+
+
+def outcome_of(ordered: Run, *, runs: bool) -> str:
+    """Return what is counted for a start that was not refused."""
+    if not runs:
+        return 'unreachable'
+    return 'doubtful' if ordered.unanswered else 'started'
