--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -204,7 +204,7 @@
             return False
         token = self.token
         sent_at = self.now()
-        until_ms = self.clock.grant(sent_at, self.lease_s)
+        until_ms = self.renewal(sent_at)
         try:
             found = await self.calls.look(self.worker, token, self.seen, until_ms, wait_ms)
         except WorkerRefusedError as refusal:
@@ -220,6 +220,12 @@
         self.take_in(found, sent_at, token)
         return True
 
+    def renewal(self, now: float) -> int | None:
+        """Return the lease that a look gives; a silent worker gets none, so that its lease surely ends."""
+        if now - self.contact_at >= SUSPECT_S:
+            return None
+        return self.clock.grant(now, self.lease_s)
+
     def is_this_life(self, found: Look) -> bool:
         """Tell whether an answer is of the life that the registry lists; a later life is reported."""
         if not found.born_ms or not self.worker.born_ms:
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -80,6 +80,12 @@
         self.lease_ms: float = 0
         self.news = asyncio.Event()
 
+    def crash(self) -> None:
+        """Go down for good; all that ran there has ended."""
+        self.up = False
+        for task in self.held:
+            self.judge.end(task, self.name, 'lost')
+
     def entry(self) -> Worker:
         """Return the worker's report about itself."""
         return Worker(
@@ -265,8 +271,15 @@
                 async with asyncio.timeout(wait_ms / MS):
                     await news.wait()
             except TimeoutError:
-                return target.listing()
-        return target.listing()
+                return answer_of(target)
+        return answer_of(target)
+
+
+def answer_of(target: MemoryWorker) -> Look:
+    """Return both lists, unless the worker has gone down meanwhile."""
+    if not target.up:
+        raise WorkerUnavailableError('no answer', may_have_run=True)
+    return target.listing()
 
 
 def carry_out_late(target: MemoryWorker, carry_out: Callable[[MemoryWorker], object]) -> None:
--- a/tests/cell/test_calm.py
+++ b/tests/cell/test_calm.py
@@ -85,6 +85,23 @@
     play(story)
 
 
+def test_work_of_a_worker_that_is_gone_starts_elsewhere(play):
+    """Guards against tasks that wait for a lost worker for ever: looks without an answer renewed its lease."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        cell.duration_of = lambda task: 3.0
+        for entry in cell.entries:
+            entry.calls.duration_of = cell.duration_of
+        names = await load(cell, 6)
+        await asyncio.sleep(0.5)
+        gone = next(worker for worker in cell.workers.values() if worker.held)
+        gone.crash()
+        await cell.settle(names, 18)
+
+    play(story)
+
+
 def test_outage_of_the_log(play):
     """Guards against lost ends and doubled starts when the log is away longer than a leader may act."""
 
