Remove a type alias and a copy of the newest leadership that nothing reads

The election keeps the newest leadership record itself. Behaviour is unchanged; linter, types and the tests of the cell, the election and the log pass. The whole check was not run on this commit.

--- a/marigoldlift/scheduling/roster.py
+++ b/marigoldlift/scheduling/roster.py
@@ -1,7 +1,6 @@
 """Sessions with all workers that are listed or that may still hold tasks."""
 
 import asyncio
-from collections.abc import Callable
 
 import msgspec
 from loguru import logger
@@ -10,7 +9,6 @@
 from marigoldlift.leadership.election import ACT_LIMIT_S
 from marigoldlift.orders.api import Worker, WorkerCalls
 from marigoldlift.orders.following import follow
-from marigoldlift.orders.runs import Run
 from marigoldlift.orders.session import RunObserver, WorkerSession
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.quality import WorkerQuality
@@ -32,8 +30,6 @@
 #: How long a record waits for the store, in s.
 RECORD_WAIT_S = 2
 
-SessionMoved = Callable[[WorkerSession, WorkerSession, Run], None]
-
 
 class Roster:
     """Opens, renews and closes the sessions of one tenure.
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -10,7 +10,6 @@
     Accepted,
     Cancelled,
     KnownWorker,
-    Leadership,
     Outcome,
     Progress,
     Record,
@@ -99,10 +98,9 @@
 
 
 class CellState:
-    """All submissions, the newest leadership and the workers that may hold tasks.
+    """All submissions, and the workers that may hold tasks.
 
     Attributes:
-        leadership: the newest record of that kind, with its offset.
         observers: called with each record after it took effect.
     """
 
@@ -116,7 +114,6 @@
         self.jobs: dict[SubmissionId, Job] = {}
         self.early: dict[SubmissionId, list[Cancelled | Progress]] = {}
         self.workers: dict[str, KnownWorker] = {}
-        self.leadership: tuple[int, Leadership] | None = None
         self.observers: list[Observer] = []
 
     def apply(self, stored: Stored) -> None:
@@ -142,9 +139,6 @@
                 self.advance(record)
             case KnownWorker():
                 self.workers[record.worker] = record
-            case Leadership():
-                if self.leadership is None or offset > self.leadership[0]:
-                    self.leadership = (offset, record)
 
     def accept(self, offset: int, submission: Submission) -> None:
         """Keep a submission; one that is known already stays as it was first accepted."""
