Count the silence of a leader only while the log answers

Cause: after an outage of the log every entry had heard nothing of the leader for longer than its patience, so all claimed at once. Ruled out: a leader that had stopped; it was alive and renewed as the log came back. Change: silence counts from the first answer after a failed read, and 0.6 s later, since the leader may notice last. Test: leadership/tests/test_election.py, six cases of an outage fail before; a leader that died meanwhile is replaced.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -24,6 +24,10 @@
 #: Answers of the store by which that silence grows: a renewal waits for a batch under way and is then read.
 SLOW_ANSWERS = 4
 
+#: Added to that silence after an outage of the log, in s: a leader may notice up to 0.75 s later than another entry
+#: that the log answers again, by the pause and the time-out of its probes.
+RESUME_S = 0.6
+
 #: How long a leader goes on without a confirmed renewal, in s: it bridges short outages of the store.
 #: A successor waits as long for workers that it cannot reach.
 ACT_LIMIT_S = 4
@@ -146,10 +150,14 @@
         """Tell whether the leader was silent for so long that this entry claims its place."""
         if self.retired or self.tenure is not None:
             return False
-        return self.clock() >= self.seen_at + self.patience()
+        heard_at = max(self.seen_at, self.replica.resumed_at + RESUME_S)
+        return self.clock() >= heard_at + self.patience()
 
     def patience(self) -> float:
-        """Return how long the leader may be silent, in s; a leader whose process was replaced is gone."""
+        """Return how long the leader may be silent while the log answers, in s.
+
+        After an outage of the log a leader needs that time to renew. One whose process was replaced is gone.
+        """
         delay = CLAIM_DELAY_S / max(self.candidate.cores, SMALLEST_CORES) + self.jitter_s
         if self.holder is None or self.holder.node == self.candidate.node:
             return delay
--- a/marigoldlift/leadership/tests/test_election.py
+++ b/marigoldlift/leadership/tests/test_election.py
@@ -122,3 +122,37 @@
         await first.election.retire()
         await asyncio.sleep(0.9)
         assert leader(members) is not first
+
+
+@pytest.mark.parametrize('fault', [LogFault.silent, LogFault.refuse])
+@pytest.mark.parametrize('outage_s', [1.5, 3.0, 6.0])
+async def test_leader_stays_after_an_outage(log, fault, outage_s):
+    """Guards against claims of all entries as the log comes back; each one costs a takeover."""
+    async with running(log) as members:
+        first = leader(members)
+        tenure = first.election.tenure
+        for member in members:
+            member.log.fault = fault
+        await asyncio.sleep(outage_s)
+        # The leader is the last to notice that the log answers again.
+        for member in sorted(members, key=lambda other: other is first):
+            member.log.fault = None
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(4)
+        assert leader(members) is first
+        assert first.election.tenure == tenure
+        assert first.election.may_act()
+
+
+async def test_leader_lost_in_an_outage_is_replaced(log):
+    """Guards against a cell without a leader after an outage of the log in which the leader died."""
+    async with running(log) as members:
+        first = leader(members)
+        for member in members:
+            member.log.fault = LogFault.silent
+        first.stop()
+        await asyncio.sleep(3)
+        for member in members:
+            member.log.fault = None
+        await asyncio.sleep(4)
+        assert leader([member for member in members if member is not first])
--- a/marigoldlift/replication/replica.py
+++ b/marigoldlift/replication/replica.py
@@ -14,6 +14,9 @@
 #: How long a read waits at the store for the first new record, in ms.
 WAIT_MS = 1000
 
+#: Time without an answer, in s, from which the store counts as having been away; a read waits for 1 s at most.
+GAP_S = 1.8
+
 #: Pauses after a failed read, in s.
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.4
@@ -26,6 +29,7 @@
         offset: the next record to read.
         ready: set once a snapshot was read whole.
         fresh_at: when the last answer of the store came, in seconds of the steady clock.
+        resumed_at: when the first answer after the last failure or gap came.
         read_at: when the last read ended or, made on request, began.
         pace_s: shortest pause between two reads, since each read is priced.
     """
@@ -43,8 +47,7 @@
             log: where the records are.
             apply: takes one record in.
             clock: steady time in seconds.
-            read_at: when the last read ended or, made on request, began.
-        pace_s: shortest pause between two reads.
+            pace_s: shortest pause between two reads.
         """
         self.log = log
         self.apply = apply
@@ -53,8 +56,10 @@
         self.offset = 0
         self.ready = asyncio.Event()
         self.fresh_at = clock()
-        self.read_at = clock()
+        self.resumed_at = self.fresh_at
+        self.read_at = self.fresh_at
         self.failing = False
+        self.interrupted = False
         self.reset_observers: list[Callable[[], None]] = []
 
     async def run(self) -> None:
@@ -86,7 +91,7 @@
         """Take in the records that follow, and return the end of the partition."""
         start = self.offset
         page = await self.log.read(start, wait_ms)
-        self.fresh_at = self.clock()
+        self.note_answer()
         self.read_at = self.fresh_at
         if page.end < start:
             logger.error('the log ends before the next record: end={} next={}', page.end, start)
@@ -143,11 +148,20 @@
         for stored in sorted(records, key=lambda stored: stored.offset):
             self.apply(stored)
         self.offset = start or 0
-        self.fresh_at = self.clock()
+        self.note_answer()
         self.ready.set()
 
+    def note_answer(self) -> None:
+        """Note that the store has answered, and whether that ends a gap."""
+        now = self.clock()
+        if self.interrupted or now - self.fresh_at > GAP_S:
+            self.resumed_at = now
+            self.interrupted = False
+        self.fresh_at = now
+
     def note_failure(self, fault: Exception) -> None:
         """Log the first of a row of failures."""
+        self.interrupted = True
         if not self.failing:
             self.failing = True
             logger.warning('reads fail: next={} {}', self.offset, fault)
