Keep a quarter of the entries free for urgent questions to the advice, and try entries that fail less often

Cause: questions of long steps (1.1 s each on the grown sites) took every entry, so that an urgent question of 15 ms waited behind them; and an entry that is cut off was asked again every 2 s by several questions at once, each lost for 0.8 s. Ruled out: too few entries; 34 could give 75 x 34 s. Change: a question takes its turn as it is asked; less urgent ones only while more than a quarter of the entries is idle; an entry that fails is left alone for 2, 4, 8 s and then tried with one call. Test: scheduling/tests/test_advice.py, against a stand-in that serves one call of each entry at a time.

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -164,7 +164,7 @@
         metrics.set(Metric.leading, int(self.election.tenure is not None))
         metrics.set(Metric.log_age, now - self.replica.fresh_at, stream='work')
         metrics.set(Metric.log_age, now - self.listing.fresh_at, stream='workers')
-        metrics.set(Metric.members, len(self.broker.busy_until), state='alive')
+        metrics.set(Metric.members, len(self.broker.relays), state='alive')
         states = [job.state.value for job in self.state.jobs.values()]
         for state in Outcome:
             metrics.set(Metric.jobs, states.count(state.value), state=state.value)
--- a/marigoldlift/leadership/tests/test_election.py
+++ b/marigoldlift/leadership/tests/test_election.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import functools
+import operator
 import random
 
 import pytest
@@ -135,8 +137,8 @@
             member.log.fault = fault
         await asyncio.sleep(outage_s)
         # The leader is the last to notice that the log answers again.
-        for member in sorted(members, key=lambda other: other is first):
-            member.log.fault = None
+        for late in sorted(members, key=functools.partial(operator.is_, first)):
+            late.log.fault = None
             await asyncio.sleep(0.2)
         await asyncio.sleep(4)
         assert leader(members) is first
--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -4,24 +4,31 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+import msgspec
 from loguru import logger
 
 from marigoldlift.errors import PlatformError
 from marigoldlift.submissions.model import AdvicePolicy
 
-__all__ = ('AdviceBroker', 'AdviceRelay')
+__all__ = ('AdviceBroker', 'AdviceRelay', 'Booking')
 
 MS_PER_S = 1000
 
-#: Added to the computed time of a call before it counts as unanswered, in s.
-ANSWER_MARGIN_S = 0.8
+#: Added to the computed time of a call before it counts as unanswered, in s; a VM that runs 5 times slower than usual
+#: needs 0.1 s to pass a call on.
+ANSWER_MARGIN_S = 0.4
 
-#: How long an entry that failed a call is not asked again, in s.
-RELAY_PAUSE_S = 2
+#: How long an entry that failed a call is not asked again, in s: after the first failure, and at most. It may be cut
+#: off for 5 to 12 s by the troubles of the platform's pages.
+FIRST_PAUSE_S = 2
+LONGEST_PAUSE_S = 8
 
 #: How long an entry that accepted nothing stays a relay, in s.
 RELAY_MEMORY_S = 15
 
+#: Share of the entries that is kept free for urgent questions; others take up to a second each.
+URGENT_SHARE = 0.25
+
 #: Tries of one call over different entries.
 TRIES = 2
 
@@ -45,40 +52,88 @@
         """
 
 
+class Relay:
+    """One entry that makes calls to the advice.
+
+    Attributes:
+        known_at: when it was last known to be alive, in seconds of the steady clock.
+        busy_until: when all calls that it was given are answered.
+        paused_until: no call before that time, since one has failed.
+        failures: calls that failed in a row.
+    """
+
+    __slots__ = ('address', 'busy_until', 'failures', 'known_at', 'paused_until')
+
+    def __init__(self, address: str, known_at: float) -> None:
+        """Start without calls."""
+        self.address = address
+        self.known_at = known_at
+        self.busy_until: float = 0
+        self.paused_until: float = 0
+        self.failures = 0
+
+    def take(self, cost_s: float, now: float) -> float:
+        """Add a call and return when it is answered; an entry that has failed gets a single one to try."""
+        self.busy_until = max(self.busy_until, now) + cost_s
+        if self.failures:
+            self.paused_until = self.busy_until + ANSWER_MARGIN_S
+        return self.busy_until
+
+    def succeed(self) -> None:
+        """Give it calls as to any other."""
+        self.failures = 0
+        self.paused_until = 0
+
+    def fail(self, now: float) -> None:
+        """Leave it alone for a while, longer after each failure in a row."""
+        pause = min(FIRST_PAUSE_S * 2**self.failures, LONGEST_PAUSE_S)
+        self.failures += 1
+        self.paused_until = now + pause
+        self.busy_until = now
+
+
+class Booking(msgspec.Struct, frozen=True):
+    """A call's turn at one entry: when it is answered, in seconds of the steady clock."""
+
+    relay: Relay
+    answer_at: float
+
+
 class AdviceBroker:
     """Chooses the entry that makes a call: the one that is free first.
 
     Attributes:
-        busy_until: when each entry's calls so far are answered, in seconds of the steady clock.
+        relays: entries by address.
     """
 
     def __init__(self, calls: AdviceRelay, own_address: str, clock: Callable[[], float]) -> None:
         """Start with this entry alone."""
-        self.own_address = own_address
         self.calls = calls
         self.clock = clock
-        self.busy_until: dict[str, float] = {own_address: 0}
-        self.known_at: dict[str, float] = {}
+        self.own = Relay(own_address, clock())
+        self.relays: dict[str, Relay] = {own_address: self.own}
 
     def note_relay(self, address: str) -> None:
         """Note that an entry is alive, since it has accepted a submission."""
-        if address == self.own_address:
-            return
-        self.known_at[address] = self.clock()
-        self.busy_until.setdefault(address, 0)
-
-    def delay_s(self) -> float:
-        """Return how long the next call would wait for its turn, in s."""
-        return max(0, min(self.busy_until.values()) - self.clock())
+        now = self.clock()
+        self.relays.setdefault(address, Relay(address, now)).known_at = now
 
-    def choose(self) -> str:
-        """Return the entry that is free first."""
+    def usable(self) -> list[Relay]:
+        """Return the entries that may get a call; this entry is always one."""
+        now = self.clock()
+        for known in tuple(self.relays.values()):
+            if now - known.known_at > RELAY_MEMORY_S and known is not self.own:
+                self.relays.pop(known.address)
+        return [relay for relay in self.relays.values() if now >= relay.paused_until] or [self.own]
+
+    def has_turn(self, *, urgent: bool) -> bool:
+        """Tell whether a question may be asked now; some entries stay free for urgent ones."""
+        if urgent:
+            return True
         now = self.clock()
-        for relay, known_at in tuple(self.known_at.items()):
-            if now - known_at > RELAY_MEMORY_S:
-                self.known_at.pop(relay)
-                self.busy_until.pop(relay, None)
-        return min(self.busy_until, key=lambda address: max(self.busy_until[address], now))
+        usable = self.usable()
+        idle = sum(1 for relay in usable if relay.busy_until <= now)
+        return idle > int(len(usable) * URGENT_SHARE)
 
     def cost_s(self, policy: AdvicePolicy | None, workers: int) -> float:
         """Return how long the advice takes for a call, in s."""
@@ -86,21 +141,47 @@
             return 0
         return (policy.decide_ms + policy.worker_ms * workers) / MS_PER_S
 
+    def book(self, cost_s: float) -> Booking:
+        """Take the next turn at the entry that is free first."""
+        now = self.clock()
+        relay = min(self.usable(), key=lambda candidate: max(candidate.busy_until, now))
+        return Booking(relay, relay.take(cost_s, now))
+
     async def ask(
-        self, policy: AdvicePolicy, step: str, workers: Sequence[str]
+        self, booking: Booking, cost_s: float, step: str, workers: Sequence[str]
     ) -> dict[str, str] | None:
-        """Return the tickets of the workers that may run a step, None when no entry could find out."""
-        cost_s = self.cost_s(policy, len(workers))
-        for _ in range(TRIES):
-            relay = self.choose()
-            now = self.clock()
-            answer_at = max(self.busy_until[relay], now) + cost_s
-            self.busy_until[relay] = answer_at
+        """Return the tickets of the workers that may run a step, None when no entry could find out.
+
+        Args:
+            booking: the turn of the first try.
+            cost_s: how long the advice takes.
+            step: name of the step.
+            workers: ids of the workers that are asked for.
+        """
+        for tries_left in reversed(range(TRIES)):
             try:
-                wait_s = answer_at - now + ANSWER_MARGIN_S
-                async with asyncio.timeout(wait_s):
-                    return await self.calls.advise(relay, step, workers, wait_s)
+                allowed = await self.make_call(booking, step, workers)
             except (PlatformError, TimeoutError) as fault:
-                logger.info('advice not given: step={} relay={} {}', step, relay, fault)
-                self.busy_until[relay] = self.clock() + RELAY_PAUSE_S
+                logger.info(
+                    'advice not given: step={} relay={} {}', step, booking.relay.address, fault
+                )
+                booking.relay.fail(self.clock())
+                if tries_left:
+                    booking = self.book(cost_s)
+            else:
+                booking.relay.succeed()
+                return allowed
         return None
+
+    async def make_call(
+        self, booking: Booking, step: str, workers: Sequence[str]
+    ) -> dict[str, str]:
+        """Make one call in its turn.
+
+        Raises:
+            PlatformError: no answer.
+            TimeoutError: no answer in time.
+        """
+        wait_s = booking.answer_at - self.clock() + ANSWER_MARGIN_S
+        async with asyncio.timeout(wait_s):
+            return await self.calls.advise(booking.relay.address, step, workers, wait_s)
--- /dev/null
+++ b/marigoldlift/scheduling/tests/test_advice.py
@@ -0,0 +1,123 @@
+"""Which entry makes a call to the advice, and when a question may be asked."""
+
+import asyncio
+
+import pytest
+
+from marigoldlift.errors import PlatformError
+from marigoldlift.scheduling.advice import AdviceBroker
+from marigoldlift.submissions.model import AdvicePolicy
+
+pytestmark = pytest.mark.looptime
+
+OWN = 'e0'
+RELAYS = ('e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7')
+SHORT = AdvicePolicy(10, 0.15, 2000)
+LONG = AdvicePolicy(450, 6.5, 2000)
+PROMPT_S = 0.02
+LATE_S = 0.1
+WORKERS = [f'w{number}' for number in range(30)]
+
+
+class ScriptedAdvice:
+    """Advice that serves one call of each entry at a time; calls through entries that are cut off get no answer.
+
+    Attributes:
+        cut: addresses of entries that are cut off.
+        made: addresses that calls went to.
+    """
+
+    def __init__(self):
+        """Answer through all entries."""
+        self.cut = set()
+        self.made = []
+        self.turns = {}
+
+    async def advise(self, relay, step, workers, wait_s):
+        """Allow all workers, after the calls before."""
+        self.made.append(relay)
+        if relay in self.cut:
+            await asyncio.sleep(wait_s + 1)
+            raise PlatformError('no answer')
+        policy = LONG if step == 'long' else SHORT
+        async with self.turns.setdefault(relay, asyncio.Lock()):
+            await asyncio.sleep((policy.decide_ms + policy.worker_ms * len(workers)) / 1000)
+        return dict.fromkeys(workers, 'ticket')
+
+
+@pytest.fixture
+def advice():
+    """Return the advice."""
+    return ScriptedAdvice()
+
+
+async def build(advice):
+    """Return a broker that knows eight entries."""
+    broker = AdviceBroker(advice, OWN, asyncio.get_running_loop().time)
+    for relay in RELAYS:
+        broker.note_relay(relay)
+    return broker
+
+
+async def ask(broker, step='short'):
+    """Ask one question, and return how long it took."""
+    began = asyncio.get_running_loop().time()
+    cost_s = broker.cost_s(LONG if step == 'long' else SHORT, len(WORKERS))
+    allowed = await broker.ask(broker.book(cost_s), cost_s, step, WORKERS)
+    assert allowed is not None
+    return asyncio.get_running_loop().time() - began
+
+
+async def test_urgent_question_does_not_wait_behind_long_ones(advice):
+    """Guards against head-of-line blocking: long questions took every entry for a second."""
+    broker = await build(advice)
+    long_questions = []
+    while broker.has_turn(urgent=False):
+        long_questions.append(asyncio.create_task(ask(broker, 'long')))
+        await asyncio.sleep(0)
+    assert len(long_questions) == 6
+    waited = [await ask(broker) for _ in range(5)]
+    assert max(waited) <= PROMPT_S
+    await asyncio.gather(*long_questions)
+    assert broker.has_turn(urgent=False)
+
+
+async def test_entry_that_is_cut_off_is_asked_less_and_less(advice):
+    """Guards against questions that wait for a time-out again every 2 s at each entry that is cut off."""
+    broker = await build(advice)
+    advice.cut = {'e1', 'e2', 'e3'}
+    long_questions = []
+    late = 0
+    for _ in range(100):
+        if broker.has_turn(urgent=False):
+            long_questions.append(asyncio.create_task(ask(broker, 'long')))
+        late += int(await ask(broker) >= LATE_S)
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*long_questions, return_exceptions=True)
+    asked = sum(advice.made.count(relay) for relay in advice.cut)
+    assert asked <= 3 * 4
+    assert late <= 3
+
+
+async def test_entry_that_answers_again_is_used(advice):
+    """Guards against an entry that is left alone for good after a cut."""
+    broker = await build(advice)
+    advice.cut = {'e1'}
+    await asyncio.gather(*(ask(broker) for _ in range(8)))
+    advice.cut.clear()
+    await asyncio.sleep(3)
+    advice.made.clear()
+    await asyncio.gather(*(ask(broker) for _ in range(16)))
+    assert advice.made.count('e1') == 1
+    await asyncio.gather(*(ask(broker) for _ in range(16)))
+    assert advice.made.count('e1') == 3
+
+
+async def test_this_entry_asks_when_no_other_may(advice):
+    """Guards against questions that are never asked in a cell that is cut into pieces."""
+    broker = await build(advice)
+    advice.cut = set(RELAYS)
+    await asyncio.gather(*(ask(broker) for _ in range(4)), return_exceptions=True)
+    advice.made.clear()
+    await ask(broker)
+    assert advice.made[-1] == OWN
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from marigoldlift.orders.session import WorkerSession
-from marigoldlift.scheduling.advice import AdviceBroker
+from marigoldlift.scheduling.advice import AdviceBroker, Booking
 from marigoldlift.scheduling.placement import Placer, room_for
 from marigoldlift.scheduling.pool import Pool
 from marigoldlift.scheduling.starter import Starter
@@ -28,9 +28,6 @@
 #: Workers asked for each one that the step needs, since only a share of them may run it.
 WORKERS_FOR_ONE = 5
 
-#: Wait for a free entry from which only urgent steps are asked for, in s; answers for others would only queue up.
-LONGEST_DELAY_S = 1.0
-
 #: Room that a question aims at, as a multiple of what is needed; some is taken before the answer comes.
 SPARE_ROOM = 1.5
 
@@ -79,12 +76,13 @@
         """Ask for more tickets when those at hand cannot place the step."""
         if step.job.submission.policy.advice is None or self.clock() < step.ask_after:
             return
-        if not step.job.is_urgent and self.broker.delay_s() > LONGEST_DELAY_S:
+        if not self.broker.has_turn(urgent=step.job.is_urgent):
             return
         named = self.question(step, list(pool.fitting(step.step)))
         if named:
             step.ask_after = math.inf
-            self.starter.spawn(self.ask(step, named))
+            cost_s = self.broker.cost_s(step.job.submission.policy.advice, len(named))
+            self.starter.spawn(self.ask(step, named, self.broker.book(cost_s), cost_s))
 
     def question(self, step: StepRun, usable: Sequence[WorkerSession]) -> list[str]:
         """Return the workers to ask for."""
@@ -123,12 +121,14 @@
         needed = math.ceil(len(step.todo) / room)
         return min(CALL_WORKERS, max(FIRST_WORKERS, needed * WORKERS_FOR_ONE))
 
-    async def ask(self, step: StepRun, named: Sequence[str]) -> None:
+    async def ask(
+        self, step: StepRun, named: Sequence[str], booking: Booking, cost_s: float
+    ) -> None:
         """Ask, and keep the answer for all tasks of the step."""
         policy = step.job.submission.policy.advice
         if policy is None:
             return
-        allowed = await self.broker.ask(policy, step.name, named)
+        allowed = await self.broker.ask(booking, cost_s, step.name, named)
         step.ask_after = 0
         if allowed is None:
             step.ask_after = self.clock() + ASK_AGAIN_S
