Hand the leadership over when the log is reached only through another entry

Cause: a leader that is cut off from the store keeps its place through a relay, which is slow and often cannot reach other entries either. Ruled out: placement itself (median 0.23 s after acceptance) and workers out of reach. Change: after 0.7 s without a direct way a leader releases its place; entries without one claim 1.5 s later than others, and one that leads all the same keeps its place. Test: leadership/tests/test_election.py, two cases.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -88,6 +88,7 @@
             calls=PlatformWorkers(self.calls),
             advice=self.advice,
             metrics=self.metrics,
+            is_indirect=self.route.is_relayed,
         )
         limits = NodeLimits(
             settings.longest_lease_s, settings.gang_wait_s, settings.outcome_kept_s
--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -56,6 +56,7 @@
         log: the product's own records.
         workers_log: the platform's list of workers.
         decode_worker: returns the worker of a listed entry, None when it names none.
+        is_indirect: tells whether the log is reached only through another entry.
     """
 
     log: KeyedLog
@@ -64,6 +65,7 @@
     calls: WorkerCalls
     advice: AdviceRelay
     metrics: Metrics
+    is_indirect: Callable[[], bool]
 
 
 class CellNode:
@@ -97,7 +99,7 @@
         )
         self.listing.reset_observers.append(self.registry.reset)
         self.acceptance = Acceptance(self.state, self.appender, self.replica, clock)
-        self.election = Election(candidate, self.appender, self.replica, clock)
+        self.election = Election(candidate, self.appender, self.replica, clock, parts.is_indirect)
         self.election.on_change.append(self.follow_leadership)
         self.state.observers.append(self.observe)
         self.broker = AdviceBroker(parts.advice, candidate.address, clock)
--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -47,6 +47,13 @@
 #: Largest random part of that delay, in s; it keeps entries from claiming at once.
 CLAIM_JITTER_S = 0.15
 
+#: How long a leader reaches the log only through another entry before it hands over, in s; single calls may fail.
+HANDOVER_S = 0.7
+
+#: Added to the silence after which an entry claims that reaches the log only through another one, in s; an entry that
+#: reaches it directly has claimed by then.
+INDIRECT_S = 1.5
+
 #: How long a renewal waits for the store, in s.
 RENEWAL_WAIT_S = 1.0
 
@@ -78,6 +85,8 @@
         holder: the leader, None while there is none.
         read_s: how long the log took for the last read before a claim.
         seen_at: when the holder's newest record was read, in seconds of the steady clock.
+        direct_at: when the log was last known to be reached directly.
+        may_hand_over: whether the tenure began with a direct way; else no entry that has one wants to lead.
     """
 
     def __init__(
@@ -86,6 +95,7 @@
         appender: Appender,
         replica: Replica,
         clock: Callable[[], float],
+        is_indirect: Callable[[], bool],
     ) -> None:
         """Start without a holder.
 
@@ -94,6 +104,7 @@
             appender: stores the records.
             replica: reads them.
             clock: steady time in seconds.
+            is_indirect: tells whether the log is reached only through another entry.
         """
         self.candidate = candidate
         self.appender = appender
@@ -108,6 +119,9 @@
         self.read_s: float = 0
         self.confirmed_at = clock()
         self.retired = False
+        self.is_indirect = is_indirect
+        self.direct_at = clock()
+        self.may_hand_over = False
         self.on_change: list[Callable[[], None]] = []
 
     def observe(self, offset: int, record: Record) -> None:
@@ -128,6 +142,7 @@
     def begin(self, offset: int) -> None:
         """Become the leader."""
         self.tenure = offset
+        self.may_hand_over = not self.is_indirect()
         logger.info('leadership begins: tenure={}', offset)
         self.tell()
 
@@ -159,6 +174,8 @@
         After an outage of the log a leader needs that time to renew. One whose process was replaced is gone.
         """
         delay = CLAIM_DELAY_S / max(self.candidate.cores, SMALLEST_CORES) + self.jitter_s
+        if self.is_indirect():
+            delay += INDIRECT_S
         if self.holder is None or self.holder.node == self.candidate.node:
             return delay
         return SILENCE_S + SLOW_ANSWERS * max(self.appender.latency_s, self.read_s) + delay
@@ -168,15 +185,30 @@
         return self.tenure is not None and self.clock() - self.sent_at >= RENEW_S
 
     async def run(self) -> None:
-        """Claim and renew until cancelled."""
+        """Claim, renew and hand over until cancelled."""
         while True:
-            if self.wants_renewal():
+            if self.wants_handover():
+                await self.hand_over('reaches the log only through another entry')
+            elif self.wants_renewal():
                 await self.write(released=False)
             elif self.wants_claim():
                 await self.claim()
                 await asyncio.sleep(CLAIM_PAUSE_S)
             await asyncio.sleep(TICK_S)
 
+    def wants_handover(self) -> bool:
+        """Tell whether another entry would lead better: one that reaches the log directly."""
+        if not self.is_indirect():
+            self.direct_at = self.clock()
+        if self.tenure is None or not self.may_hand_over:
+            return False
+        return self.clock() - self.direct_at > HANDOVER_S
+
+    async def hand_over(self, reason: str) -> None:
+        """Give the leadership back, so that another entry claims it at once."""
+        self.end(reason)
+        await self.write(released=True)
+
     async def claim(self) -> None:
         """Claim the leadership, unless the log tells of a newer claim."""
         try:
@@ -218,8 +250,6 @@
 
     async def retire(self) -> None:
         """Hand the leadership back before the entry stops."""
-        was_leading = self.tenure is not None
         self.retired = True
-        if was_leading:
-            self.end('released')
-            await self.write(released=True)
+        if self.tenure is not None:
+            await self.hand_over('released')
--- a/marigoldlift/leadership/tests/test_election.py
+++ b/marigoldlift/leadership/tests/test_election.py
@@ -30,7 +30,10 @@
         self.appender = Appender(self.log, Producer(f'{name}{life}', 1), clock, Metrics())
         self.replica = Replica(self.log, self.apply, clock, PACE_S)
         candidate = Candidate(name, f'{name}{life}', 'a', name, 1.0)
-        self.election = Election(candidate, self.appender, self.replica, clock)
+        self.indirect = False
+        self.election = Election(
+            candidate, self.appender, self.replica, clock, lambda: self.indirect
+        )
         loops = (self.appender.run(), self.replica.run(), self.campaign())
         self.tasks = [asyncio.create_task(work) for work in loops]
 
@@ -158,3 +161,28 @@
             member.log.fault = None
         await asyncio.sleep(4)
         assert leader([member for member in members if member is not first])
+
+
+async def test_leader_without_a_direct_way_hands_over(log):
+    """Guards against a leader that is cut off from the store and from other entries for as long as a relay serves it."""
+    async with running(log) as members:
+        first = leader(members)
+        first.indirect = True
+        await asyncio.sleep(2)
+        second = leader(members)
+        assert second is not first
+        await asyncio.sleep(5)
+        assert leader(members) is second
+
+
+async def test_leadership_rests_where_no_entry_has_a_direct_way(log):
+    """Guards against a cell without a leader, or with one that changes all the time, when all entries need a relay."""
+    async with running(log) as members:
+        for member in members:
+            member.indirect = True
+        await asyncio.sleep(10)
+        first = leader(members)
+        tenure = first.election.tenure
+        await asyncio.sleep(10)
+        assert leader(members) is first
+        assert first.election.tenure == tenure
--- a/marigoldlift/platform/store_route.py
+++ b/marigoldlift/platform/store_route.py
@@ -72,7 +72,6 @@
         if address and address != self.own_address:
             self.peers.setdefault(address, 0)
 
-    @property
     def is_relayed(self) -> bool:
         """Tell whether calls reach the store, but only through another entry."""
         return not self.is_direct and bool(self.peer)
--- a/marigoldlift/platform/tests/test_store_route.py
+++ b/marigoldlift/platform/tests/test_store_route.py
@@ -94,9 +94,9 @@
     calls.parted.add(first)
     with pytest.raises(CallUnansweredError):
         await route.call('POST', PATH, b'', 0.8)
-    assert not route.is_relayed
+    assert not route.is_relayed()
     await route.call('POST', PATH, b'', 0.8)
-    assert route.is_relayed
+    assert route.is_relayed()
     assert route.peer not in {'', first}
     assert calls.sent[-1] == (route.peer, f'{RELAY_PREFIX}{PATH}')
 
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -69,6 +69,7 @@
             calls=self.calls,
             advice=NoAdvice(),
             metrics=Metrics(),
+            is_indirect=bool,
         )
         self.node = self.gate.context.run(CellNode, candidate, parts, LIMITS, self.cell.loop.time)
         for work in self.node.loops():
