Find an entry that passes store calls on by trying three at once

Cause: an entry that is cut off from the store tried one other entry after the other, each for the whole time-out of a live call; where 12 of 33 are cut off, that took seconds. Test: platform/tests/test_store_route.py.

--- a/marigoldlift/platform/store_route.py
+++ b/marigoldlift/platform/store_route.py
@@ -25,6 +25,9 @@
 #: How long an entry is left alone that could not pass a call on, in s.
 PEER_PAUSE_S = 2.0
 
+#: Entries that are tried at once in search of one that passes calls on; one of them is seldom cut off as well.
+SEARCH_WIDTH = 3
+
 #: Status by which an entry says that its own way to the store fails as well.
 BAD_GATEWAY = 502
 
@@ -46,7 +49,7 @@
         address: where the store listens.
         is_direct: whether the direct way is in use.
         peers: addresses of other entries, with the time from which each may be asked.
-        peer: the entry that has passed on the last call, empty when there is none.
+        peer: the entry that passes calls on, empty when there is none.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         self.peers: dict[str, float] = {}
         self.peer = ''
         self.probing: asyncio.Task[None] | None = None
+        self.searching: asyncio.Task[None] | None = None
 
     def learn(self, addresses: Iterable[str]) -> None:
         """Note other entries."""
@@ -107,25 +111,24 @@
 
     async def probe(self) -> None:
         """Try the direct way until the store answers."""
-        while not await self.answers_probe():
+        while not await self.answers_probe(f'http://{self.address}{PROBE_PATH}'):
             await asyncio.sleep(PROBE_PAUSE_S)
         logger.info('store answers this entry again')
         self.is_direct = True
         self.peer = ''
 
-    async def answers_probe(self) -> bool:
-        """Tell whether the store serves this entry."""
-        url = f'http://{self.address}{PROBE_PATH}'
+    async def answers_probe(self, url: str) -> bool:
+        """Tell whether the store serves a call by this way."""
         try:
             reply = await self.calls.call('GET', url, b'', {}, PROBE_ANSWER_S)
         except CallUnansweredError as fault:
             logger.debug('probe of the store not answered: {}', fault)
             return False
-        return reply.status not in TURNED_AWAY
+        return reply.status not in TURNED_AWAY and reply.status != BAD_GATEWAY
 
     async def call_peer(self, method: str, path: str, body: bytes, wait_s: float) -> Reply:
         """Let another entry make a call; without one nothing was done."""
-        peer = self.choose_peer()
+        peer = self.peer or await self.find_peer()
         if not peer:
             return Reply(UNAVAILABLE, b'')
         try:
@@ -140,17 +143,36 @@
             raise CallUnansweredError('the other entry got no answer', was_sent=True)
         if reply.status in TURNED_AWAY:
             self.leave_peer(peer)
-        elif not self.is_direct:
-            self.peer = peer
         return reply
 
-    def choose_peer(self) -> str:
-        """Return the entry that has passed the last call on, else any that may be asked; empty when there is none."""
-        if self.peer:
-            return self.peer
+    async def find_peer(self) -> str:
+        """Return an entry that passes calls on; calls that come meanwhile share one search."""
+        if self.searching is None or self.searching.done():
+            self.searching = asyncio.create_task(self.search())
+        await asyncio.shield(self.searching)
+        return self.peer
+
+    async def search(self) -> None:
+        """Try some entries at once and keep the one that answers first, whose link and processor are the most free."""
         now = self.clock()
         usable = [address for address, after in self.peers.items() if after <= now]
-        return random.choice(usable) if usable else ''
+        tried = random.sample(usable, min(SEARCH_WIDTH, len(usable)))
+        probes = [asyncio.ensure_future(self.answers_relayed(peer)) for peer in tried]
+        for probe in asyncio.as_completed(probes):
+            found = await probe
+            if found and not self.is_direct:
+                self.peer = found
+                break
+        for late in probes:
+            late.cancel()
+
+    async def answers_relayed(self, peer: str) -> str:
+        """Return the entry's address when it reaches the store, else empty."""
+        url = f'http://{peer}{RELAY_PREFIX}{PROBE_PATH}'
+        if await self.answers_probe(url):
+            return peer
+        self.leave_peer(peer)
+        return ''
 
     def leave_peer(self, peer: str) -> None:
         """Leave an entry alone for a while that could not pass a call on."""
--- a/marigoldlift/platform/tests/test_store_route.py
+++ b/marigoldlift/platform/tests/test_store_route.py
@@ -101,6 +101,28 @@
     assert calls.sent[-1] == (route.peer, f'{RELAY_PREFIX}{PATH}')
 
 
+async def test_search_finds_a_peer_that_is_not_cut_off(calls):
+    """Guards against one time-out after the other where most other entries are cut off too."""
+    peers = [f'10.0.1.{number}:1' for number in range(12)]
+    route = await build(calls, peers)
+    calls.parted.update(peers[2:])
+    await cut(route, calls)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while (await route.call('POST', PATH, b'', 0.8)).status != 200:
+        assert not route.is_relayed()
+    assert loop.time() - began < 2
+    assert route.peer in peers[:2]
+
+
+async def test_calls_share_one_search(calls):
+    """Guards against a probe of other entries for each call that waits."""
+    route = await build(calls)
+    await cut(route, calls)
+    await asyncio.gather(*(route.call('POST', PATH, b'', 0.8) for _ in range(10)))
+    assert len([path for _, path in calls.sent if path.startswith(RELAY_PREFIX)]) <= 10 + 2
+
+
 async def test_without_peers_nothing_is_done(calls):
     """Guards against a wait where it is certain that nothing can be stored."""
     route = await build(calls, peers=())
