Keep only the outcome of a submission that has ended

Change: once a submission has ended and no worker holds a run of it, its outcome is stored under a key of its own and the other records are dropped; a late copy of the acceptance stays without effect. A run whose submission is not known any more counts for all that its worker has.

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -170,9 +170,10 @@
         if self.dispatcher is not None:
             metrics.set(Metric.log_age, now - self.listing.fresh_at, stream='workers')
         metrics.set(Metric.members, len(self.broker.relays), state='alive')
-        states = [job.state.value for job in self.state.jobs.values()]
+        states = [job.state for job in self.state.jobs.values()]
+        states.extend(job.outcome for job in self.state.finished.values())
         for state in Outcome:
-            metrics.set(Metric.jobs, states.count(state.value), state=state.value)
+            metrics.set(Metric.jobs, states.count(state), state=state.value)
 
     def loops(self) -> Iterator[Coroutine[Any, Any, None]]:
         """Yield what has to run as long as the entry serves."""
--- a/marigoldlift/scheduling/book.py
+++ b/marigoldlift/scheduling/book.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from marigoldlift.orders.api import Worker
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.starter import Starter
@@ -80,6 +81,10 @@
             job.objective_s,
         )
 
+    def is_open(self, submission: SubmissionId) -> bool:
+        """Tell whether a submission has no outcome, or one that may not be stored yet."""
+        return submission in self.jobs or submission in self.closed
+
     def forget(self, submission: SubmissionId) -> None:
         """Note that the outcome of a submission is stored."""
         self.closed.discard(submission)
@@ -92,10 +97,10 @@
             return None
         return step
 
-    def demand_of(self, task: TaskRef) -> Step:
-        """Return what a task of a closed submission takes; nothing when it is not known any more."""
+    def demand_of(self, task: TaskRef, worker: Worker) -> Step:
+        """Return what a task of a closed submission takes; all that the worker has when it is not known any more."""
         job = self.state.jobs.get(task.submission)
         if job is None or task.step >= len(job.submission.steps):
             logger.warning('run of an unknown submission: task={}', task.name)
-            return Step(count=1)
+            return Step(count=1, cpu_m=worker.cpu_m, mem_mb=worker.mem_mb, gpus=worker.gpus)
         return job.submission.steps[task.step]
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -72,7 +72,9 @@
         )
         self.book = JobBook(parts.state, self.planner, self.starter, self.progress, self.clock)
         self.checks = RunChecks(self.book, self.roster, self.starter, self.clock)
-        self.retention = Retention(parts.state, self.appender, parts.outcome_kept_s)
+        self.retention = Retention(
+            parts.state, self.appender, self.book, self.roster, parts.outcome_kept_s
+        )
         self.events.book = self.book
         self.events.roster = self.roster
 
@@ -162,7 +164,7 @@
         self.roster.check()
         self.checks.check_runs()
         if self.retention.is_due():
-            self.starter.spawn(self.retention.drop_old())
+            self.starter.spawn(self.retention.run_round())
 
     def observe(self, offset: int, record: Record) -> None:
         """Take in a record of the log."""
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -116,7 +116,7 @@
         step = self.book.step_of(held.task)
         index = held.task.index
         if step is None:
-            return self.book.demand_of(held.task)
+            return self.book.demand_of(held.task, session.worker)
         if index in step.done or index in step.active:
             return step.step
         step.begin(index, session, held.run)
--- a/marigoldlift/scheduling/retention.py
+++ b/marigoldlift/scheduling/retention.py
@@ -1,12 +1,17 @@
-"""Drops the records of submissions whose outcome need not be told any more."""
+"""Reduces the records of submissions that have ended, and drops them when their outcome need not be told any more."""
 
-from collections.abc import Iterator
+import asyncio
+import itertools
+from collections.abc import Iterator, Sequence
 
 from loguru import logger
 
 from marigoldlift.errors import PlatformError
 from marigoldlift.replication.appender import Appender
-from marigoldlift.submissions.records import Dropped
+from marigoldlift.scheduling.book import JobBook
+from marigoldlift.scheduling.roster import Roster
+from marigoldlift.submissions.model import SubmissionId
+from marigoldlift.submissions.records import Dropped, Finished, Record
 from marigoldlift.submissions.state import FINAL, CellState, Job
 
 __all__ = ('Retention',)
@@ -14,64 +19,109 @@
 #: Times the promised period for which an outcome is kept; late copies of an acceptance come within seconds.
 KEPT_PERIODS = 2
 
-#: Pause between two searches, in s.
-SEARCH_PACE_S = 5
+#: Pause between two rounds, in s.
+ROUND_PACE_S = 1
 
-#: How long the records of a search wait for the store, in s.
+#: How long the records of a round wait for the store, in s.
 WAIT_S = 5
 
-#: Submissions dropped in one search, so that it delays no other record for long.
-MOST_DROPPED = 100
+#: Submissions handled in one round, so that it delays no other record for long; 4 records each.
+MOST_HANDLED = 150
 
 
 class Retention:
-    """Finds submissions with an old outcome.
+    """Keeps a submission that has ended as its outcome alone, and for a limited time.
 
     Attributes:
-        searched_at: time of the last search, in seconds of the steady clock.
+        round_at: time of the last round, in seconds of the steady clock.
     """
 
-    def __init__(self, state: CellState, appender: Appender, kept_s: float) -> None:
-        """Start without a search."""
+    def __init__(
+        self,
+        state: CellState,
+        appender: Appender,
+        book: JobBook,
+        roster: Roster,
+        kept_s: float,
+    ) -> None:
+        """Start without a round."""
         self.state = state
         self.appender = appender
+        self.book = book
+        self.roster = roster
         self.kept_s = kept_s * KEPT_PERIODS
-        self.searched_at = state.clock()
+        self.round_at = state.clock()
+        self.busy = False
 
     def is_due(self) -> bool:
-        """Tell whether the next search is due."""
-        return self.state.clock() - self.searched_at > SEARCH_PACE_S
+        """Tell whether the next round is due."""
+        return not self.busy and self.state.clock() - self.round_at > ROUND_PACE_S
 
-    async def drop_old(self) -> None:
-        """Drop what is old; what could not be dropped is found again."""
-        latest = self.state.clock() - self.kept_s
-        self.searched_at = self.state.clock()
-        old = [job for job in self.state.jobs.values() if is_older(job, latest)]
-        for job in old[:MOST_DROPPED]:
-            for key in keys_of(job):
-                if not await self.drop(key):
-                    return
-
-    async def drop(self, key: str) -> bool:
-        """Drop one key; False when the store does not take it now."""
+    async def run_round(self) -> None:
+        """Handle what can be handled now; what could not be stored is found again."""
+        self.round_at = self.state.clock()
+        self.busy = True
         try:
-            await self.appender.append(Dropped(key), WAIT_S)
+            await self.store(self.records())
         except PlatformError as fault:
-            logger.info('old record kept: key={} {}', key, fault.reason)
-            return False
-        return True
+            logger.info('records of ended submissions kept: {}', fault.reason)
+        finally:
+            self.busy = False
+
+    def records(self) -> list[Record]:
+        """Return the records of one round."""
+        ended = map(records_of_ended, self.ended()[:MOST_HANDLED])
+        outdated = map(records_of_outdated, self.outdated()[:MOST_HANDLED])
+        return list(itertools.chain.from_iterable((*ended, *outdated)))
+
+    async def store(self, records: Sequence[Record]) -> None:
+        """Store records in their order; the appender keeps it."""
+        await asyncio.gather(*(self.appender.append(record, WAIT_S) for record in records))
+
+    def ended(self) -> list[Job]:
+        """Return the submissions that have ended and surely run nowhere."""
+        held = {
+            task.submission
+            for session in self.roster.sessions.values()
+            for task in session.room.runs
+        }
+        earliest = self.state.clock() - self.roster.lapse_s if self.roster.dark else None
+        return [
+            job
+            for job in self.state.jobs.values()
+            if job.submission.id not in held
+            and not self.book.is_open(job.submission.id)
+            and has_ended(job, earliest)
+        ]
+
+    def outdated(self) -> list[SubmissionId]:
+        """Return the submissions whose outcome was told for long enough."""
+        latest = self.state.clock() - self.kept_s
+        return [name for name, job in self.state.finished.items() if job.seen_at < latest]
 
 
-def is_older(job: Job, latest: float) -> bool:
-    """Tell whether a submission has had its outcome since before a time."""
-    return job.state in FINAL and job.final_at is not None and job.final_at < latest
+def has_ended(job: Job, latest: float | None) -> bool:
+    """Tell whether a submission has an outcome, since before a time where one is given."""
+    if job.state not in FINAL or job.final_at is None:
+        return False
+    return latest is None or job.final_at < latest
 
 
-def keys_of(job: Job) -> Iterator[str]:
-    """Yield the keys of a submission, the one that makes it known last."""
+def records_of_ended(job: Job) -> Sequence[Record]:
+    """Return the records that leave only the outcome, which is stored first."""
+    name = job.submission.id
+    return [Finished(name, job.state), Dropped(f's/{name}'), *progress_keys(job)]
+
+
+def progress_keys(job: Job) -> Iterator[Record]:
+    """Yield the records that drop what was stored beside the acceptance."""
     name = job.submission.id
-    for tenure in sorted(job.tenures):
-        yield f'p/{name}/{tenure}'
     if job.cancelled:
-        yield f'c/{name}'
-    yield f's/{name}'
+        yield Dropped(f'c/{name}')
+    for tenure in sorted(job.tenures):
+        yield Dropped(f'p/{name}/{tenure}')
+
+
+def records_of_outdated(name: SubmissionId) -> Sequence[Record]:
+    """Return the records that forget a submission; a late copy of its acceptance may have been stored again."""
+    return [Dropped(f's/{name}'), Dropped(f'f/{name}')]
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -72,7 +72,7 @@
             submission: what the caller wants to have done.
             patience_s: how long the caller waits.
         """
-        if submission.id in self.state.jobs:
+        if self.state.state_of(submission.id) is not None:
             return Answer.done
         if self.store_fails() and submission.id not in self.under_way:
             return Answer.refused
@@ -102,9 +102,9 @@
         Raises:
             LogUnavailableError: the store does not answer.
         """
-        if submission not in self.state.jobs:
+        if self.state.state_of(submission) is None:
             await self.replica.synchronize()
-        return submission in self.state.jobs
+        return self.state.state_of(submission) is not None
 
     async def outcome(self, submission: SubmissionId, patience_s: float) -> Outcome | None:
         """Return where a submission stands, None when there is no such submission.
@@ -120,21 +120,20 @@
         """
         if not await self.is_known(submission):
             return None
-        job = self.state.jobs[submission]
         until = self.clock() + min(STATE_WAIT_S, patience_s)
-        while job.state not in FINAL:
+        while self.state.state_of(submission) not in FINAL:
             await self.replica.refresh(STATE_AGE_S)
-            if job.state is not Outcome.running or self.clock() >= until:
+            if self.clock() >= until or self.state.state_of(submission) is not Outcome.running:
                 break
             await asyncio.sleep(STATE_AGE_S)
-        return job.state
+        return self.state.state_of(submission)
 
     async def cancel(self, submission: SubmissionId, patience_s: float) -> Answer:
         """Store that a submission is no longer wanted."""
         try:
             if not await self.is_known(submission):
                 return Answer.gone
-            if not self.state.jobs[submission].cancelled:
+            if self.state.state_of(submission) not in FINAL:
                 await self.appender.append(Cancelled(submission), self.wait_s(patience_s))
         except AppendRefusedError:
             return Answer.refused
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -10,6 +10,7 @@
     'Accepted',
     'Cancelled',
     'Dropped',
+    'Finished',
     'KnownWorker',
     'Leadership',
     'Outcome',
@@ -91,6 +92,16 @@
     released: bool = False
 
 
+class Finished(Record, tag='f'):
+    """All that is still told of a submission that has ended and runs nowhere any more.
+
+    Its other records are dropped after this one, so that a snapshot stays small.
+    """
+
+    submission: SubmissionId
+    outcome: Outcome
+
+
 class KnownWorker(Record, tag='w'):
     """A worker that may hold tasks; written before its first order."""
 
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -9,6 +9,7 @@
 from marigoldlift.submissions.records import (
     Accepted,
     Cancelled,
+    Finished,
     KnownWorker,
     Outcome,
     Progress,
@@ -17,7 +18,7 @@
 )
 from marigoldlift.submissions.stored import Stored, decode_record
 
-__all__ = ('FINAL', 'CellState', 'Job')
+__all__ = ('FINAL', 'CellState', 'FinishedJob', 'Job')
 
 FINAL = frozenset((Outcome.complete, Outcome.failed, Outcome.cancelled))
 
@@ -29,7 +30,7 @@
 
     Attributes:
         seen_at: when this entry has read it, in seconds of the steady clock.
-        final_at: when this entry has read its outcome.
+        final_at: when this entry has read its outcome, None while it has none.
         tenures: leaders that have stored progress.
     """
 
@@ -97,10 +98,24 @@
     )
 
 
+class FinishedJob(msgspec.Struct, frozen=True):
+    """What is kept of a submission that has ended.
+
+    Attributes:
+        seen_at: when this entry has read of it, in seconds of the steady clock.
+    """
+
+    outcome: Outcome
+    seen_at: float
+
+
 class CellState:
     """All submissions, and the workers that may hold tasks.
 
     Attributes:
+        jobs: submissions that have not ended, or have ended a moment ago.
+        finished: submissions that have ended and run nowhere any more.
+        early: records of submissions that are not known yet.
         observers: called with each record after it took effect.
     """
 
@@ -112,10 +127,19 @@
         """
         self.clock = clock
         self.jobs: dict[SubmissionId, Job] = {}
+        self.finished: dict[SubmissionId, FinishedJob] = {}
         self.early: dict[SubmissionId, list[Cancelled | Progress]] = {}
         self.workers: dict[str, KnownWorker] = {}
         self.observers: list[Observer] = []
 
+    def state_of(self, submission: SubmissionId) -> Outcome | None:
+        """Return where a submission stands, None when it is not known."""
+        finished = self.finished.get(submission)
+        if finished is not None:
+            return finished.outcome
+        job = self.jobs.get(submission)
+        return job.state if job else None
+
     def apply(self, stored: Stored) -> None:
         """Take one record in; a record that cannot be read is skipped with a log line."""
         if not stored.content:
@@ -137,12 +161,14 @@
                 self.accept(offset, record.submission)
             case Cancelled() | Progress():
                 self.advance(record)
+            case Finished():
+                self.finish(record)
             case KnownWorker():
                 self.workers[record.worker] = record
 
     def accept(self, offset: int, submission: Submission) -> None:
-        """Keep a submission; one that is known already stays as it was first accepted."""
-        if submission.id in self.jobs:
+        """Keep a submission; one that is known already stays as it is."""
+        if submission.id in self.jobs or submission.id in self.finished:
             return
         self.jobs[submission.id] = Job(submission, offset, self.clock())
         for record in self.early.pop(submission.id, ()):
@@ -150,6 +176,8 @@
 
     def advance(self, record: Cancelled | Progress) -> None:
         """Change a submission; pages of a snapshot may name it before it is known."""
+        if record.submission in self.finished:
+            return
         job = self.jobs.get(record.submission)
         if job is None:
             self.early.setdefault(record.submission, []).append(record)
@@ -161,11 +189,19 @@
         if job.state in FINAL and job.final_at is None:
             job.final_at = self.clock()
 
+    def finish(self, record: Finished) -> None:
+        """Keep the outcome of a submission, and nothing else."""
+        self.jobs.pop(record.submission, None)
+        self.early.pop(record.submission, None)
+        self.finished[record.submission] = FinishedJob(record.outcome, self.clock())
+
     def drop(self, key: str) -> None:
         """Forget what a key stood for."""
         kind, _, name = key.partition('/')
         if kind == 's':
             self.jobs.pop(SubmissionId(name), None)
             self.early.pop(SubmissionId(name), None)
+        elif kind == 'f':
+            self.finished.pop(SubmissionId(name), None)
         elif kind == 'w':
             self.workers.pop(name, None)
--- a/marigoldlift/submissions/stored.py
+++ b/marigoldlift/submissions/stored.py
@@ -1,11 +1,16 @@
 """Stored form of the records: key and content."""
 
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any
+
 import msgspec
 
 from marigoldlift.submissions.records import (
     Accepted,
     Cancelled,
     Dropped,
+    Finished,
     KnownWorker,
     Leadership,
     Progress,
@@ -23,26 +28,29 @@
     content: bytes
 
 
+#: Key of each kind of record.
+KEYS: Mapping[type[Record], Callable[[Any], str]] = MappingProxyType(
+    {
+        Accepted: lambda record: f's/{record.submission.id}',
+        Progress: lambda record: f'p/{record.submission}/{record.tenure}',
+        Cancelled: lambda record: f'c/{record.submission}',
+        Finished: lambda record: f'f/{record.submission}',
+        Leadership: lambda record: f'l/{record.node}',
+        KnownWorker: lambda record: f'w/{record.worker}',
+        Dropped: lambda record: record.key,
+    }
+)
+
+
 def record_key(record: Record) -> str:
     """Return the key that a record is stored under."""
-    match record:
-        case Accepted():
-            return f's/{record.submission.id}'
-        case Progress():
-            return f'p/{record.submission}/{record.tenure}'
-        case Cancelled():
-            return f'c/{record.submission}'
-        case Leadership():
-            return f'l/{record.node}'
-        case KnownWorker():
-            return f'w/{record.worker}'
-        case Dropped():
-            return record.key
-    raise TypeError(type(record).__name__)
+    return KEYS[type(record)](record)
 
 
 encoder = msgspec.msgpack.Encoder()
-decoder = msgspec.msgpack.Decoder(Accepted | Cancelled | Progress | Leadership | KnownWorker)
+decoder = msgspec.msgpack.Decoder(
+    Accepted | Cancelled | Progress | Finished | Leadership | KnownWorker
+)
 
 
 def encode_record(record: Record) -> bytes:
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -137,9 +137,9 @@
     def outcome(self, name: str) -> Outcome | None:
         """Return where a submission stands by the first entry that runs."""
         for entry in self.entries:
-            job = entry.node.state.jobs.get(SubmissionId(name))
-            if not entry.gate.stopped and job is not None:
-                return job.state
+            state = entry.node.state.state_of(SubmissionId(name))
+            if not entry.gate.stopped and state is not None:
+                return state
         return None
 
     def leader(self) -> ModelEntry | None:
--- a/tests/cell/test_calm.py
+++ b/tests/cell/test_calm.py
@@ -31,7 +31,7 @@
         await cell.settle(names, 60)
         await asyncio.sleep(1)
         for entry in cell.entries:
-            states = {job.state for job in entry.node.state.jobs.values()}
+            states = {entry.node.state.state_of(name) for name in names}
             assert states == {Outcome.complete}
 
     play(story)
