Try the store again after an outage in which appends failed

Cause: an entry refuses at once after 0.4 s of failing appends, and only a successful append ended that; so an entry without a submission under way refused for ever, with all workers free. Ruled out: the store (reads are answered) and the route to it (probes are answered within 0.3 s). Change: an answer to a read since the last failure lets the next submission try. A refusal at once is logged. Test: tests/cell/test_pending.py, fails before.

--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -74,6 +74,7 @@
         fenced: the log takes no more records of this producer's epoch.
         latency_s: smoothed time that the store takes for an append.
         failing_since: when the first of a row of failures began, in seconds of the steady clock.
+        failed_at: when the last failure came.
     """
 
     def __init__(
@@ -102,6 +103,7 @@
         self.idle = asyncio.Event()
         self.idle.set()
         self.failing_since: float | None = None
+        self.failed_at = float('-inf')
         self.latency_s: float = 0
         self.fenced = False
         self.in_doubt = False
@@ -233,6 +235,7 @@
     def note_failure(self, fault: Exception) -> None:
         """Count a failure, and log the first of a row."""
         self.metrics.add(Metric.log_appends, outcome=getattr(fault, 'code', 'failed'))
+        self.failed_at = self.clock()
         if self.failing_since is None:
             self.failing_since = self.clock()
             logger.warning('appends fail: code={} reason={}', getattr(fault, 'code', ''), fault)
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -57,9 +57,14 @@
         self.under_way: set[SubmissionId] = set()
 
     def store_fails(self) -> bool:
-        """Tell whether the store has failed for so long that waiting for it helps nobody."""
+        """Tell whether the store has failed for so long that waiting for it helps nobody.
+
+        An answer to a read since the last failure is a reason to try again.
+        """
         since = self.appender.failing_since
-        return since is not None and self.clock() - since > STORE_FAILING_S
+        if since is None or self.clock() - since <= STORE_FAILING_S:
+            return False
+        return self.replica.fresh_at <= self.appender.failed_at
 
     def wait_s(self, patience_s: float) -> float:
         """Return how long a caller waits for the store."""
@@ -75,6 +80,7 @@
         if self.state.state_of(submission.id) is not None:
             return Answer.done
         if self.store_fails() and submission.id not in self.under_way:
+            logger.info('submission refused: submission={} the log fails', submission.id)
             return Answer.refused
         return await self.store(submission, patience_s)
 
--- a/tests/cell/test_pending.py
+++ b/tests/cell/test_pending.py
@@ -2,10 +2,14 @@
 
 import asyncio
 
+import pytest
+
 from marigoldlift.submissions.acceptance import Answer
 from marigoldlift.submissions.model import Step
+from standins.cell.log import LogFault
 
 LEAD_S = 1.5
+OUTAGE_S = 5
 
 
 def test_placed_submission_that_has_not_begun_counts_as_waiting(play):
@@ -27,3 +31,26 @@
         assert first.node.acceptance.pending('queue') == 0
 
     play(story)
+
+
+@pytest.mark.parametrize('fault', [LogFault.silent, LogFault.refuse])
+def test_every_entry_accepts_after_an_outage(play, fault):
+    """Guards against an entry that refuses for ever: after a row of failures it made no append that could succeed."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        for cut in cell.entries:
+            cut.log.fault = fault
+        for second in range(OUTAGE_S):
+            for entry in cell.entries:
+                await cell.submit(entry, f'{entry.name}-{second}', (Step(count=1, cpu_m=500),))
+            await asyncio.sleep(1)
+        for healed in cell.entries:
+            healed.log.fault = None
+        await asyncio.sleep(2)
+        names = [f'late{number}' for number, _ in enumerate(cell.entries)]
+        for name, asked in zip(names, cell.entries, strict=True):
+            assert await cell.submit(asked, name, (Step(count=1, cpu_m=500),)) is Answer.done
+        await cell.settle(names, 60)
+
+    play(story)
