Let a leader's fresh process claim its place without the pause after an outage

Cause: the pause in which a leader may renew after an outage also held up a fresh process on the last leader's VM. Test: leadership/tests/test_election.py, fails before.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -165,18 +165,24 @@
         """Tell whether the leader was silent for so long that this entry claims its place."""
         if self.retired or self.tenure is not None:
             return False
-        heard_at = max(self.seen_at, self.replica.resumed_at + RESUME_S)
+        heard_at = self.seen_at
+        if not self.is_vacant():
+            heard_at = max(heard_at, self.replica.resumed_at + RESUME_S)
         return self.clock() >= heard_at + self.patience()
 
+    def is_vacant(self) -> bool:
+        """Tell whether nobody leads: the place was given back, or the leader's process was replaced by this one."""
+        return self.holder is None or self.holder.node == self.candidate.node
+
     def patience(self) -> float:
         """Return how long the leader may be silent while the log answers, in s.
 
-        After an outage of the log a leader needs that time to renew. One whose process was replaced is gone.
+        After an outage of the log a leader needs that time to renew.
         """
         delay = CLAIM_DELAY_S / max(self.candidate.cores, SMALLEST_CORES) + self.jitter_s
         if self.is_indirect():
             delay += INDIRECT_S
-        if self.holder is None or self.holder.node == self.candidate.node:
+        if self.is_vacant():
             return delay
         return SILENCE_S + SLOW_ANSWERS * max(self.appender.latency_s, self.read_s) + delay
 
--- a/marigoldlift/leadership/tests/test_election.py
+++ b/marigoldlift/leadership/tests/test_election.py
@@ -186,3 +186,18 @@
         await asyncio.sleep(10)
         assert leader(members) is first
         assert first.election.tenure == tenure
+
+
+async def test_leader_that_was_replaced_claims_at_once(log):
+    """Guards against a pause after all processes were killed: a fresh process waited as after an outage of the log."""
+    async with running(log) as members:
+        first = leader(members)
+        tenure = first.election.tenure
+        for member in members:
+            member.stop()
+        await asyncio.sleep(5)
+        after = Member(log, first.election.candidate.node, life='2')
+        await asyncio.sleep(0.5)
+        assert after.election.tenure is not None
+        assert after.election.tenure > tenure
+        after.stop()
