Count a worker's runs as lost only after a lease of this session

Cause: a session that had a reading of the worker's clock and had sent no lease yet compared it with a lease of 0, so that a check between the first look and the second gave up all runs found on the worker and started them elsewhere. It is open for some ms after each takeover and each new life of a worker. Ruled out: the raised token (the look that proved the run absent came later).

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,8 @@
 TYPED := $(addprefix marigoldlift/,cell.py cell_node.py submissions replication leadership orders scheduling \
 	$(addprefix platform/,advice.py calls.py configuration.py front.py node_settings.py servers.py settings_watch.py \
 	store.py store_route.py wire.py workers.py))
+# Each integration test starts up to 20 processes of its own; four at once fill 8 cores.
+TEST_PROCESSES := 4
 export PYTHONPATH := $(CURDIR)
 
 .PHONY: demo test bench binary lint format unit fuzz clean
@@ -29,7 +31,7 @@
 
 unit: $(VENV)/.installed
 	@cat KNOWN-RED.txt
-	$(BIN)/python -m pytest $$(sed -n "s/^test: /--deselect=/p" KNOWN-RED.txt)
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) $$(sed -n "s/^test: /--deselect=/p" KNOWN-RED.txt)
 
 test: lint unit
 
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -20,7 +20,7 @@
 #: Silence after which a worker gets no new work, in s; a look that waits takes 0.7 s.
 SUSPECT_S = 1.3
 
-#: Silence of a new life after which nothing of an earlier one can run there, in s: orders may be carried out 12 s
+#: Age of a session that has sent no lease after which nothing from before it can run there, in s: orders may be carried out 12 s
 #: late and give a lease of 6 s.
 SILENT_LIFE_S = 20
 
@@ -102,8 +102,11 @@
         return self.synced and self.now() - self.contact_at < SUSPECT_S
 
     def is_lost(self) -> bool:
-        """Tell whether all that the worker held has surely ended with its lease."""
-        if self.clock.read_ms is None:
+        """Tell whether all that the worker held has surely ended with its lease.
+
+        Until this session has sent a lease, those of an earlier holder or for an earlier life may still run.
+        """
+        if not self.clock.lease_ms:
             return self.now() - self.opened_at > SILENT_LIFE_S
         return self.clock.has_lapsed(self.now())
 
