--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,9 @@
 TYPED := $(addprefix marigoldlift/,cell.py cell_node.py submissions replication leadership orders scheduling \
 	$(addprefix platform/,advice.py calls.py configuration.py front.py node_settings.py servers.py settings_watch.py \
 	store.py store_route.py wire.py workers.py))
-# Each integration test starts up to 20 processes of its own; four at once fill 8 cores.
+# Tests that start no processes run side by side; each integration test starts up to 20 of its own, so those run one by one.
 TEST_PROCESSES := 4
+DESELECTED = $$(sed -n "s/^test: /--deselect=/p" KNOWN-RED.txt)
 export PYTHONPATH := $(CURDIR)
 
 .PHONY: demo test bench binary lint format unit fuzz clean
@@ -31,7 +32,8 @@
 
 unit: $(VENV)/.installed
 	@cat KNOWN-RED.txt
-	$(BIN)/python -m pytest -n $(TEST_PROCESSES) $$(sed -n "s/^test: /--deselect=/p" KNOWN-RED.txt)
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) -m "not fuzz and not integration" $(DESELECTED)
+	$(BIN)/python -m pytest -m integration $(DESELECTED)
 
 test: lint unit
 
