Measure how long steps whose turn has come have nothing running, and why

Each 0.1 s the leader samples the steps whose turn has come while nothing of their submission runs, with the reason from the last scheduling pass. An idle time that ends is counted by its main reason (step_idle), with the longest part of it in which the step had room twice over and less than half of the service was in use (step_idle_with_room), and logged from 1 s on.

--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -68,7 +68,13 @@
         placer = Placer(self.roster.quality, self.clock)
         tickets = TicketOffice(parts.broker, placer, self.starter, self.clock, self.wake.set)
         self.planner = Planner(
-            self.roster, placer, tickets, self.starter, self.clock, parts.gang_wait_s
+            self.roster,
+            placer,
+            tickets,
+            self.starter,
+            self.clock,
+            parts.gang_wait_s,
+            parts.metrics,
         )
         self.book = JobBook(parts.state, self.planner, self.starter, self.progress, self.clock)
         self.checks = RunChecks(self.book, self.roster, self.starter, self.clock)
@@ -163,6 +169,7 @@
         self.roster.refresh()
         self.roster.check()
         self.checks.check_runs()
+        self.planner.sample_idle()
         if self.retention.is_due():
             self.starter.spawn(self.retention.run_round())
 
--- /dev/null
+++ b/marigoldlift/scheduling/pending.py
@@ -0,0 +1,149 @@
+"""Why steps whose turn has come have nothing running, and for how long."""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from loguru import logger
+
+from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.placement import Placer
+from marigoldlift.scheduling.tasks import PendingReason, StepRun
+from marigoldlift.telemetry.metric_table import Metric
+from marigoldlift.telemetry.metrics import Metrics
+
+__all__ = ('PendingSteps',)
+
+#: Idle time from which a step is logged, in s; a step that waits for one call to the advice stays below it.
+REPORT_S = 1.0
+
+#: Share of a service's processors that is in use below which a step with room should not wait.
+BUSY_SHARE = 0.5
+
+#: Room that counts as enough, as a multiple of what the waiting tasks need.
+ROOM_FACTOR = 2
+
+Workers = Callable[[str], Sequence[WorkerSession]]
+
+
+class IdleSpan:
+    """A stretch of time in which nothing of a submission ran although a step's turn had come.
+
+    Attributes:
+        since: when it began, in seconds of the steady clock.
+        roomy_since: since when there was room without a break, None while there is none.
+        roomy_s: longest stretch with room.
+        reasons: time by reason, in s.
+    """
+
+    __slots__ = ('reasons', 'roomy_s', 'roomy_since', 'since')
+
+    def __init__(self, since: float) -> None:
+        """Start without a reason."""
+        self.since = since
+        self.roomy_since: float | None = None
+        self.roomy_s: float = 0
+        self.reasons: dict[PendingReason, float] = {}
+
+    def note(self, reason: PendingReason, elapsed_s: float) -> None:
+        """Add the time since the last sample."""
+        self.reasons[reason] = self.reasons.get(reason, 0) + elapsed_s
+
+    def note_room(self, now: float, *, roomy: bool) -> None:
+        """Follow whether there is room."""
+        if not roomy:
+            self.roomy_since = None
+            return
+        if self.roomy_since is None:
+            self.roomy_since = now
+        self.roomy_s = max(self.roomy_s, now - self.roomy_since)
+
+
+class PendingSteps:
+    """Samples the idle steps, and reports those that stood still.
+
+    Attributes:
+        spans: idle steps.
+        reasons: what held steps back in the last scheduling pass; one that is not named was not reached.
+    """
+
+    def __init__(
+        self, placer: Placer, workers: Workers, clock: Callable[[], float], metrics: Metrics
+    ) -> None:
+        """Start without idle steps.
+
+        Args:
+            placer: knows the room of workers.
+            workers: returns the listed workers of a service, whether they answer or not.
+            clock: steady time in seconds.
+            metrics: takes the idle times.
+        """
+        self.placer = placer
+        self.workers = workers
+        self.clock = clock
+        self.metrics = metrics
+        self.spans: dict[StepRun, IdleSpan] = {}
+        self.reasons: dict[StepRun, PendingReason] = {}
+        self.sampled_at = clock()
+
+    def sample(self, waiting: Iterable[StepRun], wall_ms: float) -> None:
+        """Take in which steps are idle now."""
+        now = self.clock()
+        elapsed_s = now - self.sampled_at
+        self.sampled_at = now
+        idle = {step for step in waiting if is_idle(step, wall_ms)}
+        for step in self.spans.keys() - idle:
+            self.report(step, self.spans.pop(step), now)
+        open_services: dict[str, bool] = {}
+        for step in idle:
+            span = self.spans.get(step)
+            if span is None:
+                self.spans[step] = IdleSpan(now)
+                continue
+            span.note(self.reasons.get(step, PendingReason.not_planned), elapsed_s)
+            span.note_room(now, roomy=self.has_room(step, open_services))
+
+    def has_room(self, step: StepRun, open_services: dict[str, bool]) -> bool:
+        """Tell whether less than half of the service is in use and the step fits in twice."""
+        service = step.job.submission.policy.service
+        if service not in open_services:
+            open_services[service] = is_half_free(self.workers(service))
+        if not open_services[service]:
+            return False
+        rooms = sum(
+            self.placer.room(session, step)
+            for session in self.workers(service)
+            if step.may_use(session.worker)
+        )
+        return rooms >= ROOM_FACTOR * len(step.todo)
+
+    def report(self, step: StepRun, span: IdleSpan, now: float) -> None:
+        """Count an idle time that has ended, and log a long one."""
+        idle_s = now - span.since
+        if not span.reasons:
+            return
+        reason = max(span.reasons, key=lambda found: span.reasons[found])
+        self.metrics.observe(Metric.step_idle, idle_s, reason=reason.value)
+        if span.roomy_s:
+            self.metrics.observe(Metric.step_idle_with_room, span.roomy_s)
+        if idle_s >= REPORT_S:
+            logger.info(
+                'step was idle: step={} idle_s={:.2f} with_room_s={:.2f} gang={} reasons={}',
+                step.name,
+                idle_s,
+                span.roomy_s,
+                step.step.gang,
+                {found.value: round(spent, 2) for found, spent in span.reasons.items()},
+            )
+
+
+def is_idle(step: StepRun, wall_ms: float) -> bool:
+    """Tell whether a step could run and nothing of its submission does."""
+    if not step.todo or step.job.outcome or not step.job.is_turn(step, wall_ms):
+        return False
+    return not any(other.active for other in step.job.steps.values())
+
+
+def is_half_free(sessions: Sequence[WorkerSession]) -> bool:
+    """Tell whether less than half of the processors are in use."""
+    total = sum(session.worker.cpu_m for session in sessions)
+    free = sum(max(0, session.room.cpu_m) for session in sessions)
+    return total > 0 and total - free < total * BUSY_SHARE
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -6,13 +6,15 @@
 from loguru import logger
 
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.pending import PendingSteps
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.pool import Pool
 from marigoldlift.scheduling.roster import Roster
 from marigoldlift.scheduling.starter import Starter
-from marigoldlift.scheduling.tasks import StepRun
+from marigoldlift.scheduling.tasks import PendingReason, StepRun
 from marigoldlift.scheduling.tickets import TicketOffice
 from marigoldlift.scheduling.waiting import WaitReport
+from marigoldlift.telemetry.metrics import Metrics
 
 __all__ = ('Planner',)
 
@@ -39,6 +41,7 @@
         starter: Starter,
         clock: Callable[[], float],
         gang_wait_s: float,
+        metrics: Metrics,
     ) -> None:
         """Start with nothing waiting.
 
@@ -49,6 +52,7 @@
             starter: sends the orders.
             clock: steady time in seconds.
             gang_wait_s: how long a member waits at its worker for the others.
+            metrics: takes the times for which steps are idle.
         """
         self.roster = roster
         self.placer = placer
@@ -61,6 +65,7 @@
         self.reserved: set[str] = set()
         self.misses = 0
         self.waits = WaitReport(placer, clock)
+        self.pending = PendingSteps(placer, roster.listed, clock, metrics)
 
     def add(self, step: StepRun) -> None:
         """Let a step wait for room."""
@@ -75,6 +80,7 @@
         self.reserved = set()
         self.misses = 0
         self.drop_finished()
+        self.pending.reasons.clear()
         ready = [step for step in self.waiting if self.may_start(step, wall_ms)]
         ready.sort(key=lambda step: step.job.rank(now))
         for candidate in ready:
@@ -84,6 +90,10 @@
         if self.waits.is_due():
             self.waits.report(self.waiting, self.pool)
 
+    def sample_idle(self) -> None:
+        """Take in which steps are idle, with the reason from the last pass."""
+        self.pending.sample(self.waiting, time.time() * MS_PER_S)
+
     def drop_finished(self) -> None:
         """Leave out the steps that no longer wait."""
         finished = [step for step in self.waiting if not step.todo or step.job.outcome]
@@ -92,7 +102,12 @@
 
     def may_start(self, step: StepRun, wall_ms: float) -> bool:
         """Tell whether a step's turn has come, and some of its tasks surely run nowhere."""
-        return step.job.is_turn(step, wall_ms) and bool(step.startable(self.roster.dark))
+        if not step.job.is_turn(step, wall_ms):
+            return False
+        if not step.startable(self.roster.dark):
+            self.pending.reasons[step] = PendingReason.unreachable
+            return False
+        return True
 
     def pool(self, service: str) -> Pool:
         """Return the workers of a service that may get new work in this pass."""
@@ -107,10 +122,10 @@
         pool = self.pool(step.job.submission.policy.service)
         if self.yields_to_urgent(step, pool):
             self.misses += 1
+            self.pending.reasons[step] = PendingReason.headroom
             return
-        allowed = self.tickets.allowed(step, pool)
-        if not step.job.is_urgent:
-            allowed = [session for session in allowed if session.worker.id not in self.reserved]
+        holders = self.tickets.allowed(step, pool)
+        allowed = self.unreserved(step, holders)
         waiting = len(step.todo)
         placed = (
             self.place_gang(step, allowed) if step.step.gang else self.place_tasks(step, allowed)
@@ -128,6 +143,21 @@
         if step.todo and step.gang_since is None:
             self.misses += int(bool(allowed) and not placed)
             self.tickets.ask_if_needed(step, pool)
+            self.pending.reasons[step] = self.pending_reason(step, holders, allowed)
+
+    def unreserved(self, step: StepRun, holders: list[WorkerSession]) -> list[WorkerSession]:
+        """Return the workers that are not kept for a gang that waits."""
+        if step.job.is_urgent:
+            return holders
+        return [session for session in holders if session.worker.id not in self.reserved]
+
+    def pending_reason(
+        self, step: StepRun, holders: list[WorkerSession], allowed: list[WorkerSession]
+    ) -> PendingReason:
+        """Return what a step lacks that was not placed whole."""
+        if allowed:
+            return PendingReason.room
+        return PendingReason.reserved if holders else self.tickets.pending_reason(step)
 
     def yields_to_urgent(self, step: StepRun, pool: Pool) -> bool:
         """Tell whether less urgent work would take the share that urgent work needs at once."""
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -1,15 +1,17 @@
 """Open submissions in the hands of the leader: what waits, what runs, what has ended."""
 
 from collections.abc import Container
+from enum import Enum
 
 import msgspec
 
+from marigoldlift.orders.api import Worker
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.submissions.model import Step, Submission, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Outcome, StepProgress
 from marigoldlift.submissions.state import Job
 
-__all__ = ('JobRun', 'StepRun', 'Ticket')
+__all__ = ('JobRun', 'PendingReason', 'StepRun', 'Ticket')
 
 MS_PER_S = 1000
 
@@ -20,6 +22,20 @@
 GANG_INDEX = 0
 
 
+class PendingReason(Enum):
+    """What held a step back in the last scheduling pass."""
+
+    not_planned = 'not_planned'
+    unreachable = 'unreachable'
+    headroom = 'headroom'
+    reserved = 'reserved'
+    room = 'room'
+    advice_queue = 'advice_queue'
+    advice_call = 'advice_call'
+    advice_retry = 'advice_retry'
+    advice_denied = 'advice_denied'
+
+
 class Ticket(msgspec.Struct, frozen=True):
     """Leave to start tasks of a step on one life of a worker until a time of the steady clock, in s."""
 
@@ -82,6 +98,13 @@
         ticket = self.tickets.get(worker)
         return ticket is not None and ticket.until > now
 
+    def may_use(self, worker: Worker) -> bool:
+        """Tell whether a worker has the label that the step requires, and the advice has not denied it."""
+        required = self.step.requires
+        if required and required not in worker.labels:
+            return False
+        return worker.id not in self.tickets or self.tickets[worker.id] is not None
+
     def task(self, index: int) -> TaskRef:
         """Return a task of the step."""
         return TaskRef(self.job.submission.id, self.occurrence, self.number, index)
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -10,7 +10,7 @@
 from marigoldlift.scheduling.placement import Placer, room_for
 from marigoldlift.scheduling.pool import Pool
 from marigoldlift.scheduling.starter import Starter
-from marigoldlift.scheduling.tasks import StepRun, Ticket
+from marigoldlift.scheduling.tasks import PendingReason, StepRun, Ticket
 
 __all__ = ('TicketOffice',)
 
@@ -84,6 +84,17 @@
             cost_s = self.broker.cost_s(step.job.submission.policy.advice, len(named))
             self.starter.spawn(self.ask(step, named, self.broker.book(cost_s), cost_s))
 
+    def pending_reason(self, step: StepRun) -> PendingReason:
+        """Return why a step that holds no valid ticket has none."""
+        now = self.clock()
+        if math.isinf(step.ask_after):
+            return PendingReason.advice_call
+        if now < step.ask_after:
+            return PendingReason.advice_retry
+        if not self.broker.has_turn(urgent=step.job.is_urgent):
+            return PendingReason.advice_queue
+        return PendingReason.advice_denied
+
     def question(self, step: StepRun, usable: Sequence[WorkerSession]) -> list[str]:
         """Return the workers to ask for."""
         roomy = [session for session in usable if self.placer.room(session, step)]
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -65,6 +65,12 @@
     task_wait = MetricSpec(
         SUMMARY, 'seconds', ('kind',), 'Time from acceptance to start of a task.'
     )
+    step_idle = MetricSpec(
+        SUMMARY, 'seconds', ('reason',), 'Time in which a step had its turn and nothing running.'
+    )
+    step_idle_with_room = MetricSpec(
+        SUMMARY, 'seconds', (), 'Longest part of it with room and a half free service.'
+    )
     leading = MetricSpec(GAUGE, '', (), 'Whether this entry gives the orders: 1 or 0.')
     log_age = MetricSpec(GAUGE, 'seconds', ('stream',), 'Time since the log last answered a read.')
     starts = MetricSpec(COUNTER, '', ('outcome',), 'Starts ordered, by answer.')
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Sequence
+from typing import Any
 
 import msgspec
 
@@ -11,7 +12,14 @@
 from marigoldlift.leadership.election import Candidate
 from marigoldlift.orders.api import Worker
 from marigoldlift.submissions.acceptance import Answer
-from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId, TaskRef
+from marigoldlift.submissions.model import (
+    AdvicePolicy,
+    Policy,
+    Step,
+    Submission,
+    SubmissionId,
+    TaskRef,
+)
 from marigoldlift.submissions.records import Outcome
 from marigoldlift.submissions.stored import decode_record
 from marigoldlift.telemetry.metrics import Metrics
@@ -25,11 +33,12 @@
 LIMITS = NodeLimits(lease_s=6.0, gang_wait_s=3.0, outcome_kept_s=120.0)
 HEARTBEAT_S = 0.5
 WORK_TICK_S = 0.02
+MS_PER_S = 1000
 
 
-def policy(priority: int = 1, max_attempts: int = 3) -> Policy:
-    """Return the policy of a queue without advice."""
-    return Policy('queue', 'service', priority, max_attempts, 2.0, 1000)
+def policy(priority: int = 1, max_attempts: int = 3, advice: AdvicePolicy | None = None) -> Policy:
+    """Return the policy of a queue, without advice as a rule."""
+    return Policy('queue', 'service', priority, max_attempts, 2.0, 1000, advice)
 
 
 def decode_worker(key: str, content: bytes) -> Worker:
@@ -37,14 +46,33 @@
     return msgspec.msgpack.decode(content, type=Worker)
 
 
-class NoAdvice:
-    """Advice that no queue of the model asks for."""
+class ModelAdvice:
+    """Advice that serves one call at a time.
+
+    Attributes:
+        policy: how long a call takes.
+        allowed: workers that it allows; None for all.
+    """
+
+    def __init__(self) -> None:
+        """Allow all workers."""
+        self.policy = AdvicePolicy(450, 6.5, 2000)
+        self.allowed: set[str] | None = None
+        self.turn = asyncio.Lock()
 
     async def advise(
         self, relay: str, step: str, workers: Sequence[str], wait_s: float
     ) -> dict[str, str]:
-        """Allow every worker."""
-        return dict.fromkeys(workers, 'ticket')
+        """Allow the workers that may run any step."""
+        async with self.turn:
+            await asyncio.sleep(
+                (self.policy.decide_ms + self.policy.worker_ms * len(workers)) / MS_PER_S
+            )
+        return {
+            worker: 'ticket'
+            for worker in workers
+            if self.allowed is None or worker in self.allowed
+        }
 
 
 class ModelLeaderCalls:
@@ -86,7 +114,7 @@
             workers_log=LogClient(self.cell.workers_log, self.cell.rng),
             decode_worker=decode_worker,
             calls=self.calls,
-            advice=NoAdvice(),
+            advice=self.cell.advice,
             metrics=Metrics(),
             is_indirect=bool,
             leader_calls=ModelLeaderCalls(self.cell),
@@ -112,6 +140,7 @@
         self.loop = loop
         self.rng = random.Random(seed)
         self.judge = Judge()
+        self.advice = ModelAdvice()
         self.log = MemoryLog()
         self.workers_log = MemoryLog()
         self.durations: dict[TaskRef, float] = {}
@@ -145,7 +174,7 @@
                 self.list_workers()
 
     async def submit(
-        self, entry: ModelEntry, name: str, steps: Sequence[Step], **policy_fields: int
+        self, entry: ModelEntry, name: str, steps: Sequence[Step], **policy_fields: Any
     ) -> Answer:
         """Hand a submission in."""
         submission = Submission(
--- /dev/null
+++ b/tests/cell/test_idle_reasons.py
@@ -0,0 +1,58 @@
+"""What the metrics say of submissions that wait."""
+
+import asyncio
+
+import pytest
+
+from marigoldlift.submissions.model import AdvicePolicy, Step
+from marigoldlift.telemetry.metric_table import Metric
+from tests.cell.model import ModelCell
+
+LEAD_S = 1.5
+WAIT_S = 2.0
+TOO_LARGE = (Step(count=1, cpu_m=9000),)
+SMALL = (Step(count=1, cpu_m=500),)
+
+
+def no_worker_allowed(cell: ModelCell) -> dict[str, AdvicePolicy]:
+    """Let the advice deny all workers."""
+    cell.advice.allowed = set()
+    cell.advice.policy = AdvicePolicy(10, 0, 2000)
+    return {'advice': cell.advice.policy}
+
+
+def slow_advice(cell: ModelCell) -> dict[str, AdvicePolicy]:
+    """Let the advice take longer than the test waits."""
+    cell.advice.policy = AdvicePolicy(10_000, 0, 2000)
+    return {'advice': cell.advice.policy}
+
+
+def no_advice(cell: ModelCell) -> dict[str, AdvicePolicy]:
+    """Use a queue without advice."""
+    return {}
+
+
+@pytest.mark.parametrize(
+    ('prepare', 'steps', 'reason'),
+    [
+        (no_advice, TOO_LARGE, 'room'),
+        (no_worker_allowed, SMALL, 'advice_denied'),
+        (slow_advice, SMALL, 'advice_call'),
+    ],
+)
+def test_idle_time_names_what_held_the_step_back(play, prepare, steps, reason):
+    """Guards against submissions that stand still without a metric or log line that says why."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        await cell.submit(cell.entries[0], 'job', steps, **prepare(cell))
+        await asyncio.sleep(WAIT_S)
+        leader = cell.leader()
+        await cell.entries[1].node.acceptance.cancel('job', 3.0)
+        await cell.settle(['job'], 10)
+        await asyncio.sleep(0.5)
+        idle = leader.node.parts.metrics.latencies[Metric.step_idle]
+        assert list(idle) == [(reason,)]
+        assert WAIT_S / 2 < next(iter(idle.values())).total_s < 2 * WAIT_S
+
+    play(story)
