--- /dev/null
+++ b/tests/cell/idle.py
@@ -0,0 +1,60 @@
+"""How long submissions with a step whose turn has come run nowhere."""
+
+import asyncio
+
+from marigoldlift.submissions.model import Submission, TaskRef
+from standins.cell.judge import Judge
+from tests.cell.model import ModelCell
+
+__all__ = ('IdleWatch',)
+
+TICK_S = 0.02
+
+
+class IdleWatch:
+    """Samples what the workers run.
+
+    Attributes:
+        longest_s: longest idle time by submission, in s.
+    """
+
+    def __init__(self, cell: ModelCell) -> None:
+        """Watch a cell until its loop ends."""
+        self.cell = cell
+        self.since: dict[str, float] = {}
+        self.longest_s: dict[str, float] = {}
+        self.task = cell.loop.create_task(self.run())
+
+    async def run(self) -> None:
+        """Sample until cancelled."""
+        while True:
+            now = self.cell.loop.time()
+            for name, submission in self.cell.judge.submissions.items():
+                if not is_idle(self.cell.judge, submission) or not self.cell.is_open(name):
+                    self.since.pop(name, None)
+                    continue
+                idle_s = now - self.since.setdefault(name, now)
+                self.longest_s[name] = max(idle_s, self.longest_s.get(name, 0))
+            await asyncio.sleep(TICK_S)
+
+
+def is_idle(judge: Judge, submission: Submission) -> bool:
+    """Tell whether no task of a submission runs, though some could."""
+    running = {task.submission for task, holders in judge.running.items() if holders}
+    return submission.id not in running and bool(waiting_tasks(judge, submission))
+
+
+def waiting_tasks(judge: Judge, submission: Submission) -> list[TaskRef]:
+    """Return the tasks that have not ended as done and whose earlier steps have."""
+    done = judge.ended_done
+    tasks = {
+        number: [TaskRef(submission.id, 0, number, index) for index in range(step.count)]
+        for number, step in enumerate(submission.steps)
+    }
+    return [
+        task
+        for number, step in enumerate(submission.steps)
+        for task in tasks[number]
+        if task not in done
+        and all(earlier in done for before in step.after for earlier in tasks[before])
+    ]
--- /dev/null
+++ b/tests/cell/test_idle.py
@@ -0,0 +1,90 @@
+"""Submissions that could run and don't."""
+
+import asyncio
+
+from marigoldlift.submissions.model import AdvicePolicy, Step, TaskRef
+from tests.cell.idle import IdleWatch
+from tests.cell.model import ModelCell
+
+LEAD_S = 1.5
+
+#: Time without a run after which the platform's rules count a submission as lost while there is room, in s.
+LOST_AFTER_S = 3.0
+
+#: Advice for long steps at the size to design for: 0.6 s a call, tickets valid for 2 s.
+SLOW_ADVICE = AdvicePolicy(450, 6.5, 2000)
+
+ATTEMPTS = 3
+
+
+def take(cell: ModelCell, duration_s: float) -> None:
+    """Let all tasks take the same time."""
+
+    def duration_of(task: TaskRef) -> float:  # noqa: WPS430 the state is one number
+        return duration_s
+
+    for entry in cell.entries:
+        entry.calls.duration_of = duration_of
+
+
+async def wait_for_failures(cell: ModelCell, count: int) -> None:
+    """Let all workers fail what they run until some runs have failed."""
+    for worker in cell.workers.values():
+        worker.fails = True
+    while sum(cell.judge.failed.values()) < count:
+        await asyncio.sleep(0.02)
+    for healed in cell.workers.values():
+        healed.fails = False
+
+
+def test_submission_starts_though_all_workers_have_failed_others(play):
+    """Guards against a submission that waits with all workers free, since each has failed two tasks in a row."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        take(cell, 0.2)
+        watch = IdleWatch(cell)
+        wide = (Step(count=4, cpu_m=4000),)
+        await cell.submit(cell.entries[0], 'failing', wide, max_attempts=ATTEMPTS)
+        await wait_for_failures(cell, 4)
+        await cell.submit(cell.entries[1], 'sound', (Step(count=1, cpu_m=500),))
+        await cell.settle(['failing', 'sound'], 20)
+        assert max(watch.longest_s.values()) < LOST_AFTER_S, watch.longest_s
+
+    play(story, workers=2)
+
+
+def test_failed_task_starts_again_on_the_only_worker_it_may_use(play):
+    """Guards against a task that waits for its only worker to rest, then for a ticket."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        take(cell, 0.2)
+        watch = IdleWatch(cell)
+        cell.advice.allowed = {'w0'}
+        single = (Step(count=1, cpu_m=500),)
+        await cell.submit(
+            cell.entries[0], 'job', single, max_attempts=ATTEMPTS, advice=SLOW_ADVICE
+        )
+        await wait_for_failures(cell, ATTEMPTS - 1)
+        await cell.settle(['job'], 20)
+        assert watch.longest_s['job'] < LOST_AFTER_S
+
+    play(story)
+
+
+def test_failed_gang_starts_again_on_the_only_workers_it_may_use(play):
+    """Guards against a gang that waits for workers on which it failed, with those workers free."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        take(cell, 0.3)
+        watch = IdleWatch(cell)
+        cell.advice.allowed = {'w0', 'w1'}
+        gang = (Step(count=2, cpu_m=6000, gang=True),)
+        await cell.submit(cell.entries[0], 'gang', gang, max_attempts=ATTEMPTS, advice=SLOW_ADVICE)
+        await wait_for_failures(cell, 2 * (ATTEMPTS - 1))
+        await cell.settle(['gang'], 30)
+        assert watch.longest_s['gang'] < LOST_AFTER_S
+
+    play(story)
