Let a step that stands still with room take any worker after 1 s

What callers saw: submissions that could run and didn't, beside free workers; 3 s of that count as lost.

Cause: preferences without a common bound. A failed task waited 2.5 s for another worker than the one on which it failed, a worker rested 4 s after two failures in a row (also those of work that always fails), less urgent work kept away from reserved workers and from the last 6% of the workers that answer, and a pass ended after 40 steps without room. Each has its reason while the service is busy; nothing bounded their sum, and the ticket was asked for only after them.

Now a step that has had room and a half free service for 1 s without anything running is overdue: it takes resting and shunned workers, passes over reservations and asks the advice like urgent work. While the service is busy, nothing changes. Workers that a step shuns no longer count as room when it decides whom to ask for.

--- a/marigoldlift/scheduling/pending.py
+++ b/marigoldlift/scheduling/pending.py
@@ -18,8 +18,9 @@
 #: Share of a service's processors that is in use below which a step with room should not wait.
 BUSY_SHARE = 0.5
 
-#: Room that counts as enough, as a multiple of what the waiting tasks need.
-ROOM_FACTOR = 2
+#: How long workers that are better than others, or kept for other work, are preferred to starting at once, in s. The
+#: platform's rules count a submission as lost after 3 s; a call to the advice takes up to 1 s and may fail once.
+PREFERENCE_S = 1.0
 
 Workers = Callable[[str], Sequence[WorkerSession]]
 
@@ -101,8 +102,15 @@
             span.note(self.reasons.get(step, PendingReason.not_planned), elapsed_s)
             span.note_room(now, roomy=self.has_room(step, open_services))
 
+    def is_overdue(self, step: StepRun) -> bool:
+        """Tell whether a step has stood still with room for so long that it takes any worker."""
+        span = self.spans.get(step)
+        if span is None or span.roomy_since is None:
+            return False
+        return self.clock() - span.roomy_since >= PREFERENCE_S
+
     def has_room(self, step: StepRun, open_services: dict[str, bool]) -> bool:
-        """Tell whether less than half of the service is in use and the step fits in twice."""
+        """Tell whether less than half of the service is in use and the step fits."""
         service = step.job.submission.policy.service
         if service not in open_services:
             open_services[service] = is_half_free(self.workers(service))
@@ -113,7 +121,7 @@
             for session in self.workers(service)
             if step.may_use(session.worker)
         )
-        return rooms >= ROOM_FACTOR * len(step.todo)
+        return rooms >= len(step.todo)
 
     def report(self, step: StepRun, span: IdleSpan, now: float) -> None:
         """Count an idle time that has ended, and log a long one."""
--- a/marigoldlift/scheduling/placement.py
+++ b/marigoldlift/scheduling/placement.py
@@ -55,11 +55,18 @@
         return (suspect, bool(rack) and rack not in session.worker.labels, session.room.cpu_m)
 
     def place_one(
-        self, step_run: StepRun, index: int, sessions: Sequence[WorkerSession]
+        self, step_run: StepRun, index: int, sessions: Sequence[WorkerSession], *, overdue: bool
     ) -> WorkerSession | None:
-        """Return the worker for one task, None when none has room."""
+        """Return the worker for one task, None when none has room.
+
+        Args:
+            step_run: step of the task.
+            index: which task of the step.
+            sessions: workers to choose from.
+            overdue: whether a worker on which the task has failed a moment ago is better than none.
+        """
         failed_on = step_run.avoid.get(index, {})
-        shunned = self.shunned(failed_on)
+        shunned = set() if overdue else self.shunned(failed_on)
         fitting = [
             session
             for session in sessions
@@ -80,11 +87,24 @@
             return set()
         return set(failed_on)
 
+    def shunned_by_step(self, step_run: StepRun) -> set[str]:
+        """Return the workers that a step does not take for now: all that a gang's members shun, else what all tasks do."""
+        shunned = [self.shunned(step_run.avoid.get(index, {})) for index in step_run.todo]
+        if not shunned:
+            return set()
+        return set.union(*shunned) if step_run.step.gang else set.intersection(*shunned)
+
     def place_gang(
-        self, step_run: StepRun, sessions: Sequence[WorkerSession]
+        self, step_run: StepRun, sessions: Sequence[WorkerSession], *, overdue: bool
     ) -> list[WorkerSession] | None:
-        """Return a worker for each task of a gang, None when they don't all fit at once."""
-        shunned = set().union(*map(self.shunned, step_run.avoid.values()))
+        """Return a worker for each task of a gang, None when they don't all fit at once.
+
+        Args:
+            step_run: step of the gang.
+            sessions: workers to choose from.
+            overdue: whether workers on which the gang has failed a moment ago are better than none.
+        """
+        shunned = set() if overdue else self.shunned_by_step(step_run)
         usable = [session for session in sessions if session.worker.id not in shunned]
         groups = self.racks(usable) if step_run.step.same_rack else []
         for group in (*groups, *self.failure_domains(usable), usable):
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -20,7 +20,7 @@
 
 MS_PER_S = 1000
 
-#: Steps that find no room after which a pass ends; those behind are served in later passes.
+#: Steps that find no room after which a pass places only what is overdue; those behind are served in later passes.
 MISSES = 40
 
 #: Share of a service's processors that only work of the highest priority may take.
@@ -61,7 +61,7 @@
         self.clock = clock
         self.gang_limit_s = gang_wait_s * GANG_START_SHARE
         self.waiting: dict[StepRun, None] = {}
-        self.pools: dict[str, Pool] = {}
+        self.pools: dict[tuple[str, bool], Pool] = {}
         self.reserved: set[str] = set()
         self.misses = 0
         self.waits = WaitReport(placer, clock)
@@ -84,11 +84,10 @@
         ready = [step for step in self.waiting if self.may_start(step, wall_ms)]
         ready.sort(key=lambda step: step.job.rank(now))
         for candidate in ready:
-            self.place(candidate)
-            if self.misses >= MISSES:
-                break
+            if self.misses < MISSES or self.pending.is_overdue(candidate):
+                self.place(candidate)
         if self.waits.is_due():
-            self.waits.report(self.waiting, self.pool)
+            self.waits.report(ready, self.pool)
 
     def sample_idle(self) -> None:
         """Take in which steps are idle, with the reason from the last pass."""
@@ -109,28 +108,34 @@
             return False
         return True
 
-    def pool(self, service: str) -> Pool:
-        """Return the workers of a service that may get new work in this pass."""
-        known = self.pools.get(service)
+    def pool(self, service: str, *, resting: bool = False) -> Pool:
+        """Return the workers of a service that may get new work in this pass.
+
+        Args:
+            service: name of the service.
+            resting: whether workers count that have failed lately.
+        """
+        known = self.pools.get((service, resting))
         if known is None:
-            known = Pool(self.roster.usable(service))
-            self.pools[service] = known
+            known = Pool(self.roster.usable(service, resting=resting))
+            self.pools[service, resting] = known
         return known
 
     def place(self, step: StepRun) -> None:
         """Start what can be started of a step, and ask for tickets for the rest."""
-        pool = self.pool(step.job.submission.policy.service)
-        if self.yields_to_urgent(step, pool):
+        overdue = self.pending.is_overdue(step)
+        service = step.job.submission.policy.service
+        pool = self.pool(service, resting=overdue)
+        if not overdue and self.yields_to_urgent(step, pool):
             self.misses += 1
             self.pending.reasons[step] = PendingReason.headroom
             return
         holders = self.tickets.allowed(step, pool)
-        allowed = self.unreserved(step, holders)
+        allowed = holders if overdue or step.job.is_urgent else self.unreserved(holders)
         waiting = len(step.todo)
-        placed = (
-            self.place_gang(step, allowed) if step.step.gang else self.place_tasks(step, allowed)
-        )
-        pool.take(step.step, waiting - len(step.todo))
+        place = self.place_gang if step.step.gang else self.place_tasks
+        placed = place(step, allowed, overdue=overdue)
+        self.count(service, step, waiting - len(step.todo))
         if placed:
             logger.info(
                 'step placed: step={} run={} active={} todo={} age_s={:.2f}',
@@ -142,13 +147,17 @@
             )
         if step.todo and step.gang_since is None:
             self.misses += int(bool(allowed) and not placed)
-            self.tickets.ask_if_needed(step, pool)
+            self.tickets.ask_if_needed(step, pool, overdue=overdue)
             self.pending.reasons[step] = self.pending_reason(step, holders, allowed)
 
-    def unreserved(self, step: StepRun, holders: list[WorkerSession]) -> list[WorkerSession]:
+    def count(self, service: str, step: StepRun, tasks: int) -> None:
+        """Count what was placed, in all pools of the service."""
+        for (owner, _), pool in self.pools.items():
+            if owner == service:
+                pool.take(step.step, tasks)
+
+    def unreserved(self, holders: list[WorkerSession]) -> list[WorkerSession]:
         """Return the workers that are not kept for a gang that waits."""
-        if step.job.is_urgent:
-            return holders
         return [session for session in holders if session.worker.id not in self.reserved]
 
     def pending_reason(
@@ -165,11 +174,11 @@
             return False
         return pool.free_cpu_m - step.step.cpu_m < pool.cpu_m * URGENT_SHARE
 
-    def place_tasks(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
+    def place_tasks(self, step: StepRun, allowed: list[WorkerSession], *, overdue: bool) -> bool:
         """Start single tasks while they fit."""
         placed = False
         for index in step.startable(self.roster.dark):
-            session = self.placer.place_one(step, index, allowed)
+            session = self.placer.place_one(step, index, allowed, overdue=overdue)
             if session is None and not step.avoid.get(index):
                 return placed
             if session is not None:
@@ -177,13 +186,13 @@
                 placed = True
         return placed
 
-    def place_gang(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
+    def place_gang(self, step: StepRun, allowed: list[WorkerSession], *, overdue: bool) -> bool:
         """Start a whole gang, or the members that are missing in one that has just started."""
         if step.gang_since is not None:
-            return self.complete_gang(step, allowed)
+            return self.complete_gang(step, allowed, overdue=overdue)
         if step.active or len(step.todo) < step.step.count:
             return False
-        places = self.placer.place_gang(step, allowed)
+        places = self.placer.place_gang(step, allowed, overdue=overdue)
         if places is None:
             self.reserve(step)
             return False
@@ -193,14 +202,14 @@
             self.starter.start(step, index, session, run)
         return True
 
-    def complete_gang(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
+    def complete_gang(self, step: StepRun, allowed: list[WorkerSession], *, overdue: bool) -> bool:
         """Start missing members under the gang's run while the others still wait for them."""
         began = step.gang_since or 0
         if step.gang_broken or self.clock() - began > self.gang_limit_s:
             step.gang_broken = True
             self.starter.stop_step(step)
             return False
-        return self.place_tasks(step, allowed)
+        return self.place_tasks(step, allowed, overdue=overdue)
 
     def reserve(self, step: StepRun) -> None:
         """Keep less urgent work off the workers that the first waiting gang may use, valid ticket or not."""
--- a/marigoldlift/scheduling/roster.py
+++ b/marigoldlift/scheduling/roster.py
@@ -170,23 +170,30 @@
             and name in self.registry.workers
         ]
 
-    def usable(self, service: str) -> list[WorkerSession]:
-        """Return the sessions that may get new work of a service."""
+    def usable(self, service: str, *, resting: bool) -> list[WorkerSession]:
+        """Return the sessions that may get new work of a service.
+
+        Args:
+            service: name of the service.
+            resting: whether workers count that have failed lately.
+        """
         now = self.clock()
         return [
             session
             for session in self.sessions.values()
-            if session.worker.service == service and self.is_usable(session, now)
+            if session.worker.service == service
+            and self.is_usable(session, now)
+            and (resting or not self.quality(session.worker.id).is_quarantined(now))
         ]
 
     def is_usable(self, session: WorkerSession, now: float) -> bool:
-        """Tell whether a worker may get new work: listed as ready, recorded, answering and sound."""
+        """Tell whether a worker may get new work: listed as ready, recorded and answering."""
         name = session.worker.id
         if not session.worker.ready or name not in self.registry.workers:
             return False
         if name not in self.recorded or not session.answers():
             return False
-        return now >= session.full_until and not self.quality(name).is_quarantined(now)
+        return now >= session.full_until
 
     def all_synced(self) -> bool:
         """Tell whether every worker has answered under this tenure's tokens."""
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -1,7 +1,7 @@
 """Which workers may run a step, where the queue's policy asks the placement advice."""
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 
 from loguru import logger
 
@@ -72,13 +72,20 @@
             if worker in pool.sessions and step.holds_ticket(worker, now)
         ]
 
-    def ask_if_needed(self, step: StepRun, pool: Pool) -> None:
-        """Ask for more tickets when those at hand cannot place the step."""
+    def ask_if_needed(self, step: StepRun, pool: Pool, *, overdue: bool) -> None:
+        """Ask for more tickets when those at hand cannot place the step.
+
+        Args:
+            step: what waits.
+            pool: workers that it may get.
+            overdue: whether it has waited for so long that it goes before others.
+        """
         if step.job.submission.policy.advice is None or self.clock() < step.ask_after:
             return
-        if not self.broker.has_turn(urgent=step.job.is_urgent):
+        if not self.broker.has_turn(urgent=overdue or step.job.is_urgent):
             return
-        named = self.question(step, list(pool.fitting(step.step)))
+        shunned = set() if overdue else self.placer.shunned_by_step(step)
+        named = self.question(step, list(pool.fitting(step.step)), shunned)
         if named:
             step.ask_after = math.inf
             cost_s = self.broker.cost_s(step.job.submission.policy.advice, len(named))
@@ -95,12 +102,25 @@
             return PendingReason.advice_queue
         return PendingReason.advice_denied
 
-    def question(self, step: StepRun, usable: Sequence[WorkerSession]) -> list[str]:
-        """Return the workers to ask for."""
+    def question(
+        self, step: StepRun, usable: Sequence[WorkerSession], shunned: Container[str]
+    ) -> list[str]:
+        """Return the workers to ask for.
+
+        Args:
+            step: what waits.
+            usable: workers that it may get.
+            shunned: those of them that it does not take for now.
+        """
         roomy = [session for session in usable if self.placer.room(session, step)]
         known = [session for session in roomy if step.tickets.get(session.worker.id)]
         needed = step.step.count if step.step.gang else 1
-        if sum(self.placer.room(session, step) for session in known) >= needed:
+        rooms = sum(
+            self.placer.room(session, step)
+            for session in known
+            if session.worker.id not in shunned
+        )
+        if rooms >= needed:
             return self.expired(step, known)
         unknown = [session for session in roomy if session.worker.id not in step.tickets]
         unknown.sort(key=lambda session: -room_for(session, step.step))
