Renew the tickets of a gang only when it has room, or room is kept for it

Cause: tickets are valid for 2 s. A gang that knew all its workers and had too little room among them asked for its tickets again each 1.3 s, 0.5 s of the advice each time, to hold them when room came; every waiting gang did, so that the entries' turns at the advice were taken by questions whose answer nobody could use. Which workers a step may use does not change, so room can be judged without a valid ticket.

Now only the first waiting gang, for which room is kept, renews its tickets ahead; the others do once they fit.

--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -63,6 +63,7 @@
         self.waiting: dict[StepRun, None] = {}
         self.pools: dict[tuple[str, bool], Pool] = {}
         self.reserved: set[str] = set()
+        self.reserving: StepRun | None = None
         self.misses = 0
         self.waits = WaitReport(placer, clock)
         self.pending = PendingSteps(placer, roster.listed, clock, metrics)
@@ -78,6 +79,7 @@
         wall_ms = time.time() * MS_PER_S
         self.pools = {}
         self.reserved = set()
+        self.reserving = None
         self.misses = 0
         self.drop_finished()
         self.pending.reasons.clear()
@@ -147,7 +149,9 @@
             )
         if step.todo and step.gang_since is None:
             self.misses += int(bool(allowed) and not placed)
-            self.tickets.ask_if_needed(step, pool, overdue=overdue)
+            self.tickets.ask_if_needed(
+                step, pool, overdue=overdue, reserves=step is self.reserving
+            )
             self.pending.reasons[step] = self.pending_reason(step, holders, allowed)
 
     def count(self, service: str, step: StepRun, tasks: int) -> None:
@@ -214,4 +218,5 @@
     def reserve(self, step: StepRun) -> None:
         """Keep less urgent work off the workers that the first waiting gang may use, valid ticket or not."""
         if not self.reserved:
+            self.reserving = step
             self.reserved = {worker for worker, ticket in step.tickets.items() if ticket}
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -72,20 +72,21 @@
             if worker in pool.sessions and step.holds_ticket(worker, now)
         ]
 
-    def ask_if_needed(self, step: StepRun, pool: Pool, *, overdue: bool) -> None:
+    def ask_if_needed(self, step: StepRun, pool: Pool, *, overdue: bool, reserves: bool) -> None:
         """Ask for more tickets when those at hand cannot place the step.
 
         Args:
             step: what waits.
             pool: workers that it may get.
             overdue: whether it has waited for so long that it goes before others.
+            reserves: whether room is kept for it, so that it needs its tickets as soon as there is enough.
         """
         if step.job.submission.policy.advice is None or self.clock() < step.ask_after:
             return
         if not self.broker.has_turn(urgent=overdue or step.job.is_urgent):
             return
         shunned = set() if overdue else self.placer.shunned_by_step(step)
-        named = self.question(step, list(pool.fitting(step.step)), shunned)
+        named = self.question(step, list(pool.fitting(step.step)), shunned, reserves=reserves)
         if named:
             step.ask_after = math.inf
             cost_s = self.broker.cost_s(step.job.submission.policy.advice, len(named))
@@ -103,7 +104,12 @@
         return PendingReason.advice_denied
 
     def question(
-        self, step: StepRun, usable: Sequence[WorkerSession], shunned: Container[str]
+        self,
+        step: StepRun,
+        usable: Sequence[WorkerSession],
+        shunned: Container[str],
+        *,
+        reserves: bool,
     ) -> list[str]:
         """Return the workers to ask for.
 
@@ -111,6 +117,7 @@
             step: what waits.
             usable: workers that it may get.
             shunned: those of them that it does not take for now.
+            reserves: whether tickets are renewed before there is room.
         """
         roomy = [session for session in usable if self.placer.room(session, step)]
         known = [session for session in roomy if step.tickets.get(session.worker.id)]
@@ -120,13 +127,12 @@
             for session in known
             if session.worker.id not in shunned
         )
-        if rooms >= needed:
-            return self.expired(step, known)
         unknown = [session for session in roomy if session.worker.id not in step.tickets]
+        if rooms >= needed or (reserves and not unknown):
+            return self.expired(step, known)
         unknown.sort(key=lambda session: -room_for(session, step.step))
-        return [
-            session.worker.id for session in unknown[: self.width(step, unknown)]
-        ] + self.expired(step, known)
+        named = [session.worker.id for session in unknown[: self.width(step, unknown)]]
+        return named + self.expired(step, known) if named else []
 
     def expired(self, step: StepRun, known: Sequence[WorkerSession]) -> list[str]:
         """Return workers whose tickets will be invalid when the answer comes, enough for the waiting tasks."""
--- a/tests/cell/idle.py
+++ b/tests/cell/idle.py
@@ -6,11 +6,21 @@
 from standins.cell.judge import Judge
 from tests.cell.model import ModelCell
 
-__all__ = ('IdleWatch',)
+__all__ = ('IdleWatch', 'take')
 
 TICK_S = 0.02
 
 
+def take(cell: ModelCell, duration_s: float) -> None:
+    """Let all tasks take the same time."""
+
+    def duration_of(task: TaskRef) -> float:  # noqa: WPS430 the state is one number
+        return duration_s
+
+    for entry in cell.entries:
+        entry.calls.duration_of = duration_of
+
+
 class IdleWatch:
     """Samples what the workers run.
 
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Sequence
 from typing import Any
 
@@ -52,18 +53,21 @@
     Attributes:
         policy: how long a call takes.
         allowed: workers that it allows; None for all.
+        asked: number of calls by step.
     """
 
     def __init__(self) -> None:
         """Allow all workers."""
         self.policy = AdvicePolicy(450, 6.5, 2000)
         self.allowed: set[str] | None = None
+        self.asked: Counter[str] = Counter()
         self.turn = asyncio.Lock()
 
     async def advise(
         self, relay: str, step: str, workers: Sequence[str], wait_s: float
     ) -> dict[str, str]:
         """Allow the workers that may run any step."""
+        self.asked[step] += 1
         async with self.turn:
             await asyncio.sleep(
                 (self.policy.decide_ms + self.policy.worker_ms * len(workers)) / MS_PER_S
--- a/tests/cell/test_idle.py
+++ b/tests/cell/test_idle.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from marigoldlift.submissions.model import AdvicePolicy, Step, TaskRef
-from tests.cell.idle import IdleWatch
+from marigoldlift.submissions.model import AdvicePolicy, Step
+from tests.cell.idle import IdleWatch, take
 from tests.cell.model import ModelCell
 
 LEAD_S = 1.5
@@ -17,16 +17,6 @@
 ATTEMPTS = 3
 
 
-def take(cell: ModelCell, duration_s: float) -> None:
-    """Let all tasks take the same time."""
-
-    def duration_of(task: TaskRef) -> float:  # noqa: WPS430 the state is one number
-        return duration_s
-
-    for entry in cell.entries:
-        entry.calls.duration_of = duration_of
-
-
 async def wait_for_failures(cell: ModelCell, count: int) -> None:
     """Let all workers fail what they run until some runs have failed."""
     for worker in cell.workers.values():
--- /dev/null
+++ b/tests/cell/test_questions.py
@@ -0,0 +1,33 @@
+"""Which questions go to the placement advice."""
+
+import asyncio
+
+from marigoldlift.submissions.model import AdvicePolicy, Step
+from tests.cell.idle import take
+
+LEAD_S = 1.5
+LONG_S = 8.0
+SLOW_ADVICE = AdvicePolicy(450, 6.5, 2000)
+FILLER = (Step(count=1, cpu_m=6000),)
+GANG = (Step(count=2, cpu_m=6000, gang=True),)
+GANGS = [f'gang{number}' for number in range(4)]
+
+
+def test_gangs_without_room_do_not_renew_their_tickets(play):
+    """Guards against an advice that is busy with tickets nobody can use, while steps that fit wait for theirs."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        take(cell, LONG_S)
+        cell.advice.allowed = {'w0'}
+        await cell.submit(cell.entries[0], 'filler', FILLER, advice=SLOW_ADVICE)
+        await asyncio.sleep(1)
+        cell.advice.allowed = {'w0', 'w1'}
+        for name in GANGS:
+            await cell.submit(cell.entries[0], name, GANG, advice=SLOW_ADVICE)
+        await asyncio.sleep(LONG_S - 2)
+        asked = sorted(cell.advice.asked[f'{gang}.0.0'] for gang in GANGS)
+        assert set(asked[:-1]) == {1}
+        assert asked[-1] > 1
+
+    play(story)
