Make the second try of a call to the advice at the own entry

Cause: after a failed call the next turn was taken at the entry that was free first, again another one as a rule. The leader's own entry needs nobody to pass the call on.

Evidence: scheduling/tests/test_advice.py, no answer with all other entries cut off before, an answer at the second try after.

--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -10,7 +10,7 @@
 from marigoldlift.errors import PlatformError
 from marigoldlift.submissions.model import AdvicePolicy
 
-__all__ = ('AdviceBroker', 'AdviceRelay', 'Booking')
+__all__ = ('ANSWER_MARGIN_S', 'AdviceBroker', 'AdviceRelay', 'Booking')
 
 MS_PER_S = 1000
 
@@ -147,6 +147,12 @@
         relay = min(self.usable(), key=lambda candidate: max(candidate.busy_until, now))
         return Booking(relay, relay.take(cost_s, now))
 
+    def book_again(self, failed: Relay, cost_s: float) -> Booking:
+        """Take a turn after a failed call: at this entry, which no other entry has to pass the call on for."""
+        if failed is self.own:
+            return self.book(cost_s)
+        return Booking(self.own, self.own.take(cost_s, self.clock()))
+
     async def ask(
         self, booking: Booking, cost_s: float, step: str, workers: Sequence[str]
     ) -> dict[str, str] | None:
@@ -167,7 +173,7 @@
                 )
                 booking.relay.fail(self.clock())
                 if tries_left:
-                    booking = self.book(cost_s)
+                    booking = self.book_again(booking.relay, cost_s)
             else:
                 booking.relay.succeed()
                 return allowed
--- a/marigoldlift/scheduling/tests/test_advice.py
+++ b/marigoldlift/scheduling/tests/test_advice.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marigoldlift.errors import PlatformError
-from marigoldlift.scheduling.advice import AdviceBroker
+from marigoldlift.scheduling.advice import ANSWER_MARGIN_S, AdviceBroker
 from marigoldlift.submissions.model import AdvicePolicy
 
 pytestmark = pytest.mark.looptime
@@ -121,3 +121,16 @@
     advice.made.clear()
     await ask(broker)
     assert advice.made[-1] == OWN
+
+
+async def test_second_try_takes_the_own_way(advice):
+    """Guards against steps that wait 1 s for each entry in turn that does not answer, with their workers free."""
+    broker = await build(advice)
+    advice.cut.update(RELAYS)
+    cost_s = broker.cost_s(LONG, len(WORKERS))
+    first_try_s = cost_s + ANSWER_MARGIN_S
+    broker.own.take(first_try_s + LATE_S, asyncio.get_running_loop().time())
+    waited = await ask(broker, 'long')
+    assert len(advice.made) == 2
+    assert advice.made[-1] == OWN
+    assert waited < 2 * first_try_s + LATE_S
