Count calls to the advice that fail by one fault as one failure

At its takeover the leader had booked up to eight calls each at entries that were just starting again; all eight failed within a few ms, and each counted as a failure in a row, so these entries were left alone for 8 s instead of 2 s and the leader's own entry, which the advice serves one call at a time, asked for the whole cell.

Now a call that was booked before the last fault was noticed has failed by that fault.

--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -10,7 +10,7 @@
 from marigoldlift.errors import PlatformError
 from marigoldlift.submissions.model import AdvicePolicy
 
-__all__ = ('ANSWER_MARGIN_S', 'AdviceBroker', 'AdviceRelay', 'Booking')
+__all__ = ('ANSWER_MARGIN_S', 'FIRST_PAUSE_S', 'AdviceBroker', 'AdviceRelay', 'Booking')
 
 MS_PER_S = 1000
 
@@ -59,10 +59,11 @@
         known_at: when it was last known to be alive, in seconds of the steady clock.
         busy_until: when all calls that it was given are answered.
         paused_until: no call before that time, since one has failed.
-        failures: calls that failed in a row.
+        failures: faults in a row.
+        failed_at: when the last fault was noticed.
     """
 
-    __slots__ = ('address', 'busy_until', 'failures', 'known_at', 'paused_until')
+    __slots__ = ('address', 'busy_until', 'failed_at', 'failures', 'known_at', 'paused_until')
 
     def __init__(self, address: str, known_at: float) -> None:
         """Start without calls."""
@@ -71,6 +72,7 @@
         self.busy_until: float = 0
         self.paused_until: float = 0
         self.failures = 0
+        self.failed_at = float('-inf')
 
     def take(self, cost_s: float, now: float) -> float:
         """Add a call and return when it is answered; an entry that has failed gets a single one to try."""
@@ -84,8 +86,16 @@
         self.failures = 0
         self.paused_until = 0
 
-    def fail(self, now: float) -> None:
-        """Leave it alone for a while, longer after each failure in a row."""
+    def fail(self, booked_at: float, now: float) -> None:
+        """Leave it alone for a while, longer after each fault in a row.
+
+        Args:
+            booked_at: when the call that failed was booked; one from before the last fault has failed by that fault.
+            now: time of the steady clock in seconds.
+        """
+        if booked_at <= self.failed_at:
+            return
+        self.failed_at = now
         pause = min(FIRST_PAUSE_S * 2**self.failures, LONGEST_PAUSE_S)
         self.failures += 1
         self.paused_until = now + pause
@@ -93,9 +103,10 @@
 
 
 class Booking(msgspec.Struct, frozen=True):
-    """A call's turn at one entry: when it is answered, in seconds of the steady clock."""
+    """A call's turn at one entry: when it was booked and when it is answered, in seconds of the steady clock."""
 
     relay: Relay
+    booked_at: float
     answer_at: float
 
 
@@ -145,13 +156,14 @@
         """Take the next turn at the entry that is free first."""
         now = self.clock()
         relay = min(self.usable(), key=lambda candidate: max(candidate.busy_until, now))
-        return Booking(relay, relay.take(cost_s, now))
+        return Booking(relay, now, relay.take(cost_s, now))
 
     def book_again(self, failed: Relay, cost_s: float) -> Booking:
         """Take a turn after a failed call: at this entry, which no other entry has to pass the call on for."""
         if failed is self.own:
             return self.book(cost_s)
-        return Booking(self.own, self.own.take(cost_s, self.clock()))
+        now = self.clock()
+        return Booking(self.own, now, self.own.take(cost_s, now))
 
     async def ask(
         self, booking: Booking, cost_s: float, step: str, workers: Sequence[str]
@@ -171,7 +183,7 @@
                 logger.info(
                     'advice not given: step={} relay={} {}', step, booking.relay.address, fault
                 )
-                booking.relay.fail(self.clock())
+                booking.relay.fail(booking.booked_at, self.clock())
                 if tries_left:
                     booking = self.book_again(booking.relay, cost_s)
             else:
--- a/marigoldlift/scheduling/tests/test_advice.py
+++ b/marigoldlift/scheduling/tests/test_advice.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marigoldlift.errors import PlatformError
-from marigoldlift.scheduling.advice import ANSWER_MARGIN_S, AdviceBroker
+from marigoldlift.scheduling.advice import ANSWER_MARGIN_S, FIRST_PAUSE_S, AdviceBroker
 from marigoldlift.submissions.model import AdvicePolicy
 
 pytestmark = pytest.mark.looptime
@@ -134,3 +134,13 @@
     assert len(advice.made) == 2
     assert advice.made[-1] == OWN
     assert waited < 2 * first_try_s + LATE_S
+
+
+async def test_calls_that_fail_together_count_as_one_failure(advice):
+    """Guards against entries left alone for 8 s after one fault, so that a single entry asks for the whole cell."""
+    broker = await build(advice)
+    advice.cut = {'e1'}
+    await asyncio.gather(*(ask(broker) for _ in range(8 * (len(RELAYS) + 1))))
+    assert advice.made.count('e1') > 1
+    now = asyncio.get_running_loop().time()
+    assert broker.relays['e1'].paused_until <= now + FIRST_PAUSE_S
