--- a/marigoldlift/platform/advice.py
+++ b/marigoldlift/platform/advice.py
@@ -20,6 +20,9 @@
 #: Pause before a call that was refused since too many wait is made again, in s.
 BUSY_PAUSE_S = 0.1
 
+#: Most bytes of a refusal's reason that are logged.
+REASON_BYTES = 200
+
 reply_decoder = msgspec.json.Decoder(AdviceReply)
 
 
@@ -72,7 +75,8 @@
                 break
             await asyncio.sleep(BUSY_PAUSE_S)
         if reply.status != OK:
-            raise PlatformError(f'advice answered {reply.status}')
+            reason = reply.body[:REASON_BYTES].decode(errors='replace')
+            raise PlatformError(f'advice answered {reply.status}: {reason}')
         try:
             return dict(reply_decoder.decode(reply.body).allowed)
         except msgspec.DecodeError as fault:
