--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -6,19 +6,21 @@
 from loguru import logger
 
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.pending import PendingSteps
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.pool import Pool
 from marigoldlift.scheduling.roster import Roster
 from marigoldlift.scheduling.starter import Starter
-from marigoldlift.scheduling.tasks import StepRun
+from marigoldlift.scheduling.tasks import PendingReason, StepRun
 from marigoldlift.scheduling.tickets import TicketOffice
 from marigoldlift.scheduling.waiting import WaitReport
+from marigoldlift.telemetry.metrics import Metrics
 
 __all__ = ('Planner',)
 
 MS_PER_S = 1000
 
-#: Steps that find no room after which a pass ends; those behind are served in later passes.
+#: Steps that find no room after which a pass places only what is overdue; those behind are served in later passes.
 MISSES = 40
 
 #: Share of a service's processors that only work of the highest priority may take.
@@ -39,6 +41,7 @@
         starter: Starter,
         clock: Callable[[], float],
         gang_wait_s: float,
+        metrics: Metrics,
     ) -> None:
         """Start with nothing waiting.
 
@@ -49,6 +52,7 @@
             starter: sends the orders.
             clock: steady time in seconds.
             gang_wait_s: how long a member waits at its worker for the others.
+            metrics: takes the times for which steps are idle.
         """
         self.roster = roster
         self.placer = placer
@@ -57,10 +61,12 @@
         self.clock = clock
         self.gang_limit_s = gang_wait_s * GANG_START_SHARE
         self.waiting: dict[StepRun, None] = {}
-        self.pools: dict[str, Pool] = {}
+        self.pools: dict[tuple[str, bool], Pool] = {}
         self.reserved: set[str] = set()
+        self.reserving: StepRun | None = None
         self.misses = 0
         self.waits = WaitReport(placer, clock)
+        self.pending = PendingSteps(placer, roster.listed, clock, metrics)
 
     def add(self, step: StepRun) -> None:
         """Let a step wait for room."""
@@ -73,16 +79,21 @@
         wall_ms = time.time() * MS_PER_S
         self.pools = {}
         self.reserved = set()
+        self.reserving = None
         self.misses = 0
         self.drop_finished()
+        self.pending.reasons.clear()
         ready = [step for step in self.waiting if self.may_start(step, wall_ms)]
         ready.sort(key=lambda step: step.job.rank(now))
         for candidate in ready:
-            self.place(candidate)
-            if self.misses >= MISSES:
-                break
+            if self.misses < MISSES or self.pending.is_overdue(candidate):
+                self.place(candidate)
         if self.waits.is_due():
-            self.waits.report(self.waiting, self.pool)
+            self.waits.report(ready, self.pool)
+
+    def sample_idle(self) -> None:
+        """Take in which steps are idle, with the reason from the last pass."""
+        self.pending.sample(self.waiting, time.time() * MS_PER_S)
 
     def drop_finished(self) -> None:
         """Leave out the steps that no longer wait."""
@@ -92,30 +103,41 @@
 
     def may_start(self, step: StepRun, wall_ms: float) -> bool:
         """Tell whether a step's turn has come, and some of its tasks surely run nowhere."""
-        return step.job.is_turn(step, wall_ms) and bool(step.startable(self.roster.dark))
+        if not step.job.is_turn(step, wall_ms):
+            return False
+        if not step.startable(self.roster.dark):
+            self.pending.reasons[step] = PendingReason.unreachable
+            return False
+        return True
 
-    def pool(self, service: str) -> Pool:
-        """Return the workers of a service that may get new work in this pass."""
-        known = self.pools.get(service)
+    def pool(self, service: str, *, resting: bool = False) -> Pool:
+        """Return the workers of a service that may get new work in this pass.
+
+        Args:
+            service: name of the service.
+            resting: whether workers count that have failed lately.
+        """
+        known = self.pools.get((service, resting))
         if known is None:
-            known = Pool(self.roster.usable(service))
-            self.pools[service] = known
+            known = Pool(self.roster.usable(service, resting=resting))
+            self.pools[service, resting] = known
         return known
 
     def place(self, step: StepRun) -> None:
         """Start what can be started of a step, and ask for tickets for the rest."""
-        pool = self.pool(step.job.submission.policy.service)
-        if self.yields_to_urgent(step, pool):
+        overdue = self.pending.is_overdue(step)
+        service = step.job.submission.policy.service
+        pool = self.pool(service, resting=overdue)
+        if not overdue and self.yields_to_urgent(step, pool):
             self.misses += 1
+            self.pending.reasons[step] = PendingReason.headroom
             return
-        allowed = self.tickets.allowed(step, pool)
-        if not step.job.is_urgent:
-            allowed = [session for session in allowed if session.worker.id not in self.reserved]
+        holders = self.tickets.allowed(step, pool)
+        allowed = holders if overdue or step.job.is_urgent else self.unreserved(holders)
         waiting = len(step.todo)
-        placed = (
-            self.place_gang(step, allowed) if step.step.gang else self.place_tasks(step, allowed)
-        )
-        pool.take(step.step, waiting - len(step.todo))
+        place = self.place_gang if step.step.gang else self.place_tasks
+        placed = place(step, allowed, overdue=overdue)
+        self.count(service, step, waiting - len(step.todo))
         if placed:
             logger.info(
                 'step placed: step={} run={} active={} todo={} age_s={:.2f}',
@@ -127,7 +149,28 @@
             )
         if step.todo and step.gang_since is None:
             self.misses += int(bool(allowed) and not placed)
-            self.tickets.ask_if_needed(step, pool)
+            self.tickets.ask_if_needed(
+                step, pool, overdue=overdue, reserves=step is self.reserving
+            )
+            self.pending.reasons[step] = self.pending_reason(step, holders, allowed)
+
+    def count(self, service: str, step: StepRun, tasks: int) -> None:
+        """Count what was placed, in all pools of the service."""
+        for (owner, _), pool in self.pools.items():
+            if owner == service:
+                pool.take(step.step, tasks)
+
+    def unreserved(self, holders: list[WorkerSession]) -> list[WorkerSession]:
+        """Return the workers that are not kept for a gang that waits."""
+        return [session for session in holders if session.worker.id not in self.reserved]
+
+    def pending_reason(
+        self, step: StepRun, holders: list[WorkerSession], allowed: list[WorkerSession]
+    ) -> PendingReason:
+        """Return what a step lacks that was not placed whole."""
+        if allowed:
+            return PendingReason.room
+        return PendingReason.reserved if holders else self.tickets.pending_reason(step)
 
     def yields_to_urgent(self, step: StepRun, pool: Pool) -> bool:
         """Tell whether less urgent work would take the share that urgent work needs at once."""
@@ -135,11 +178,11 @@
             return False
         return pool.free_cpu_m - step.step.cpu_m < pool.cpu_m * URGENT_SHARE
 
-    def place_tasks(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
+    def place_tasks(self, step: StepRun, allowed: list[WorkerSession], *, overdue: bool) -> bool:
         """Start single tasks while they fit."""
         placed = False
         for index in step.startable(self.roster.dark):
-            session = self.placer.place_one(step, index, allowed)
+            session = self.placer.place_one(step, index, allowed, overdue=overdue)
             if session is None and not step.avoid.get(index):
                 return placed
             if session is not None:
@@ -147,13 +190,13 @@
                 placed = True
         return placed
 
-    def place_gang(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
+    def place_gang(self, step: StepRun, allowed: list[WorkerSession], *, overdue: bool) -> bool:
         """Start a whole gang, or the members that are missing in one that has just started."""
         if step.gang_since is not None:
-            return self.complete_gang(step, allowed)
+            return self.complete_gang(step, allowed, overdue=overdue)
         if step.active or len(step.todo) < step.step.count:
             return False
-        places = self.placer.place_gang(step, allowed)
+        places = self.placer.place_gang(step, allowed, overdue=overdue)
         if places is None:
             self.reserve(step)
             return False
@@ -163,16 +206,17 @@
             self.starter.start(step, index, session, run)
         return True
 
-    def complete_gang(self, step: StepRun, allowed: list[WorkerSession]) -> bool:
+    def complete_gang(self, step: StepRun, allowed: list[WorkerSession], *, overdue: bool) -> bool:
         """Start missing members under the gang's run while the others still wait for them."""
         began = step.gang_since or 0
         if step.gang_broken or self.clock() - began > self.gang_limit_s:
             step.gang_broken = True
             self.starter.stop_step(step)
             return False
-        return self.place_tasks(step, allowed)
+        return self.place_tasks(step, allowed, overdue=overdue)
 
     def reserve(self, step: StepRun) -> None:
         """Keep less urgent work off the workers that the first waiting gang may use, valid ticket or not."""
         if not self.reserved:
+            self.reserving = step
             self.reserved = {worker for worker, ticket in step.tickets.items() if ticket}
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -1,7 +1,7 @@
 """Which workers may run a step, where the queue's policy asks the placement advice."""
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 
 from loguru import logger
 
@@ -10,7 +10,7 @@
 from marigoldlift.scheduling.placement import Placer, room_for
 from marigoldlift.scheduling.pool import Pool
 from marigoldlift.scheduling.starter import Starter
-from marigoldlift.scheduling.tasks import StepRun, Ticket
+from marigoldlift.scheduling.tasks import PendingReason, StepRun, Ticket
 
 __all__ = ('TicketOffice',)
 
@@ -72,30 +72,67 @@
             if worker in pool.sessions and step.holds_ticket(worker, now)
         ]
 
-    def ask_if_needed(self, step: StepRun, pool: Pool) -> None:
-        """Ask for more tickets when those at hand cannot place the step."""
+    def ask_if_needed(self, step: StepRun, pool: Pool, *, overdue: bool, reserves: bool) -> None:
+        """Ask for more tickets when those at hand cannot place the step.
+
+        Args:
+            step: what waits.
+            pool: workers that it may get.
+            overdue: whether it has waited for so long that it goes before others.
+            reserves: whether room is kept for it, so that it needs its tickets as soon as there is enough.
+        """
         if step.job.submission.policy.advice is None or self.clock() < step.ask_after:
             return
-        if not self.broker.has_turn(urgent=step.job.is_urgent):
+        if not self.broker.has_turn(urgent=overdue or step.job.is_urgent):
             return
-        named = self.question(step, list(pool.fitting(step.step)))
+        shunned = set() if overdue else self.placer.shunned_by_step(step)
+        named = self.question(step, list(pool.fitting(step.step)), shunned, reserves=reserves)
         if named:
             step.ask_after = math.inf
             cost_s = self.broker.cost_s(step.job.submission.policy.advice, len(named))
             self.starter.spawn(self.ask(step, named, self.broker.book(cost_s), cost_s))
 
-    def question(self, step: StepRun, usable: Sequence[WorkerSession]) -> list[str]:
-        """Return the workers to ask for."""
+    def pending_reason(self, step: StepRun) -> PendingReason:
+        """Return why a step that holds no valid ticket has none."""
+        now = self.clock()
+        if math.isinf(step.ask_after):
+            return PendingReason.advice_call
+        if now < step.ask_after:
+            return PendingReason.advice_retry
+        if not self.broker.has_turn(urgent=step.job.is_urgent):
+            return PendingReason.advice_queue
+        return PendingReason.advice_denied
+
+    def question(
+        self,
+        step: StepRun,
+        usable: Sequence[WorkerSession],
+        shunned: Container[str],
+        *,
+        reserves: bool,
+    ) -> list[str]:
+        """Return the workers to ask for.
+
+        Args:
+            step: what waits.
+            usable: workers that it may get.
+            shunned: those of them that it does not take for now.
+            reserves: whether tickets are renewed before there is room.
+        """
         roomy = [session for session in usable if self.placer.room(session, step)]
         known = [session for session in roomy if step.tickets.get(session.worker.id)]
         needed = step.step.count if step.step.gang else 1
-        if sum(self.placer.room(session, step) for session in known) >= needed:
-            return self.expired(step, known)
+        rooms = sum(
+            self.placer.room(session, step)
+            for session in known
+            if session.worker.id not in shunned
+        )
         unknown = [session for session in roomy if session.worker.id not in step.tickets]
+        if rooms >= needed or (reserves and not unknown):
+            return self.expired(step, known)
         unknown.sort(key=lambda session: -room_for(session, step.step))
-        return [
-            session.worker.id for session in unknown[: self.width(step, unknown)]
-        ] + self.expired(step, known)
+        named = [session.worker.id for session in unknown[: self.width(step, unknown)]]
+        return named + self.expired(step, known) if named else []
 
     def expired(self, step: StepRun, known: Sequence[WorkerSession]) -> list[str]:
         """Return workers whose tickets will be invalid when the answer comes, enough for the waiting tasks."""
