A cancelled submission stays cancelled when its last task ends meanwhile

Callers that cancelled a submission were told `cancelled` and later `complete`: its final state changed.

Cause: the leader had stored the outcome before it read the cancellation, and an outcome in a later record replaced the state that followed from the cancellation. Now the first of both in the log counts, also in the record that is kept of an ended submission.

Evidence: tests/cell/test_known.py asks every running entry for each acknowledged submission all the time, while the log refuses, is silent, loses or delays answers for 1 to 10 s, its history is dropped, entries are killed or paused, workers fail and callbacks take time.

--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -70,9 +70,9 @@
         return self.outcome
 
     def merge(self, record: Progress) -> None:
-        """Add what a record knows; nothing that was known is taken back."""
+        """Add what a record knows; nothing that was known is taken back, a cancellation neither."""
         self.tenures.add(record.tenure)
-        if self.outcome not in FINAL:
+        if self.state not in FINAL:
             if record.outcome in FINAL or self.outcome is Outcome.queued:
                 self.outcome = record.outcome
         for step in record.steps:
--- a/standins/cell/judge.py
+++ b/standins/cell/judge.py
@@ -11,6 +11,7 @@
     Attributes:
         violations: broken rules, one line each.
         done: tasks with an end `done` that was taken note of.
+        ended_failed: number of ends `failed`, taken note of or not.
     """
 
     def __init__(self) -> None:
@@ -21,6 +22,7 @@
         self.ended_done: set[TaskRef] = set()
         self.done: set[TaskRef] = set()
         self.failed: dict[TaskRef, int] = {}
+        self.ended_failed: dict[TaskRef, int] = {}
         self.cancelled: set[str] = set()
         self.alone: int = 0
 
@@ -66,6 +68,8 @@
         self.running.get(task, set()).discard(worker)
         if kind == 'done':
             self.ended_done.add(task)
+        elif kind == 'failed':
+            self.ended_failed[task] = self.ended_failed.get(task, 0) + 1
         elif kind == 'alone':
             self.alone += 1
 
--- a/tests/cell/conftest.py
+++ b/tests/cell/conftest.py
@@ -15,17 +15,17 @@
 def play() -> Callable[..., ModelCell]:
     """Return a function that plays a story and checks what must always hold."""
 
-    def run(story: Story, seed: int = 1, entries: int = 3, workers: int = 4) -> ModelCell:
+    def run(story: Story, seed: int = 1, **sizes: float) -> ModelCell:
         with asyncio.Runner(loop_factory=ModelLoop) as runner:
-            return runner.run(tell(story, seed, entries, workers))
+            return runner.run(tell(story, seed, sizes))
 
     return run
 
 
-async def tell(story: Story, seed: int, entries: int, workers: int) -> ModelCell:
+async def tell(story: Story, seed: int, sizes: dict[str, float]) -> ModelCell:
     """Build a cell, play the story, and check the judge's list."""
     loop = asyncio.get_running_loop()
-    cell = ModelCell(loop, seed, entries, workers)
+    cell = ModelCell(loop, seed, **sizes)
     try:
         await story(cell)
     finally:
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -22,7 +22,9 @@
 
 __all__ = ('ModelCell', 'ModelEntry', 'policy')
 
-LIMITS = NodeLimits(lease_s=6.0, gang_wait_s=3.0, outcome_kept_s=120.0)
+LEASE_S = 6.0
+GANG_WAIT_S = 3.0
+OUTCOME_KEPT_S = 120.0
 HEARTBEAT_S = 0.5
 WORK_TICK_S = 0.02
 
@@ -91,7 +93,9 @@
             is_indirect=bool,
             leader_calls=ModelLeaderCalls(self.cell),
         )
-        self.node = self.gate.context.run(CellNode, candidate, parts, LIMITS, self.cell.loop.time)
+        self.node = self.gate.context.run(
+            CellNode, candidate, parts, self.cell.limits, self.cell.loop.time
+        )
         for work in self.node.loops():
             self.gate.spawn(work)
 
@@ -107,9 +111,17 @@
         faults: what loops have ended by.
     """
 
-    def __init__(self, loop: ModelLoop, seed: int, entries: int = 3, workers: int = 4) -> None:
+    def __init__(
+        self,
+        loop: ModelLoop,
+        seed: int,
+        entries: int = 3,
+        workers: int = 4,
+        outcome_kept_s: float = OUTCOME_KEPT_S,
+    ) -> None:
         """Build the cell within a running loop."""
         self.loop = loop
+        self.limits = NodeLimits(LEASE_S, GANG_WAIT_S, outcome_kept_s)
         self.rng = random.Random(seed)
         self.judge = Judge()
         self.log = MemoryLog()
--- /dev/null
+++ b/tests/cell/test_known.py
@@ -0,0 +1,125 @@
+"""Seeded search for answers that contradict an acknowledgement, while the store, entries and workers fail."""
+
+import asyncio
+
+import pytest
+
+from marigoldlift.submissions.model import Step
+from standins.cell.log import LogFault
+from tests.cell.known import Watch
+from tests.cell.storms import drop_history, kill_all, kill_entry, pause_entry, rebear_worker
+
+LEAD_S = 1.5
+LOADED_S = 25.0
+FAULTS_S = 35.0
+COUNT = 30
+CANCELLED_SHARE = 0.2
+HEALED_S = 90.0
+
+#: Time of one callback in s: none, and that of a slow VM.
+CALLBACKS_S = (0, 0.00002, 0.0002)
+
+#: Promised periods in s: one that ends within a story, and that of the platform.
+KEPT_S = (8.0, 120.0)
+
+QUICK_SEEDS = range(20)
+LONG_SEEDS = range(20, 400)
+
+
+async def strike_log(cell):
+    """Let the log fail some or all entries for 1 to 10 s."""
+    fault = cell.rng.choice(list(LogFault))
+    struck = cell.rng.sample(cell.entries, cell.rng.randint(1, len(cell.entries)))
+    for entry in struck:
+        entry.log.fault = fault
+        entry.log.share = cell.rng.choice((0.4, 1))
+    await asyncio.sleep(cell.rng.uniform(1, 10))
+    for healed in struck:
+        healed.log.fault = None
+
+
+async def fail_worker(cell):
+    """Let all tasks of a worker end as failed for a while."""
+    worker = cell.rng.choice(list(cell.workers.values()))
+    worker.fails = True
+    await asyncio.sleep(cell.rng.uniform(1, 6))
+    worker.fails = False
+
+
+FAULTS = (
+    strike_log,
+    strike_log,
+    strike_log,
+    drop_history,
+    kill_entry,
+    kill_all,
+    pause_entry,
+    rebear_worker,
+    fail_worker,
+)
+
+
+async def load(cell, watch):
+    """Hand submissions in, and cancel a few."""
+    for number in range(COUNT):
+        await asyncio.sleep(cell.rng.expovariate(COUNT / LOADED_S))
+        name = f'job{number:02}'
+        hand_in(cell, watch, name)
+        if cell.rng.random() < CANCELLED_SHARE:
+            cell.loop.create_task(cancel_later(cell, watch, name))
+
+
+def hand_in(cell, watch, name):
+    """Hand a submission in at one or two entries."""
+    steps = [Step(count=cell.rng.randint(1, 5), cpu_m=cell.rng.choice((500, 2000)))]
+    if cell.rng.choice((True, False)):
+        steps.append(Step(count=cell.rng.randint(1, 3), cpu_m=1000, after=(0,)))
+    attempts = cell.rng.choice((1, 2, 5))
+    for _ in range(cell.rng.choice((1, 1, 2))):
+        entry = cell.rng.choice(cell.entries)
+        if not entry.gate.stopped:
+            entry.gate.spawn(watch.submit(entry, name, steps, max_attempts=attempts))
+
+
+async def cancel_later(cell, watch, name):
+    """Cancel a submission if it was acknowledged."""
+    await asyncio.sleep(cell.rng.uniform(0.3, 4))
+    entry = cell.rng.choice(cell.entries)
+    if name in watch.acknowledged and not entry.gate.stopped:
+        entry.gate.spawn(watch.cancel(entry, name))
+
+
+async def strike(cell):
+    """Play one fault."""
+    await asyncio.sleep(cell.rng.uniform(0, FAULTS_S))
+    await cell.rng.choice(FAULTS)(cell)
+
+
+async def story(cell):
+    """Load the cell under faults, heal it, and ask for all submissions at the end."""
+    cell.loop.callback_s = cell.rng.choice(CALLBACKS_S)
+    await asyncio.sleep(LEAD_S)
+    watch = Watch(cell)
+    loading = cell.loop.create_task(load(cell, watch))
+    striking = [cell.loop.create_task(strike(cell)) for _ in range(cell.rng.randint(2, 7))]
+    await asyncio.wait((loading, *striking))
+    await asyncio.sleep(8)
+    async with asyncio.timeout(HEALED_S):
+        while set(watch.acknowledged) - set(watch.final):
+            await asyncio.sleep(1)
+    await watch.check_at_end()
+
+
+@pytest.mark.parametrize('kept_s', KEPT_S)
+@pytest.mark.parametrize('seed', QUICK_SEEDS)
+def test_acknowledged_submission_stays_known(play, seed, kept_s):
+    """Guards against "gone" of an accepted submission, and against a final state without cause or that changes."""
+    play(story, seed=seed, outcome_kept_s=kept_s)
+
+
+@pytest.mark.fuzz
+@pytest.mark.parametrize('kept_s', KEPT_S)
+@pytest.mark.parametrize('seed', LONG_SEEDS)
+def test_acknowledged_submission_stays_known_long(play, seed, kept_s):
+    """Guards as the short search does, over more seeds."""
+    play(story, seed=seed, outcome_kept_s=kept_s)
--- a/tests/model/clock.py
+++ b/tests/model/clock.py
@@ -75,6 +75,7 @@
             gate.hold(self)
         else:
             super()._run()
+            self._loop.spend()
 
 
 class GatedTimer(asyncio.TimerHandle):
@@ -90,14 +91,20 @@
             gate.hold(self)
         else:
             super()._run()
+            self._loop.spend()
 
 
 class ModelLoop(looptime.LoopTimeEventLoop, asyncio.SelectorEventLoop):
-    """Loop with compacted time and a gate in front of each process."""
+    """Loop with compacted time and a gate in front of each process.
+
+    Attributes:
+        callback_s: time that each callback takes, in s; on a slow VM, timers set in a row are due apart.
+    """
 
     def __init__(self) -> None:
         """Start at time 0; without I/O, no idle cycles are needed before the time moves on."""
         super().__init__(start=0, noop_cycles=0)
+        self.callback_s: float = 0
         self.faults: list[str] = []
         self.gates: list[Gate] = []
         self.set_exception_handler(note_fault)
@@ -108,6 +115,11 @@
         heapq.heappush(self._scheduled, timer)
         return timer
 
+    def spend(self) -> None:
+        """Let the time of one callback pass."""
+        if self.callback_s:
+            self.setup_looptime(start=self.time() + self.callback_s, noop_cycles=0)
+
     async def end_tasks(self) -> None:
         """Cancel all tasks, those of dead processes too, so that none is destroyed pending."""
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
