Store the records that replace an ended submission all or none

A GET for an accepted submission that was complete was answered "no such submission" after the log had refused appends for about 5 s.

Cause: the outcome of an ended submission and the drop of its acceptance were separate records with separate time limits, some tenths of a millisecond apart. When a try of the batch began between the two limits and was served, the outcome had been given up and the drop was stored. The appender now takes records of one caller as a group with one limit and one fate; retention hands in one group for each submission. The records that forget a submission are a group as well: the drop of the outcome without that of the acceptance would run it again.

Ruled out: lost and late answers. A batch in doubt is never changed, so its records share their fate already.

Evidence: tests/cell/test_retention.py, log that refuses in 4 to 100 ms, callbacks of 0.2 ms.

--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -1,7 +1,8 @@
 """Ordered group commit: one batch in flight, repeated until its fate is known."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from itertools import chain
 
 from loguru import logger
 
@@ -33,22 +34,26 @@
 
 
 class Entry:
-    """One record that waits to be stored."""
+    """Records of one caller that wait to be stored together.
 
-    __slots__ = ('content', 'key', 'stored', 'until')
+    Attributes:
+        records: key and content of each.
+        until: time at which the caller no longer waits, in seconds of the steady clock.
+    """
 
-    def __init__(self, record: Record, until: float) -> None:
-        """Encode the record.
+    __slots__ = ('records', 'stored', 'until')
 
-        Args:
-            record: what is stored.
-            until: time at which the caller no longer waits, in seconds of the steady clock.
-        """
-        self.key = record_key(record)
-        self.content = encode_record(record)
+    def __init__(self, records: Sequence[Record], until: float) -> None:
+        """Encode the records."""
+        self.records = [(record_key(record), encode_record(record)) for record in records]
         self.until = until
         self.stored: asyncio.Future[int] = asyncio.get_running_loop().create_future()
 
+    @property
+    def size(self) -> int:
+        """Return the bytes of all contents."""
+        return sum(len(content) for _, content in self.records)
+
     def settle(self, outcome: int | Exception) -> None:
         """Tell the caller, unless it has left."""
         if self.stored.done():
@@ -68,7 +73,7 @@
     without an answer is sent again as it was, and no late copy of it can follow a newer batch.
 
     Attributes:
-        batch: records under way.
+        batch: what is under way.
         in_doubt: the batch may be stored already.
         idle: set while no call is under way.
         fenced: the log takes no more records of this producer's epoch.
@@ -134,7 +139,20 @@
             AppendRefusedError: the record is not stored and will not be.
             AppendInDoubtError: the record may be stored, now or later.
         """
-        entry = Entry(record, self.clock() + wait_s)
+        return await self.append_all((record,), wait_s)
+
+    async def append_all(self, records: Sequence[Record], wait_s: float) -> int:
+        """Store records next to each other, all or none of them, and return the offset of the first.
+
+        Args:
+            records: what is stored, in this order.
+            wait_s: how long the caller waits.
+
+        Raises:
+            AppendRefusedError: no record is stored and none will be.
+            AppendInDoubtError: all records may be stored, now or later.
+        """
+        entry = Entry(records, self.clock() + wait_s)
         self.waiting.append(entry)
         self.arrived.set()
         try:
@@ -145,7 +163,7 @@
             return self.abandon(entry)
 
     def abandon(self, entry: Entry) -> int:
-        """Take back a record that is surely not stored: it was never sent, or each call was refused."""
+        """Take back what is surely not stored: it was never sent, or each call was refused."""
         if entry.stored.done():
             return entry.stored.result()
         for entries in (self.waiting, [] if self.in_doubt else self.batch):
@@ -169,7 +187,7 @@
         size = 0
         count = 0
         for entry in self.waiting:
-            size += len(entry.content)
+            size += entry.size
             if count and size > BATCH_BYTES:
                 break
             count += 1
@@ -209,7 +227,7 @@
 
     async def send(self, batch: list[Entry]) -> int:
         """Make one call, and note how the log fares."""
-        records = [(entry.key, entry.content) for entry in batch]
+        records = list(chain.from_iterable(entry.records for entry in batch))
         sent_at = self.clock()
         try:
             offset = await self.log.append(records, self.producer, self.sequence)
@@ -255,5 +273,6 @@
     def confirm(self, batch: list[Entry], offset: int) -> None:
         """Tell all callers of a stored batch."""
         self.sequence += 1
-        for index, entry in enumerate(batch):
-            entry.settle(offset + index if offset >= 0 else offset)
+        for entry in batch:
+            entry.settle(offset)
+            offset += len(entry.records) if offset >= 0 else 0
--- a/marigoldlift/replication/tests/test_appender.py
+++ b/marigoldlift/replication/tests/test_appender.py
@@ -57,6 +57,25 @@
     assert len(client.log.records) == 1
 
 
+async def test_group_is_stored_next_to_each_other(client, appender):
+    """Guards against offsets that count callers instead of records."""
+    stored = await asyncio.gather(
+        appender.append_all((cancelled(1), cancelled(2)), 1), appender.append(cancelled(3), 1)
+    )
+    assert stored == [0, 2]
+    assert [found.key for found in client.log.records] == ['c/job1', 'c/job2', 'c/job3']
+
+
+async def test_group_is_given_up_whole(client, appender):
+    """Guards against half of a group in the log after the log refused until its caller left."""
+    client.fault = LogFault.refuse
+    with pytest.raises(AppendRefusedError):
+        await appender.append_all((cancelled(1), cancelled(2)), 1)
+    client.fault = None
+    await appender.append(cancelled(3), 1)
+    assert [found.key for found in client.log.records] == ['c/job3']
+
+
 async def test_refusal_is_told_only_when_nothing_was_stored(client, appender):
     """Guards against "not accepted" for a record that a lost answer hides."""
     client.fault = LogFault.refuse
--- a/marigoldlift/scheduling/retention.py
+++ b/marigoldlift/scheduling/retention.py
@@ -1,7 +1,6 @@
 """Reduces the records of submissions that have ended, and drops them when their outcome need not be told any more."""
 
 import asyncio
-import itertools
 from collections.abc import Iterator, Sequence
 
 from loguru import logger
@@ -68,15 +67,15 @@
         finally:
             self.busy = False
 
-    def records(self) -> list[Record]:
-        """Return the records of one round."""
+    def records(self) -> list[Sequence[Record]]:
+        """Return the records of one round, by submission."""
         ended = map(records_of_ended, self.ended()[:MOST_HANDLED])
         outdated = map(records_of_outdated, self.outdated()[:MOST_HANDLED])
-        return list(itertools.chain.from_iterable((*ended, *outdated)))
+        return [*ended, *outdated]
 
-    async def store(self, records: Sequence[Record]) -> None:
-        """Store records in their order; the appender keeps it."""
-        await asyncio.gather(*(self.appender.append(record, WAIT_S) for record in records))
+    async def store(self, groups: Sequence[Sequence[Record]]) -> None:
+        """Store all records of a submission or none: an acceptance dropped without an outcome is lost."""
+        await asyncio.gather(*(self.appender.append_all(group, WAIT_S) for group in groups))
 
     def ended(self) -> list[Job]:
         """Return the submissions that have ended and surely run nowhere."""
@@ -108,7 +107,7 @@
 
 
 def records_of_ended(job: Job) -> Sequence[Record]:
-    """Return the records that leave only the outcome, which is stored first."""
+    """Return the records that leave only the outcome."""
     name = job.submission.id
     return [Finished(name, job.state), Dropped(f's/{name}'), *progress_keys(job)]
 
--- a/standins/cell/log.py
+++ b/standins/cell/log.py
@@ -19,7 +19,7 @@
 
 __all__ = ('LogClient', 'LogFault', 'MemoryLog')
 
-#: Time of an answer, and of a call without one, in s.
+#: Usual time of an answer, and time of a call without one, in s.
 ANSWER_S = 0.004
 SILENCE_S = 0.8
 
@@ -111,6 +111,7 @@
     Attributes:
         fault: what happens to its calls, None when they are served.
         share: share of the appends that `lose` and `late` strike.
+        answer_s: time of an answer, in s.
     """
 
     def __init__(self, log: MemoryLog, rng: random.Random) -> None:
@@ -119,6 +120,7 @@
         self.rng = rng
         self.fault: LogFault | None = None
         self.share = 0.4
+        self.answer_s = ANSWER_S
 
     async def answer(self) -> None:
         """Let the time of a call pass.
@@ -129,7 +131,7 @@
         if self.fault is LogFault.silent:
             await asyncio.sleep(SILENCE_S)
             raise LogUnavailableError('no answer')
-        await asyncio.sleep(ANSWER_S)
+        await asyncio.sleep(self.answer_s)
         if self.fault is LogFault.refuse:
             raise LogUnavailableError('turned away')
 
--- a/tests/cell/test_retention.py
+++ b/tests/cell/test_retention.py
@@ -2,13 +2,30 @@
 
 import asyncio
 
+import pytest
+
 from marigoldlift.submissions.acceptance import Answer
-from marigoldlift.submissions.model import Step
+from marigoldlift.scheduling.retention import WAIT_S
+from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Outcome
+from standins.cell.log import LogFault
 
 LEAD_S = 1.5
+
+#: Time in which the log refuses, in s.
+REFUSAL_S = (0.004, 0.1)
+
+#: Time of one callback on a slow VM, in s.
+SLOW_CALLBACK_S = 0.0002
+
 COUNT = 12
+MANY = 120
 STEPS = (Step(count=6, cpu_m=500), Step(count=3, cpu_m=1000, after=(0,)))
+ONE_TASK = (Step(count=1, cpu_m=500),)
+
+#: Times of the tasks that end at once and of the one that ends later, in s.
+SHORT_S = 0.1
+LAST_S = (0.3, 0.6)
 
 
 async def finish(cell):
@@ -83,3 +100,51 @@
         assert not any(entry.node.state.jobs for entry in cell.entries)
 
     play(story)
+
+
+async def finish_at_once(cell):
+    """Let many submissions end at once and one a little later, and return the names of the many."""
+    names = [f'job{number:02}' for number in range(MANY)]
+    for short in names:
+        cell.durations[only_task(short)] = SHORT_S
+    cell.durations[only_task('last')] = cell.rng.uniform(*LAST_S)
+    handed_in = [cell.submit(cell.entries[0], name, ONE_TASK) for name in (*names, 'last')]
+    await asyncio.gather(*handed_in)
+    await cell.settle(names, 60)
+    return names
+
+
+def only_task(name):
+    """Return the task of a submission that has one."""
+    return TaskRef(SubmissionId(name), 0, 0, 0)
+
+
+async def refuse_until_given_up(cell):
+    """Let the log refuse from before a round of the retention until about when its records are given up."""
+    retention = cell.leader().node.dispatcher.retention
+    answer_s = cell.rng.uniform(*REFUSAL_S)
+    for refused in cell.entries:
+        refused.log.fault = LogFault.refuse
+        refused.log.answer_s = answer_s
+    await asyncio.sleep(1.5)
+    given_up_at = retention.round_at + WAIT_S
+    await asyncio.sleep(given_up_at - cell.rng.uniform(0, 0.3) - cell.loop.time())
+    for served in cell.entries:
+        served.log.fault = None
+
+
+@pytest.mark.parametrize('seed', range(30))
+def test_outcome_survives_a_log_that_refuses(play, seed):
+    """Guards against "gone" after an acceptance was dropped while its outcome was given up."""
+
+    async def story(cell):
+        cell.loop.callback_s = SLOW_CALLBACK_S
+        await asyncio.sleep(LEAD_S)
+        names = await finish_at_once(cell)
+        await refuse_until_given_up(cell)
+        await asyncio.sleep(10)
+        for asked in cell.entries:
+            answers = [await asked.node.acceptance.outcome(name, 3.0) for name in names]
+            assert set(answers) == {Outcome.complete}
+
+    play(story, seed=seed)
