--- a/standins/cell/log.py
+++ b/standins/cell/log.py
@@ -112,6 +112,7 @@
         fault: what happens to its calls, None when they are served.
         share: share of the appends that `lose` and `late` strike.
         answer_s: time of an answer, in s.
+        page: most keys in one page of a snapshot.
     """
 
     def __init__(self, log: MemoryLog, rng: random.Random) -> None:
@@ -121,6 +122,7 @@
         self.fault: LogFault | None = None
         self.share = 0.4
         self.answer_s = ANSWER_S
+        self.page = PAGE
 
     async def answer(self) -> None:
         """Let the time of a call pass.
@@ -183,5 +185,5 @@
         """Return the newest records of the keys that follow a key."""
         await self.answer()
         keys = sorted(key for key in self.log.newest if key > after)
-        page = [self.log.newest[key] for key in keys[:PAGE]]
-        return SnapshotPage(len(self.log.records), page, len(keys) > PAGE)
+        page = [self.log.newest[key] for key in keys[: self.page]]
+        return SnapshotPage(len(self.log.records), page, len(keys) > self.page)
