Answer a question for a state while its caller waits

Callers with a short deadline got no answer for a submission that the entry knew: while the store was silent, the question waited for a read to time out after 0.8 s.

Now the caller's patience bounds the whole question; a submission that the entry knows is then told as it knows it, and another one is answered "not known now".

Evidence: tests/cell/test_known.py, log silent, patience of 0.3 s. After: passes.

--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -118,7 +118,7 @@
     async def outcome(self, submission: SubmissionId, patience_s: float) -> Outcome | None:
         """Return where a submission stands, None when there is no such submission.
 
-        A running submission may have ended a moment ago, so its outcome is waited for.
+        A store that does not answer in time leaves the caller with what this entry knows.
 
         Args:
             submission: id of the submission.
@@ -127,9 +127,23 @@
         Raises:
             LogUnavailableError: the store does not answer, and this entry does not know the submission.
         """
+        try:
+            async with asyncio.timeout(patience_s):
+                return await self.newest_outcome(submission)
+        except TimeoutError:
+            known = self.state.state_of(submission)
+        if known is None:
+            raise LogUnavailableError('the log did not answer while the caller waited')
+        return known
+
+    async def newest_outcome(self, submission: SubmissionId) -> Outcome | None:
+        """Return where a submission stands by the store.
+
+        A running submission may have ended a moment ago, so its outcome is waited for.
+        """
         if not await self.is_known(submission):
             return None
-        until = self.clock() + min(STATE_WAIT_S, patience_s)
+        until = self.clock() + STATE_WAIT_S
         while self.state.state_of(submission) not in FINAL:
             await self.replica.refresh(STATE_AGE_S)
             if self.clock() >= until or self.state.state_of(submission) is not Outcome.running:
--- a/tests/cell/test_known.py
+++ b/tests/cell/test_known.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from marigoldlift.submissions.model import Step
+from marigoldlift.errors import LogUnavailableError
+from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
+from marigoldlift.submissions.records import Outcome
 from standins.cell.log import LogFault
 from tests.cell.known import Watch
 from tests.cell.storms import drop_history, kill_all, kill_entry, pause_entry, rebear_worker
@@ -14,6 +16,9 @@
 FAULTS_S = 35.0
 COUNT = 30
 CANCELLED_SHARE = 0.2
+
+#: How long a caller with a short deadline waits, in s.
+IMPATIENT_S = 0.3
 HEALED_S = 90.0
 
 #: Time of one callback in s: none, and that of a slow VM.
@@ -110,6 +115,34 @@
     await watch.check_at_end()
 
 
+async def ask(entry, name):
+    """Return what an entry tells of a submission, and how long that takes."""
+    loop = asyncio.get_running_loop()
+    asked_at = loop.time()
+    try:
+        told = await entry.node.acceptance.outcome(name, IMPATIENT_S)
+    except LogUnavailableError:
+        told = 'not known'
+    return told, loop.time() - asked_at
+
+
+def test_question_is_answered_while_its_caller_waits(play):
+    """Guards against a caller without an answer: the read that a question waits for got none for 0.8 s."""
+
+    async def ask_in_silence(cell):
+        await asyncio.sleep(LEAD_S)
+        entry = cell.entries[0]
+        cell.durations[TaskRef(SubmissionId('known'), 0, 0, 0)] = 10
+        await cell.submit(entry, 'known', (Step(count=1, cpu_m=500),))
+        await asyncio.sleep(1)
+        entry.log.fault = LogFault.silent
+        answers = [await ask(entry, 'known'), await ask(entry, 'unknown')]
+        assert [told for told, _ in answers] == [Outcome.running, 'not known']
+        assert max(took_s for _, took_s in answers) <= IMPATIENT_S + 0.001
+
+    play(ask_in_silence)
+
+
 @pytest.mark.parametrize('kept_s', KEPT_S)
 @pytest.mark.parametrize('seed', QUICK_SEEDS)
 def test_acknowledged_submission_stays_known(play, seed, kept_s):
