Log and count each answer that a submission does not exist

An accepted submission that is told as gone left no trace at the entry that said so. Each such answer now writes one line with the offset that the log was read to and the age of that read, and raises `submissions_gone_total`.

Evidence: tests/cell/test_known.py asks an entry for and cancels a submission that nobody handed in; the line and the counter were missing before.

--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -13,6 +13,7 @@
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.submissions.records import Accepted, Cancelled, Outcome
 from marigoldlift.submissions.state import FINAL, CellState
+from marigoldlift.telemetry.metric_table import Metric
 
 __all__ = ('Acceptance', 'Answer')
 
@@ -113,7 +114,20 @@
         """
         if self.state.state_of(submission) is None:
             await self.replica.synchronize()
-        return self.state.state_of(submission) is not None
+        if self.state.state_of(submission) is None:
+            self.note_gone(submission)
+            return False
+        return True
+
+    def note_gone(self, submission: SubmissionId) -> None:
+        """Log and count that a caller is told of no such submission, and by which read."""
+        self.appender.metrics.add(Metric.submissions_gone)
+        logger.info(
+            'submission gone: submission={} offset={} read_age_s={:.3f}',
+            submission,
+            self.replica.offset,
+            self.clock() - self.replica.read_at,
+        )
 
     async def outcome(self, submission: SubmissionId, patience_s: float) -> Outcome | None:
         """Return where a submission stands, None when there is no such submission.
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -65,6 +65,9 @@
     task_wait = MetricSpec(
         SUMMARY, 'seconds', ('kind',), 'Time from acceptance to start of a task.'
     )
+    submissions_gone = MetricSpec(
+        COUNTER, '', (), 'Callers told that there is no such submission.'
+    )
     leading = MetricSpec(GAUGE, '', (), 'Whether this entry gives the orders: 1 or 0.')
     log_age = MetricSpec(GAUGE, 'seconds', ('stream',), 'Time since the log last answered a read.')
     starts = MetricSpec(COUNTER, '', ('outcome',), 'Starts ordered, by answer.')
--- a/tests/cell/test_known.py
+++ b/tests/cell/test_known.py
@@ -3,10 +3,13 @@
 import asyncio
 
 import pytest
+from loguru import logger
 
 from marigoldlift.errors import LogUnavailableError
+from marigoldlift.submissions.acceptance import Answer
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Outcome
+from marigoldlift.telemetry.metric_table import Metric
 from standins.cell.log import LogFault
 from tests.cell.known import Watch
 from tests.cell.storms import drop_history, kill_all, kill_entry, pause_entry, rebear_worker
@@ -143,6 +146,32 @@
     play(ask_in_silence)
 
 
+@pytest.fixture
+def lines():
+    """Return the list of all log lines."""
+    written = []
+    sink = logger.add(written.append, format='{message}')
+    yield written
+    logger.remove(sink)
+
+
+def test_each_gone_is_logged_and_counted(play, lines):
+    """Guards against a lost submission that leaves no trace at the entry that said so."""
+
+    async def ask_for_nothing(cell):
+        await asyncio.sleep(LEAD_S)
+        entry = cell.entries[0]
+        assert (await ask(entry, 'never'))[0] is None
+        assert await entry.node.acceptance.cancel('never', IMPATIENT_S) is Answer.gone
+        offset = entry.node.replica.offset
+        assert entry.node.parts.metrics.number(Metric.submissions_gone) == 2
+        gone = [line for line in lines if line.startswith('submission gone')]
+        assert gone[0] == f'submission gone: submission=never offset={offset} read_age_s=0.000\n'
+        assert len(gone) == 2
+
+    play(ask_for_nothing)
+
+
 @pytest.mark.parametrize('kept_s', KEPT_S)
 @pytest.mark.parametrize('seed', QUICK_SEEDS)
 def test_acknowledged_submission_stays_known(play, seed, kept_s):
