--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -13,6 +13,7 @@
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.submissions.records import Accepted, Cancelled, Outcome
 from marigoldlift.submissions.state import FINAL, CellState
+from marigoldlift.telemetry.metric_table import Metric
 
 __all__ = ('Acceptance', 'Answer')
 
@@ -113,12 +114,25 @@
         """
         if self.state.state_of(submission) is None:
             await self.replica.synchronize()
-        return self.state.state_of(submission) is not None
+        if self.state.state_of(submission) is None:
+            self.note_gone(submission)
+            return False
+        return True
+
+    def note_gone(self, submission: SubmissionId) -> None:
+        """Log and count that a caller is told of no such submission, and by which read."""
+        self.appender.metrics.add(Metric.submissions_gone)
+        logger.info(
+            'submission gone: submission={} offset={} read_age_s={:.3f}',
+            submission,
+            self.replica.offset,
+            self.clock() - self.replica.read_at,
+        )
 
     async def outcome(self, submission: SubmissionId, patience_s: float) -> Outcome | None:
         """Return where a submission stands, None when there is no such submission.
 
-        A running submission may have ended a moment ago, so its outcome is waited for.
+        A store that does not answer in time leaves the caller with what this entry knows.
 
         Args:
             submission: id of the submission.
@@ -127,9 +141,23 @@
         Raises:
             LogUnavailableError: the store does not answer, and this entry does not know the submission.
         """
+        try:
+            async with asyncio.timeout(patience_s):
+                return await self.newest_outcome(submission)
+        except TimeoutError:
+            known = self.state.state_of(submission)
+        if known is None:
+            raise LogUnavailableError('the log did not answer while the caller waited')
+        return known
+
+    async def newest_outcome(self, submission: SubmissionId) -> Outcome | None:
+        """Return where a submission stands by the store.
+
+        A running submission may have ended a moment ago, so its outcome is waited for.
+        """
         if not await self.is_known(submission):
             return None
-        until = self.clock() + min(STATE_WAIT_S, patience_s)
+        until = self.clock() + STATE_WAIT_S
         while self.state.state_of(submission) not in FINAL:
             await self.replica.refresh(STATE_AGE_S)
             if self.clock() >= until or self.state.state_of(submission) is not Outcome.running:
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -70,6 +70,8 @@
     )
     step_idle_with_room = MetricSpec(
         SUMMARY, 'seconds', (), 'Longest part of it with room and a half free service.'
+    submissions_gone = MetricSpec(
+        COUNTER, '', (), 'Callers told that there is no such submission.'
     )
     leading = MetricSpec(GAUGE, '', (), 'Whether this entry gives the orders: 1 or 0.')
     log_age = MetricSpec(GAUGE, 'seconds', ('stream',), 'Time since the log last answered a read.')
--- a/standins/cell/log.py
+++ b/standins/cell/log.py
@@ -19,7 +19,7 @@
 
 __all__ = ('LogClient', 'LogFault', 'MemoryLog')
 
-#: Time of an answer, and of a call without one, in s.
+#: Usual time of an answer, and time of a call without one, in s.
 ANSWER_S = 0.004
 SILENCE_S = 0.8
 
@@ -111,6 +111,8 @@
     Attributes:
         fault: what happens to its calls, None when they are served.
         share: share of the appends that `lose` and `late` strike.
+        answer_s: time of an answer, in s.
+        page: most keys in one page of a snapshot.
     """
 
     def __init__(self, log: MemoryLog, rng: random.Random) -> None:
@@ -119,6 +121,8 @@
         self.rng = rng
         self.fault: LogFault | None = None
         self.share = 0.4
+        self.answer_s = ANSWER_S
+        self.page = PAGE
 
     async def answer(self) -> None:
         """Let the time of a call pass.
@@ -129,7 +133,7 @@
         if self.fault is LogFault.silent:
             await asyncio.sleep(SILENCE_S)
             raise LogUnavailableError('no answer')
-        await asyncio.sleep(ANSWER_S)
+        await asyncio.sleep(self.answer_s)
         if self.fault is LogFault.refuse:
             raise LogUnavailableError('turned away')
 
@@ -181,5 +185,5 @@
         """Return the newest records of the keys that follow a key."""
         await self.answer()
         keys = sorted(key for key in self.log.newest if key > after)
-        page = [self.log.newest[key] for key in keys[:PAGE]]
-        return SnapshotPage(len(self.log.records), page, len(keys) > PAGE)
+        page = [self.log.newest[key] for key in keys[: self.page]]
+        return SnapshotPage(len(self.log.records), page, len(keys) > self.page)
