Let the lease of a worker that is gone end with its last answer

Callers saw tasks of a crashed worker run nowhere for up to 7.5 s: LOST counts 3 s without a run once 4 s have been calm.

Cause: a look that failed at once (a process that is gone resets the connection) was repeated with a new lease for 1.3 s, and each start sent in that time gave another one, so the lease counted as running until 1.3 s later. A look after one without an answer now carries no lease and does not wait for ends, and a start carries the lease of the last look.

Ruled out: the pace of the checks (0.1 s).

--- a/marigoldlift/orders/clock.py
+++ b/marigoldlift/orders/clock.py
@@ -10,6 +10,9 @@
 #: Added to a deadline before it counts as passed, in ms; timers of workers fire late.
 MARGIN_MS = 150
 
+#: Share of a lease that has to be left for a start to carry it again; looks renew it each 0.7 s.
+REUSED_SHARE = 0.5
+
 
 class WorkerClock:
     """Estimate of a worker's clock, and the latest lease that any order may have given it.
@@ -46,6 +49,11 @@
         self.lease_ms = max(self.lease_ms, deadline)
         return deadline
 
+    def start_lease(self, now: float, lease_s: float) -> int | None:
+        """Return the lease that a start carries: the last one sent, so that a start prolongs none on a worker that is gone."""
+        left_s = (self.lease_ms - self.estimate(now)) / MS_PER_S
+        return self.lease_ms if left_s > lease_s * REUSED_SHARE else self.grant(now, lease_s)
+
     def has_lapsed(self, now: float) -> bool:
         """Tell whether every lease ever sent has surely ended on the worker's clock."""
         return self.read_ms is not None and self.estimate(now, SLOWEST) > self.lease_ms + MARGIN_MS
--- a/marigoldlift/orders/following.py
+++ b/marigoldlift/orders/following.py
@@ -33,7 +33,8 @@
 
 async def look(session: WorkerSession) -> bool:
     """Look once, and pause before the next look."""
-    answered = await session.look(LOOK_WAIT_MS if session.synced else 0)
+    waits = session.synced and not session.missed
+    answered = await session.look(LOOK_WAIT_MS if waits else 0)
     await asyncio.sleep(LOOK_PACE_S if answered else RETRY_PAUSE_S)
     return answered
 
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -68,6 +68,7 @@
         full_until: no new work before that time, since the worker has refused some for want of room.
         synced: whether the worker has answered under the current token.
         contact_at: when the last answer came.
+        missed: whether the last look got no answer.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         self.urgent = asyncio.Event()
         self.full_until: float = 0
         self.opened_at = clock()
+        self.missed = False
 
     def answers(self) -> bool:
         """Tell whether the worker has answered lately, so that new work may go there."""
@@ -129,7 +131,7 @@
         Raises:
             WorkerRefusedError: the worker has refused it, and why.
         """
-        until_ms = self.clock.grant(self.now(), self.lease_s)
+        until_ms = self.clock.start_lease(self.now(), self.lease_s)
         order = StartOrder(known.task, known.run, content, until_ms or 0, known.checkpoint, ticket)
         token = self.token
         try:
@@ -217,15 +219,20 @@
                 self.lose_all()
             return False
         except WorkerUnavailableError:
+            self.missed = True
             return False
+        self.missed = False
         if not self.is_this_life(found):
             return False
         self.take_in(found, sent_at, token)
         return True
 
     def renewal(self, now: float) -> int | None:
-        """Return the lease that a look gives; a silent worker gets none, so that its lease surely ends."""
-        if now - self.contact_at >= SUSPECT_S:
+        """Return the lease that a look gives; a worker that has not answered gets none until it does.
+
+        So the lease of a worker that is gone ends as early as the last look that it has answered allows.
+        """
+        if self.missed or now - self.contact_at >= SUSPECT_S:
             return None
         return self.clock.grant(now, self.lease_s)
 
--- a/marigoldlift/orders/tests/test_session.py
+++ b/marigoldlift/orders/tests/test_session.py
@@ -4,7 +4,10 @@
 
 import pytest
 
+from marigoldlift.errors import WorkerUnavailableError
 from marigoldlift.orders.api import HeldRun, Look, Worker
+from marigoldlift.orders.following import follow
+from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import SILENT_LIFE_S, WorkerSession
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 
@@ -47,11 +50,29 @@
         return Look(9000, 1, [HeldRun(TASK, 1, '', 10)], [], True)
 
 
-def build(answers):
+class Refusing(OneRun):
+    """A worker that stops listening after some looks, so that calls fail at once; it keeps the leases that it was sent."""
+
+    def __init__(self, answers):
+        super().__init__(answers)
+        self.leases = []
+
+    async def look(self, worker, token, seen, until_ms, wait_ms):
+        self.leases.append(until_ms)
+        if not self.answers:
+            raise WorkerUnavailableError('refused', may_have_run=True)
+        return await super().look(worker, token, seen, until_ms, wait_ms)
+
+    async def start(self, worker, token, order):
+        self.leases.append(order.until_ms)
+        raise WorkerUnavailableError('refused', may_have_run=True)
+
+
+def build(answers, kind=OneRun):
     """Return a session and its observer."""
     observer = Observer()
     clock = asyncio.get_running_loop().time
-    return WorkerSession(WORKER, OneRun(answers), 7, observer, clock, LEASE_S), observer
+    return WorkerSession(WORKER, kind(answers), 7, observer, clock, LEASE_S), observer
 
 
 async def test_found_run_is_not_lost_before_a_lease_was_sent():
@@ -74,3 +95,30 @@
     assert not session.is_lost()
     await asyncio.sleep(LEASE_S * 1.1)
     assert session.is_lost()
+
+
+async def test_worker_that_is_gone_gets_no_longer_lease():
+    """Guards against tasks of a lost worker that wait 1.3 s more: each look that failed at once renewed the lease."""
+    session, _ = build(answers=3, kind=Refusing)
+    loop = asyncio.get_running_loop()
+    following = asyncio.create_task(follow(session))
+    while session.calls.answers:
+        await asyncio.sleep(0.01)
+    gone_at = loop.time()
+    while not session.is_lost():
+        await asyncio.sleep(0.01)
+    following.cancel()
+    assert loop.time() - gone_at < LEASE_S / 0.98 + 0.3
+
+
+async def test_start_without_an_answer_prolongs_no_lease():
+    """Guards against tasks of a lost worker that wait longer since a start was still sent there."""
+    session, _ = build(answers=2, kind=Refusing)
+    assert await session.look(0)
+    assert await session.look(0)
+    await asyncio.sleep(1)
+    task = TaskRef(SubmissionId('job'), 0, 0, 1)
+    ordered = Run(task, 1, Step(count=1, cpu_m=1000), Phase.sent, session.now())
+    session.room.take(ordered)
+    assert await session.start(ordered, '', '')
+    assert session.calls.leases[-1] == session.calls.leases[-2]
