Keep the doubt of starts under the session of a worker's next life

A caller saw a submission for ever as running with nothing running (LOST).

Cause: when a worker is born again, its unanswered starts go to the session of the new life, in doubt until that session's token is known there. The calls that were still under way then failed in the earlier life's session, which raised its own token once for each and wrote that into the run: with two or more such starts a token that the new session never uses, so that no look proved them absent, and the lease went on being renewed.

Ruled out: a rebirth whose first look is answered before those calls fail.

Evidence: test_starts_in_flight_over_a_rebirth_are_ordered_again failed with TimeoutError (only 1 of 3 tasks was ordered again), passes.

--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -166,8 +166,11 @@
         if self.room.runs.get(known.task) is known:
             self.release(known.task)
 
-    def doubt(self, known: Run, fault: WorkerUnavailableError) -> None:
-        """Raise the token: once the worker knows the new one, it never carries the old order out."""
+    def doubt(self, known: Run, fault: Exception) -> None:
+        """Raise the token: once the worker knows the new one, it never carries the old order out.
+
+        A run that the session of the worker's next life follows is in doubt there already, under that session's token.
+        """
         logger.info(
             'start in doubt: task={} run={} worker={} {}',
             known.task.name,
@@ -175,8 +178,9 @@
             self.worker.id,
             fault,
         )
-        self.raise_token()
-        known.doubt(self.token, self.now())
+        if self.room.runs.get(known.task) is known:
+            self.raise_token()
+            known.doubt(self.token, self.now())
 
     def raise_token(self) -> None:
         """Use a higher fencing token from now on, and look at once."""
