Learn the life of a worker that is not listed from its answers

Callers would see tasks run again that were done (TWICE), and tasks whose end is never taken note of (LOST).

Cause: a new leader opens sessions with workers that an earlier one has used and that the registry does not list, without knowing their life. Such a session took any life for its own. When the worker was born again before it was listed again, the session went on with the numbers of the earlier life's ends, and passed over as many ends of the new one.

Ruled out: listed workers, whose life the registry tells.

The stand-in's registry removes entries of workers that are silent for 4.5 s, as the platform does after three heartbeats.

Evidence: test_life_of_an_unlisted_worker_is_learnt_from_its_looks failed with 'TWICE after done run=2: task=late.0.0.23 worker=w2', passes.

--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
 from loguru import logger
 
 from marigoldlift.errors import WorkerRefusedError, WorkerUnavailableError
@@ -241,9 +242,14 @@
         return self.clock.grant(now, self.lease_s)
 
     def is_this_life(self, found: Look) -> bool:
-        """Tell whether an answer is of the life that the registry lists; a later life is reported."""
-        if not found.born_ms or not self.worker.born_ms:
+        """Tell whether an answer is of the life that the registry lists; a later life is reported.
+
+        The life of a worker that is not listed is learnt from its first answer.
+        """
+        if not found.born_ms:
             return True
+        if not self.worker.born_ms:
+            self.worker = msgspec.structs.replace(self.worker, born_ms=found.born_ms)
         if found.born_ms > self.worker.born_ms:
             self.observer.life_changed(self, found.born_ms)
         return found.born_ms == self.worker.born_ms
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -24,6 +24,10 @@
 
 LIMITS = NodeLimits(lease_s=6.0, gang_wait_s=3.0, outcome_kept_s=120.0)
 HEARTBEAT_S = 0.5
+
+#: Silence of a worker after which its entry is removed, in s.
+EXPIRY_S = 4.5
+
 WORK_TICK_S = 0.02
 
 
@@ -104,6 +108,8 @@
     """Entries, workers and the log.
 
     Attributes:
+        is_listing: whether the platform takes the workers' entries.
+        heard_at: when each listed worker last wrote its entry.
         faults: what loops have ended by.
     """
 
@@ -117,6 +123,8 @@
         self.durations: dict[TaskRef, float] = {}
         names = [f'w{number}' for number in range(workers)]
         self.workers = {name: MemoryWorker(name, 8000, self.judge, self.rng) for name in names}
+        self.is_listing = True
+        self.heard_at: dict[str, float] = {}
         self.list_workers()
         self.entries = [ModelEntry(self, f'e{number}') for number in range(entries)]
         self.ticking = loop.create_task(self.tick())
@@ -126,11 +134,18 @@
         return self.durations.setdefault(task, self.rng.uniform(0.2, 2.5))
 
     def list_workers(self) -> None:
-        """Let the workers that are up write their entries."""
+        """Let the workers that are up write their entries, and remove those of silent ones."""
+        if not self.is_listing:
+            return
+        now = self.loop.time()
         for worker in self.workers.values():
             if worker.up:
                 content = msgspec.msgpack.encode(worker.entry())
                 self.workers_log.store([(worker.name, content)])
+                self.heard_at[worker.name] = now
+            elif now - self.heard_at.get(worker.name, now) > EXPIRY_S:
+                self.workers_log.store([(worker.name, b'')])
+                self.heard_at.pop(worker.name)
 
     async def tick(self) -> None:
         """Let the workers work."""
--- a/tests/cell/test_rebirth.py
+++ b/tests/cell/test_rebirth.py
@@ -8,6 +8,13 @@
 LEAD_S = 1.5
 
 
+def slow_tasks(cell, duration_s):
+    """Let each task take a while."""
+    cell.duration_of = lambda task: duration_s
+    for entry in cell.entries:
+        entry.calls.duration_of = cell.duration_of
+
+
 def test_starts_in_flight_over_a_rebirth_are_ordered_again(play):
     """Guards against starts in doubt for ever: the earlier life's session went on to raise the token that proves more."""
 
@@ -33,3 +40,27 @@
         await cell.settle(['job'], 10)
 
     play(story)
+
+
+def test_life_of_an_unlisted_worker_is_learnt_from_its_looks(play):
+    """Guards against ends that are passed over: a session that knew no life went on with the numbers of an earlier one."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        slow_tasks(cell, 5)
+        await cell.submit(cell.entries[0], 'early', (Step(count=32, cpu_m=1000),))
+        await asyncio.sleep(0.5)
+        for hidden in cell.workers.values():
+            cell.workers_log.store([(hidden.name, b'')])
+        cell.is_listing = False
+        cell.leader().kill()
+        await cell.settle(['early'], 20)
+        slow_tasks(cell, 0.3)
+        for worker in cell.workers.values():
+            worker.be_born()
+        cell.is_listing = True
+        await asyncio.sleep(2)
+        await cell.submit(cell.leader(), 'late', (Step(count=32, cpu_m=1000),))
+        await cell.settle(['late'], 20)
+
+    play(story)
