Give up listed runs at once when their worker is born again

Callers saw tasks with nothing running for up to 20 s (LOST) after a worker started again and went down before it had answered.

Cause: all runs of the earlier life counted as possible in the new one until it answered, or for 20 s (SILENT_LIFE_S). That holds only for starts that the new life may have carried out; a run that a look has listed in the earlier life has ended with it.

Evidence: test_runs_of_an_earlier_life_start_elsewhere_at_once failed (nothing ran 2 s after the rebirth), passes; tests/cell and marigoldlift/orders pass.

Left: starts that no look has listed still wait for 20 s there, since the new life may carry them out late.

--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -26,12 +26,14 @@
         since: when it was last sent or known to be there, in seconds of the steady clock.
         moved_at: when its percentage last grew.
         unanswered: its start has got no answer yet, and no look has listed it.
+        listed: a look of the session's own life has listed it.
         fence: token from which on the worker surely does not carry an unanswered start out, None while there is none.
     """
 
     __slots__ = (
         'checkpoint',
         'fence',
+        'listed',
         'moved_at',
         'percent',
         'phase',
@@ -56,6 +58,7 @@
         self.stop_sent_at: float | None = None
         self.unanswered = phase is Phase.sent
         self.fence: int | None = None
+        self.listed = False
         self.percent: float = 0
         self.checkpoint = ''
 
@@ -67,6 +70,7 @@
         self.checkpoint = held.checkpoint or self.checkpoint
         self.since = now
         self.unanswered = False
+        self.listed = True
         if self.phase is Phase.sent:
             self.phase = Phase.held
 
--- a/marigoldlift/scheduling/roster.py
+++ b/marigoldlift/scheduling/roster.py
@@ -143,8 +143,8 @@
     def replace(self, session: WorkerSession, worker: Worker) -> None:
         """Begin anew with a worker that has started again under its id.
 
-        A start may have arrived in the new life, answered or not, so all runs are in doubt until the worker has
-        answered under a higher token.
+        Runs that were listed have ended with the life before. The start of any other may have arrived in the new life,
+        answered or not, so it is in doubt until the worker has answered under a higher token.
         """
         logger.info('worker reborn: worker={} born_ms={}', worker.id, worker.born_ms)
         self.qualities.pop(worker.id, None)
@@ -155,6 +155,9 @@
         self.sessions[worker.id] = fresh
         for known in tuple(session.room.runs.values()):
             session.room.pop(known.task)
+            if known.listed:
+                self.observer.run_vanished(session, known)
+                continue
             known.doubt(fresh.token, self.clock())
             fresh.room.take(known)
             self.observer.run_moved(session, fresh, known)
--- a/tests/cell/test_rebirth.py
+++ b/tests/cell/test_rebirth.py
@@ -64,3 +64,27 @@
         await cell.settle(['late'], 20)
 
     play(story)
+
+
+def busiest(cell):
+    """Return the worker that holds the most tasks."""
+    return max(cell.workers.values(), key=lambda worker: len(worker.held))
+
+
+def test_runs_of_an_earlier_life_start_elsewhere_at_once(play):
+    """Guards against runs that count as possible for 20 s on a worker that went down right after it was reborn."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        slow_tasks(cell, 4)
+        await cell.submit(cell.entries[0], 'job', (Step(count=2, cpu_m=1000),))
+        await asyncio.sleep(1.5)
+        worker = busiest(cell)
+        worker.be_born()
+        cell.list_workers()
+        worker.crash()
+        await asyncio.sleep(2)
+        assert any(other.held for other in cell.workers.values() if other.up)
+        await cell.settle(['job'], 20)
+
+    play(story)
