Bound silent workers by the last order that an earlier leader can have given

Callers saw tasks with nothing running (LOST) after a worker and then the leader went, planned or not: for 11.8 s after one handover, and longer with each further change of the leader.

Cause: each takeover let the tasks of every silent worker wait for 10.5 s from its own beginning, though the worker's leases end 6.5 s after the last order. Each leader now records a worker under its own life before it gives it an order, and follows when each life can have given orders last: at its release, at the start of this process for earlier ones on the same VM, else 4 s after its last record was read. That bounds workers that the registry no longer lists. Those still listed wait for 10.5 s as before, since they may carry a late order out in a life that this leader does not know.

Evidence: tests/cell/test_standstill.py judges each open task and all counted room each 0.05 s.

--- /dev/null
+++ b/marigoldlift/leadership/earlier.py
@@ -0,0 +1,45 @@
+"""When earlier leaders can have given orders last."""
+
+from collections.abc import Callable
+
+from marigoldlift.submissions.records import Leadership
+
+__all__ = ('ACT_LIMIT_S', 'EarlierLeaders')
+
+#: How long a leader goes on without a confirmed renewal, in s: it bridges short outages of the store.
+#: A successor waits as long for workers that it cannot reach.
+ACT_LIMIT_S = 4
+
+
+class EarlierLeaders:
+    """Follows the records of all leaders, on the clock of the entry that reads them.
+
+    Attributes:
+        until: when a life of an entry can have given orders last, by its name, in seconds of the steady clock.
+    """
+
+    def __init__(self, node: str, clock: Callable[[], float]) -> None:
+        """Start without records.
+
+        Args:
+            node: the entry that reads; an earlier process of it has ended.
+            clock: steady time in seconds.
+        """
+        self.node = node
+        self.clock = clock
+        self.until: dict[str, float] = {}
+
+    def note(self, record: Leadership) -> None:
+        """Take in a record of another life; one that has released its place gives no more orders."""
+        is_over = record.released or record.node == self.node
+        left_s = 0 if is_over else ACT_LIMIT_S
+        self.until[record.life] = self.clock() + left_s
+
+    def note_end(self, life: str) -> None:
+        """Note that a life gives no more orders in its tenure."""
+        self.until[life] = self.clock()
+
+    def ended_at(self, life: str) -> float:
+        """Return when a life can have given orders last; one that no record tells of counts as the latest of all."""
+        latest = max(self.until.values(), default=self.clock())
+        return self.until.get(life, latest)
--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from marigoldlift.errors import LogUnavailableError, PlatformError
+from marigoldlift.leadership.earlier import ACT_LIMIT_S, EarlierLeaders
 from marigoldlift.replication.appender import Appender
 from marigoldlift.replication.replica import Replica
 from marigoldlift.submissions.records import Leadership, Record
@@ -28,10 +29,6 @@
 #: that the log answers again, by the pause and the time-out of its probes.
 RESUME_S = 0.6
 
-#: How long a leader goes on without a confirmed renewal, in s: it bridges short outages of the store.
-#: A successor waits as long for workers that it cannot reach.
-ACT_LIMIT_S = 4
-
 #: Pause between two looks at the state of the election, in s.
 TICK_S = 0.05
 
@@ -86,6 +83,7 @@
         read_s: how long the log took for the last read before a claim.
         seen_at: when the holder's newest record was read, in seconds of the steady clock.
         direct_at: when the log was last known to be reached directly.
+        earlier: when earlier leaders can have given orders last.
         may_hand_over: whether the tenure began with a direct way; else no entry that has one wants to lead.
     """
 
@@ -122,6 +120,7 @@
         self.is_indirect = is_indirect
         self.direct_at = clock()
         self.may_hand_over = False
+        self.earlier = EarlierLeaders(candidate.node, clock)
         self.on_change: list[Callable[[], None]] = []
 
     def observe(self, offset: int, record: Record) -> None:
@@ -132,6 +131,8 @@
         mine = record.life == self.candidate.life
         self.seen_at = self.clock()
         self.holder = None if record.released else record
+        if not mine:
+            self.earlier.note(record)
         if mine and not record.released and not self.retired:
             self.confirmed_at = record.sent_at
             if self.tenure is None:
@@ -150,6 +151,7 @@
         """Stop being the leader."""
         logger.info('leadership ends: tenure={} successor={}', self.tenure, successor)
         self.tenure = None
+        self.earlier.note_end(self.candidate.life)
         self.tell()
 
     def tell(self) -> None:
@@ -258,6 +260,7 @@
     async def begin_again(self) -> None:
         """Start a new tenure, whose number is above that of any record so far."""
         self.tenure = None
+        self.earlier.note_end(self.candidate.life)
         await self.write(released=False)
 
     async def retire(self) -> None:
--- /dev/null
+++ b/marigoldlift/leadership/tests/test_earlier.py
@@ -0,0 +1,32 @@
+"""When earlier leaders can have given orders last."""
+
+import asyncio
+
+import pytest
+
+from marigoldlift.leadership.earlier import ACT_LIMIT_S, EarlierLeaders
+from marigoldlift.submissions.records import Leadership
+
+pytestmark = pytest.mark.looptime
+
+
+def record(life, *, released=False):
+    """Return a record of a life, whose entry is named by its first letter."""
+    return Leadership(life[0], life, 0, 'a', life[0], released)
+
+
+async def test_orders_end_by_what_each_leader_has_written_last():
+    """Guards against orders of a paused leader, and against waiting for one that is known to have ended."""
+    clock = asyncio.get_running_loop().time
+    earlier = EarlierLeaders('c', clock)
+    earlier.note(record('a1'))
+    await asyncio.sleep(1)
+    earlier.note(record('b1'))
+    earlier.note(record('c1'))
+    await asyncio.sleep(1)
+    earlier.note(record('b1', released=True))
+    earlier.note_end('c2')
+    assert earlier.ended_at('a1') == ACT_LIMIT_S
+    assert earlier.ended_at('b1') == earlier.ended_at('c2') == 2
+    assert earlier.ended_at('c1') == 1
+    assert earlier.ended_at('unknown') == ACT_LIMIT_S
--- a/marigoldlift/scheduling/roster.py
+++ b/marigoldlift/scheduling/roster.py
@@ -1,6 +1,7 @@
 """Sessions with all workers that are listed or that may still hold tasks."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 from loguru import logger
@@ -37,6 +38,7 @@
     Attributes:
         dark: workers that have not answered since the takeover, with the time at which all that they may hold has
             surely ended, in seconds of the steady clock.
+        gone: the same for those of them that are gone from the registry, by the last order of an earlier leader.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         appender: Appender,
         observer: RunObserver,
         tenure: int,
+        life: str,
         longest_lease_s: float,
     ) -> None:
         """Start without sessions."""
@@ -56,29 +59,36 @@
         self.appender = appender
         self.observer = observer
         self.tenure = tenure
+        self.life = life
         self.clock = state.clock
         self.lease_s = longest_lease_s - LEASE_MARGIN_S
-        self.lapse_s = ACT_LIMIT_S + longest_lease_s * SLOW_CLOCK + LAPSE_SLACK_S
+        self.gone_s = longest_lease_s * SLOW_CLOCK + LAPSE_SLACK_S
+        self.lapse_s = ACT_LIMIT_S + self.gone_s
         self.sessions: dict[str, WorkerSession] = {}
         self.qualities: dict[str, WorkerQuality] = {}
         self.recorded: set[str] = set()
         self.leave_at: dict[str, float] = {}
         self.dark: dict[str, float] = {}
+        self.gone: dict[str, float] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
     def quality(self, worker: str) -> WorkerQuality:
         """Return how a worker has fared."""
         return self.qualities.setdefault(worker, WorkerQuality())
 
-    def open_known(self) -> None:
-        """Open sessions with workers that an earlier leader has used, listed or not."""
+    def open_known(self, orders_ended_at: Callable[[str], float]) -> None:
+        """Open sessions with workers that an earlier leader has used, listed or not.
+
+        Args:
+            orders_ended_at: returns when a life of an entry can have given orders last.
+        """
         bound = self.clock() + self.lapse_s
         self.refresh()
         for known in self.state.workers.values():
-            self.recorded.add(known.worker)
             if known.worker not in self.sessions:
                 self.open(unlisted_worker(known), self.tenure)
             self.dark[known.worker] = bound
+            self.gone[known.worker] = orders_ended_at(known.life) + self.gone_s
 
     def refresh(self) -> None:
         """Follow the registry."""
@@ -121,7 +131,7 @@
     async def record(self, worker: Worker) -> None:
         """Store that a worker may hold tasks from now on."""
         while worker.id not in self.recorded:
-            known = KnownWorker(worker.id, worker.address, worker.failure_domain)
+            known = KnownWorker(worker.id, worker.address, worker.failure_domain, self.life)
             try:
                 await self.appender.append(known, RECORD_WAIT_S)
             except PlatformError as fault:
@@ -194,11 +204,20 @@
                     'lease lapsed: worker={} runs={}', session.worker.id, len(session.room.runs)
                 )
                 session.lose_all()
-            if session.synced or now > self.dark.get(session.worker.id, now):
+            if session.synced or self.has_gone_dark(session.worker.id, now):
                 self.dark.pop(session.worker.id, None)
             if self.is_needless(session, now):
                 self.close(session)
 
+    def has_gone_dark(self, name: str, now: float) -> bool:
+        """Tell whether all that a silent worker may hold has surely ended.
+
+        A worker that is still listed runs, and may carry a late order out in a life of which this leader knows nothing
+        yet; it is given longer.
+        """
+        bounds = self.dark if name in self.registry.workers else self.gone
+        return now > bounds.get(name, now)
+
     def is_needless(self, session: WorkerSession, now: float) -> bool:
         """Tell whether a worker is gone from the registry and can hold nothing any more."""
         if (
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -37,10 +37,17 @@
 
 
 class CallFaults(msgspec.Struct):
-    """Shares of the calls that are struck: not carried out now but late, or carried out without an answer."""
+    """Shares of the calls that are struck.
+
+    Attributes:
+        late: not carried out now but seconds later, without an answer.
+        lost: carried out without an answer.
+        unreadable: carried out, with an answer that cannot be read.
+    """
 
     late: float = 0
     lost: float = 0
+    unreadable: float = 0
 
 
 class MemoryWorker:
@@ -243,6 +250,8 @@
             await asyncio.sleep(SILENCE_S)
             raise WorkerUnavailableError('the answer was lost', may_have_run=True)
         await asyncio.sleep(self.rng.uniform(0, 2 * ANSWER_S))
+        if self.rng.random() < self.faults.unreadable:
+            raise WorkerUnavailableError('the answer cannot be read', may_have_run=True)
         return answer
 
     async def start(self, worker: Worker, token: int, order: StartOrder) -> float:
--- /dev/null
+++ b/tests/cell/standstill.py
@@ -0,0 +1,236 @@
+"""Watches that no task whose turn has come stands still, and that the counted room is what runs take."""
+
+import asyncio
+import contextlib
+import math
+from collections.abc import Iterator
+
+from marigoldlift.leadership.election import ACT_LIMIT_S
+from marigoldlift.orders.api import EndKind
+from marigoldlift.orders.session import SILENT_LIFE_S
+from marigoldlift.scheduling.tasks import StepRun
+from marigoldlift.submissions.model import Submission, TaskRef
+from tests.cell.model import ModelCell
+
+__all__ = ('GONE_S', 'IDLE_S', 'Standstill')
+
+#: How long a task may run nowhere while the cell is calm, in s.
+IDLE_S = 3.0
+
+#: How long it may after its worker is gone, in s: a lease of 6 s on a clock that is 2% slow, and a second of margins.
+GONE_S = 7.1
+
+#: Pause between two looks, in s.
+LOOK_S = 0.05
+
+#: Age of a start after which a look has listed it, in s.
+UNLISTED_S = 1.0
+
+MOST_SEEN = 10
+
+
+class Standstill:
+    """Looks at all tasks and all counts of room.
+
+    Attributes:
+        violations: what stood still or was counted wrongly, one line each.
+        longest_s: longest time that a task ran nowhere beyond what the cell's troubles excuse.
+        troubles: faults that last now.
+        calm_at: when the last fault ended.
+        silent_at: when the last leader that was killed gives no more orders even if it was only paused.
+        late_until: when the last order that is carried out late has been.
+        excused: time until which the tasks of a worker that is gone may wait, by worker.
+        reborn: when a worker started again that went down before it had answered, and until when starts may wait of which
+            it may carry a late copy out, by worker.
+        known_done: tasks that a leader has known as done.
+        places: worker that a task was ordered to last and when, by task.
+    """
+
+    def __init__(self, cell: ModelCell) -> None:
+        """Start to look."""
+        self.cell = cell
+        self.violations: list[str] = []
+        self.longest_s: float = 0
+        self.troubles = 0
+        self.silent_at: float = 0
+        self.late_until = cell.loop.time()
+        self.calm_at = cell.loop.time()
+        self.ran_at: dict[TaskRef, float] = {}
+        self.known_done: set[TaskRef] = set()
+        self.places: dict[TaskRef, tuple[str, float]] = {}
+        self.excused: dict[str, float] = {}
+        self.reborn: dict[str, tuple[float, float]] = {}
+        self.looking = cell.loop.create_task(self.look())
+
+    @contextlib.contextmanager
+    def trouble(self) -> Iterator[None]:
+        """Count a fault as lasting."""
+        self.troubles += 1
+        try:
+            yield
+        finally:
+            self.troubles -= 1
+            self.calm_at = self.cell.loop.time()
+
+    def worker_gone(self, name: str) -> None:
+        """Note that a worker is gone; what it held may wait for the end of its lease."""
+        self.reborn.pop(name, None)
+        self.calm_at = self.cell.loop.time()
+        self.excused[name] = max(self.calm_at, self.silent_at) + GONE_S
+
+    def worker_reborn(self, name: str) -> None:
+        """Note that a worker went down soon after it had started again."""
+        self.worker_gone(name)
+        self.reborn[name] = (self.calm_at, self.calm_at + SILENT_LIFE_S + 1)
+
+    def leader_retired(self) -> None:
+        """Note a handover: a new leader knows only that the one before gave no orders after it."""
+        self.excuse(self.cell.loop.time())
+
+    def leader_gone(self) -> None:
+        """Note that a leader was killed; others have to allow for orders of a paused one."""
+        self.calm_at = self.cell.loop.time()
+        self.excuse(self.calm_at + ACT_LIMIT_S)
+
+    def excuse(self, silent_at: float) -> None:
+        """Let tasks of workers that are gone wait for leases that were given until a time."""
+        now = self.cell.loop.time()
+        self.silent_at = silent_at
+        for name, until in self.excused.items():
+            if until > now:
+                self.excused[name] = max(until, silent_at + GONE_S)
+        for young, (reborn_at, young_until) in self.reborn.items():
+            if young_until > now:
+                self.reborn[young] = (reborn_at, max(young_until, silent_at + GONE_S))
+
+    async def look(self) -> None:
+        """Look until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            now = self.cell.loop.time()
+            if self.troubles:
+                self.calm_at = now
+            for name, submission in self.cell.judge.submissions.items():
+                if f's/{name}' in self.cell.log.newest:
+                    self.check(submission, now)
+            self.check_room()
+
+    def check(self, submission: Submission, now: float) -> None:
+        """Check the tasks of one submission."""
+        for number, step in enumerate(submission.steps):
+            if not all(self.is_done(submission, before) for before in step.after):
+                continue
+            for index in range(step.count):
+                task = TaskRef(submission.id, 0, number, index)
+                if not self.has_ended(task):
+                    self.check_task(task, now)
+
+    def is_done(self, submission: Submission, number: int) -> bool:
+        """Tell whether all tasks of a step have ended as done."""
+        return all(
+            self.has_ended(TaskRef(submission.id, 0, number, index))
+            for index in range(submission.steps[number].count)
+        )
+
+    def has_ended(self, task: TaskRef) -> bool:
+        """Tell whether a task has ended as done and that is not lost with its worker."""
+        if task not in self.cell.judge.ended_done:
+            return False
+        if task in self.cell.judge.done or self.is_known_done(task):
+            return True
+        return any(
+            ended.task == task and ended.kind is EndKind.done
+            for worker in self.cell.workers.values()
+            if worker.up
+            for ended in worker.ends
+        )
+
+    def is_known_done(self, task: TaskRef) -> bool:
+        """Tell whether a leader has taken in that a task is done."""
+        step = self.step_of(task)
+        if step is not None and task.index in step.done:
+            self.known_done.add(task)
+        leader = self.cell.leader()
+        dispatcher = leader.node.dispatcher if leader else None
+        if dispatcher is not None and task.submission in dispatcher.book.closed:
+            self.known_done.add(task)
+        return task in self.known_done
+
+    def check_task(self, task: TaskRef, now: float) -> None:
+        """Check one task that is to run."""
+        self.follow_place(task, now)
+        if self.runs(task):
+            self.ran_at[task] = now
+            return
+        since = max(self.ran_at.setdefault(task, now), self.calm_at)
+        idle_s = now - max(since, self.excused_until(task) - IDLE_S)
+        self.longest_s = max(self.longest_s, idle_s)
+        if idle_s > IDLE_S:
+            self.blame(
+                f'STANDSTILL: task={task.name} idle_s={now - since:.2f} at={now:.2f}'
+                f' known={self.known(task)}'
+            )
+
+    def runs(self, task: TaskRef) -> bool:
+        """Tell whether a sound worker runs a task."""
+        return any(
+            worker.up and not worker.hangs and task in worker.held
+            for worker in self.cell.workers.values()
+        )
+
+    def follow_place(self, task: TaskRef, now: float) -> None:
+        """Note where a task was ordered to run; an order to another worker begins its time anew."""
+        place = self.place_of(task)
+        if place and place != self.places.get(task, ('', 0))[0]:
+            self.places[task] = (place, now)
+            self.ran_at[task] = now
+
+    def excused_until(self, task: TaskRef) -> float:
+        """Return until when a task may wait for the worker that it was ordered to."""
+        place, placed_at = self.places.get(task, ('', 0))
+        if place not in self.excused:
+            return 0
+        reborn_at, young_until = self.reborn.get(place, (math.inf, 0))
+        if placed_at > reborn_at - UNLISTED_S:
+            return young_until
+        return self.excused[place]
+
+    def step_of(self, task: TaskRef) -> StepRun | None:
+        """Return the step of a task as the leader knows it."""
+        leader = self.cell.leader()
+        dispatcher = leader.node.dispatcher if leader else None
+        return dispatcher.book.step_of(task) if dispatcher else None
+
+    def place_of(self, task: TaskRef) -> str:
+        """Return the worker that a leader has ordered a task to."""
+        step = self.step_of(task)
+        if step is None:
+            return ''
+        session = step.active.get(task.index)
+        return session.worker.id if session else step.old_places.get(task.index, '')
+
+    def known(self, task: TaskRef) -> str:
+        """Return what the leader knows of a task."""
+        step = self.step_of(task)
+        session = step.active.get(task.index) if step else None
+        run = session.room.runs.get(task) if session else None
+        seen = f'{run.phase} unanswered={run.unanswered} fence={run.fence}' if run else 'no run'
+        return f'place={self.place_of(task)} active={session is not None} {seen}'
+
+    def check_room(self) -> None:
+        """Check that what a session counts as free is what its runs leave."""
+        leader = self.cell.leader()
+        dispatcher = leader.node.dispatcher if leader else None
+        if dispatcher is None:
+            return
+        for session in dispatcher.roster.sessions.values():
+            taken = sum(run.step.cpu_m for run in session.room.runs.values() if not run.step.fills)
+            if session.room.cpu_m != session.worker.cpu_m - taken:
+                self.blame(
+                    f'ROOM: worker={session.worker.id} free={session.room.cpu_m} taken={taken}'
+                )
+
+    def blame(self, line: str) -> None:
+        """Keep a violation, and not each of a row."""
+        if len(self.violations) < MOST_SEEN:
+            self.violations.append(line)
