--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
 from loguru import logger
 
 from marigoldlift.errors import WorkerRefusedError, WorkerUnavailableError
@@ -68,6 +69,7 @@
         full_until: no new work before that time, since the worker has refused some for want of room.
         synced: whether the worker has answered under the current token.
         contact_at: when the last answer came.
+        missed: whether the last look got no answer.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         self.urgent = asyncio.Event()
         self.full_until: float = 0
         self.opened_at = clock()
+        self.missed = False
 
     def answers(self) -> bool:
         """Tell whether the worker has answered lately, so that new work may go there."""
@@ -129,7 +132,7 @@
         Raises:
             WorkerRefusedError: the worker has refused it, and why.
         """
-        until_ms = self.clock.grant(self.now(), self.lease_s)
+        until_ms = self.clock.start_lease(self.now(), self.lease_s)
         order = StartOrder(known.task, known.run, content, until_ms or 0, known.checkpoint, ticket)
         token = self.token
         try:
@@ -164,8 +167,11 @@
         if self.room.runs.get(known.task) is known:
             self.release(known.task)
 
-    def doubt(self, known: Run, fault: WorkerUnavailableError) -> None:
-        """Raise the token: once the worker knows the new one, it never carries the old order out."""
+    def doubt(self, known: Run, fault: Exception) -> None:
+        """Raise the token: once the worker knows the new one, it never carries the old order out.
+
+        A run that the session of the worker's next life follows is in doubt there already, under that session's token.
+        """
         logger.info(
             'start in doubt: task={} run={} worker={} {}',
             known.task.name,
@@ -173,8 +179,9 @@
             self.worker.id,
             fault,
         )
-        self.raise_token()
-        known.doubt(self.token, self.now())
+        if self.room.runs.get(known.task) is known:
+            self.raise_token()
+            known.doubt(self.token, self.now())
 
     def raise_token(self) -> None:
         """Use a higher fencing token from now on, and look at once."""
@@ -217,22 +224,32 @@
                 self.lose_all()
             return False
         except WorkerUnavailableError:
+            self.missed = True
             return False
+        self.missed = False
         if not self.is_this_life(found):
             return False
         self.take_in(found, sent_at, token)
         return True
 
     def renewal(self, now: float) -> int | None:
-        """Return the lease that a look gives; a silent worker gets none, so that its lease surely ends."""
-        if now - self.contact_at >= SUSPECT_S:
+        """Return the lease that a look gives; a worker that has not answered gets none until it does.
+
+        So the lease of a worker that is gone ends as early as the last look that it has answered allows.
+        """
+        if self.missed or now - self.contact_at >= SUSPECT_S:
             return None
         return self.clock.grant(now, self.lease_s)
 
     def is_this_life(self, found: Look) -> bool:
-        """Tell whether an answer is of the life that the registry lists; a later life is reported."""
-        if not found.born_ms or not self.worker.born_ms:
+        """Tell whether an answer is of the life that the registry lists; a later life is reported.
+
+        The life of a worker that is not listed is learnt from its first answer.
+        """
+        if not found.born_ms:
             return True
+        if not self.worker.born_ms:
+            self.worker = msgspec.structs.replace(self.worker, born_ms=found.born_ms)
         if found.born_ms > self.worker.born_ms:
             self.observer.life_changed(self, found.born_ms)
         return found.born_ms == self.worker.born_ms
