--- a/marigoldlift/scheduling/pending.py
+++ b/marigoldlift/scheduling/pending.py
@@ -6,6 +6,7 @@
 
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.placement import Placer
+from marigoldlift.scheduling.roster import Roster
 from marigoldlift.scheduling.tasks import PendingReason, StepRun
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
@@ -22,8 +23,6 @@
 #: platform's rules count a submission as lost after 3 s; a call to the advice takes up to 1 s and may fail once.
 PREFERENCE_S = 1.0
 
-Workers = Callable[[str], Sequence[WorkerSession]]
-
 
 class IdleSpan:
     """A stretch of time in which nothing of a submission ran although a step's turn had come.
@@ -67,18 +66,18 @@
     """
 
     def __init__(
-        self, placer: Placer, workers: Workers, clock: Callable[[], float], metrics: Metrics
+        self, placer: Placer, roster: Roster, clock: Callable[[], float], metrics: Metrics
     ) -> None:
         """Start without idle steps.
 
         Args:
             placer: knows the room of workers.
-            workers: returns the listed workers of a service, whether they answer or not.
+            roster: the workers.
             clock: steady time in seconds.
             metrics: takes the idle times.
         """
         self.placer = placer
-        self.workers = workers
+        self.roster = roster
         self.clock = clock
         self.metrics = metrics
         self.spans: dict[StepRun, IdleSpan] = {}
@@ -113,12 +112,12 @@
         """Tell whether less than half of the service is in use and the step fits."""
         service = step.job.submission.policy.service
         if service not in open_services:
-            open_services[service] = is_half_free(self.workers(service))
+            open_services[service] = is_half_free(listed_sessions(self.roster, service))
         if not open_services[service]:
             return False
         rooms = sum(
             self.placer.room(session, step)
-            for session in self.workers(service)
+            for session in listed_sessions(self.roster, service)
             if step.may_use(session.worker)
         )
         return rooms >= len(step.todo)
@@ -150,6 +149,17 @@
     return not any(other.active for other in step.job.steps.values())
 
 
+def listed_sessions(roster: Roster, service: str) -> list[WorkerSession]:
+    """Return the sessions with workers that the registry lists as ready, answering or not."""
+    return [
+        session
+        for name, session in roster.sessions.items()
+        if session.worker.service == service
+        and session.worker.ready
+        and name in roster.registry.workers
+    ]
+
+
 def is_half_free(sessions: Sequence[WorkerSession]) -> bool:
     """Tell whether less than half of the processors are in use."""
     total = sum(session.worker.cpu_m for session in sessions)
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -66,7 +66,7 @@
         self.reserving: StepRun | None = None
         self.misses = 0
         self.waits = WaitReport(placer, clock)
-        self.pending = PendingSteps(placer, roster.listed, clock, metrics)
+        self.pending = PendingSteps(placer, roster, clock, metrics)
 
     def add(self, step: StepRun) -> None:
         """Let a step wait for room."""
--- a/marigoldlift/scheduling/roster.py
+++ b/marigoldlift/scheduling/roster.py
@@ -173,16 +173,6 @@
             self.observer.run_moved(session, fresh, known)
         self.follow(fresh)
 
-    def listed(self, service: str) -> list[WorkerSession]:
-        """Return the sessions with workers that the registry lists as ready, answering or not."""
-        return [
-            session
-            for name, session in self.sessions.items()
-            if session.worker.service == service
-            and session.worker.ready
-            and name in self.registry.workers
-        ]
-
     def usable(self, service: str, *, resting: bool) -> list[WorkerSession]:
         """Return the sessions that may get new work of a service.
 
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -70,6 +70,7 @@
     )
     step_idle_with_room = MetricSpec(
         SUMMARY, 'seconds', (), 'Longest part of it with room and a half free service.'
+    )
     submissions_gone = MetricSpec(
         COUNTER, '', (), 'Callers told that there is no such submission.'
     )
