Bound the questions to the advice that urgent steps have under way

At the end thousands of accepted submissions had nothing running with most of the workers' room free.

Cause: urgent steps always had a turn. A leader that began with a backlog opened one call for each waiting step at once, up to the 4,100 descriptors of its VM (4,414 measured, `socket.accept() out of system resource`); the advice refuses from 32 waiting calls on, up to 1,500 calls failed in a second, no connection was left for workers and store, and the leadership passed on each second, to a leader that did the same. It did not end with the crest.

Now a question waits while the calls booked at every entry take 0.3 s or more, which is fewer than 32.

Evidence: scheduling/tests/test_advice.py, no bound before.

--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -29,6 +29,10 @@
 #: Share of the entries that is kept free for urgent questions; others take up to a second each.
 URGENT_SHARE = 0.25
 
+#: Time that the calls booked at an entry take up to which it gets another urgent one, in s: fewer than the 32 calls that
+#: the advice lets wait, at 0.015 s for a short step. Each call under way holds a connection.
+LONGEST_QUEUE_S = 0.3
+
 #: Tries of one call over different entries.
 TRIES = 2
 
@@ -139,10 +143,10 @@
 
     def has_turn(self, *, urgent: bool) -> bool:
         """Tell whether a question may be asked now; some entries stay free for urgent ones."""
-        if urgent:
-            return True
         now = self.clock()
         usable = self.usable()
+        if urgent:
+            return min(relay.busy_until for relay in usable) < now + LONGEST_QUEUE_S
         idle = sum(1 for relay in usable if relay.busy_until <= now)
         return idle > int(len(usable) * URGENT_SHARE)
 
--- a/marigoldlift/scheduling/tests/test_advice.py
+++ b/marigoldlift/scheduling/tests/test_advice.py
@@ -16,6 +16,9 @@
 LONG = AdvicePolicy(450, 6.5, 2000)
 PROMPT_S = 0.02
 LATE_S = 0.1
+
+#: Calls of one entry that the advice lets wait; it refuses more.
+WAITING_CALLS = 32
 WORKERS = [f'w{number}' for number in range(30)]
 
 
@@ -144,3 +147,15 @@
     assert advice.made.count('e1') > 1
     now = asyncio.get_running_loop().time()
     assert broker.relays['e1'].paused_until <= now + FIRST_PAUSE_S
+
+
+async def test_urgent_questions_do_not_pile_up(advice):
+    """Guards against a leader that opens thousands of calls in a crest, until it can neither accept nor renew."""
+    broker = await build(advice)
+    cost_s = broker.cost_s(SHORT, len(WORKERS))
+    asked = 0
+    while broker.has_turn(urgent=True):
+        broker.book(cost_s)
+        asked += 1
+        assert asked <= (len(RELAYS) + 1) * WAITING_CALLS
+    assert asked > len(RELAYS)
