Keep entries for calls to the advice while they answer, not for 15 s after their last acceptance

Cause: an entry counted as a way to the advice for 15 s after it had accepted a submission. When no submission comes any more, all are forgotten at once, and the leader asks alone, one call at a time, for all that still waits.

Now an entry is forgotten after four faults in a row; it is known again when it accepts something.

Evidence: scheduling/tests/test_advice.py, only the leader known after 60 s of silence before, all eight after; an entry that is gone is still forgotten.

--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -23,8 +23,8 @@
 FIRST_PAUSE_S = 2
 LONGEST_PAUSE_S = 8
 
-#: How long an entry that accepted nothing stays a relay, in s.
-RELAY_MEMORY_S = 15
+#: Faults in a row after which an entry is forgotten until it accepts something; with the pauses between, 14 s.
+MOST_FAILURES = 4
 
 #: Share of the entries that is kept free for urgent questions; others take up to a second each.
 URGENT_SHARE = 0.25
@@ -60,19 +60,17 @@
     """One entry that makes calls to the advice.
 
     Attributes:
-        known_at: when it was last known to be alive, in seconds of the steady clock.
-        busy_until: when all calls that it was given are answered.
+        busy_until: when all calls that it was given are answered, in seconds of the steady clock.
         paused_until: no call before that time, since one has failed.
         failures: faults in a row.
         failed_at: when the last fault was noticed.
     """
 
-    __slots__ = ('address', 'busy_until', 'failed_at', 'failures', 'known_at', 'paused_until')
+    __slots__ = ('address', 'busy_until', 'failed_at', 'failures', 'paused_until')
 
-    def __init__(self, address: str, known_at: float) -> None:
+    def __init__(self, address: str) -> None:
         """Start without calls."""
         self.address = address
-        self.known_at = known_at
         self.busy_until: float = 0
         self.paused_until: float = 0
         self.failures = 0
@@ -125,19 +123,18 @@
         """Start with this entry alone."""
         self.calls = calls
         self.clock = clock
-        self.own = Relay(own_address, clock())
+        self.own = Relay(own_address)
         self.relays: dict[str, Relay] = {own_address: self.own}
 
     def note_relay(self, address: str) -> None:
         """Note that an entry is alive, since it has accepted a submission."""
-        now = self.clock()
-        self.relays.setdefault(address, Relay(address, now)).known_at = now
+        self.relays.setdefault(address, Relay(address))
 
     def usable(self) -> list[Relay]:
         """Return the entries that may get a call; this entry is always one."""
         now = self.clock()
         for known in tuple(self.relays.values()):
-            if now - known.known_at > RELAY_MEMORY_S and known is not self.own:
+            if known.failures >= MOST_FAILURES and known is not self.own:
                 self.relays.pop(known.address)
         return [relay for relay in self.relays.values() if now >= relay.paused_until] or [self.own]
 
--- a/marigoldlift/scheduling/tests/test_advice.py
+++ b/marigoldlift/scheduling/tests/test_advice.py
@@ -159,3 +159,21 @@
         asked += 1
         assert asked <= (len(RELAYS) + 1) * WAITING_CALLS
     assert asked > len(RELAYS)
+
+
+async def test_entries_stay_known_when_nothing_is_accepted(advice):
+    """Guards against a leader that asks alone for all that still waits, 15 s after the last submission."""
+    broker = await build(advice)
+    await asyncio.sleep(60)
+    assert broker.has_turn(urgent=False)
+    assert set(broker.relays) == {OWN, *RELAYS}
+
+
+async def test_entry_that_is_gone_is_forgotten(advice):
+    """Guards against calls by way of entries that were removed for good."""
+    broker = await build(advice)
+    advice.cut = {'e1'}
+    for _ in range(60):
+        await asyncio.gather(*(ask(broker) for _ in range(16)))
+        await asyncio.sleep(1)
+    assert set(broker.relays) == {OWN, *RELAYS} - advice.cut
