Reserve no workers for a gang that lacks no room

Cause: the first waiting gang reserved all workers that it has tickets for, whatever it waited for. Only a gang without room gains by that.

Evidence: test_gang_keeps_no_worker_that_it_does_not_take_itself; before, the single task had to wait until the gang had run again.

--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -198,7 +198,8 @@
             return False
         places = self.placer.place_gang(step, allowed, overdue=overdue)
         if places is None:
-            self.reserve(step)
+            if self.placer.place_gang(step, allowed, overdue=True) is None:
+                self.reserve(step)
             return False
         run = step.next_run(0)
         step.gang_since = self.clock()
@@ -216,7 +217,7 @@
         return self.place_tasks(step, allowed, overdue=overdue)
 
     def reserve(self, step: StepRun) -> None:
-        """Keep less urgent work off the workers that the first waiting gang may use, valid ticket or not."""
+        """Keep less urgent work off the workers that the first gang without room may use, valid ticket or not."""
         if not self.reserved:
             self.reserving = step
             self.reserved = {worker for worker, ticket in step.tickets.items() if ticket}
--- a/tests/cell/test_idle.py
+++ b/tests/cell/test_idle.py
@@ -14,6 +14,8 @@
 #: Advice for long steps at the size to design for: 0.6 s a call, tickets valid for 2 s.
 SLOW_ADVICE = AdvicePolicy(450, 6.5, 2000)
 
+QUICK_ADVICE = AdvicePolicy(10, 0.15, 2000)
+
 ATTEMPTS = 3
 
 
@@ -78,3 +80,25 @@
         assert watch.longest_s['gang'] < LOST_AFTER_S
 
     play(story)
+
+
+def test_gang_keeps_no_worker_that_it_does_not_take_itself(play):
+    """Guards against a task that waits for a worker with room, kept for a gang that has failed there and waits for others."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        take(cell, 0.2)
+        cell.advice.allowed = {'w0'}
+        cell.advice.policy = QUICK_ADVICE
+        gang = (Step(count=1, cpu_m=3000, gang=True),)
+        await cell.submit(cell.entries[0], 'gang', gang, priority=1, advice=QUICK_ADVICE)
+        await wait_for_failures(cell, 1)
+        single = (Step(count=1, cpu_m=500),)
+        await cell.submit(cell.entries[0], 'single', single, priority=2, advice=QUICK_ADVICE)
+        await cell.settle(['single'], 20)
+        assert not any(
+            holders for task, holders in cell.judge.running.items() if task.submission == 'gang'
+        )
+        assert cell.is_open('gang')
+
+    play(story)
