--- a/marigoldlift/platform/calls.py
+++ b/marigoldlift/platform/calls.py
@@ -70,17 +70,27 @@
         body: bytes,
         headers: Mapping[str, str],
         wait_s: float,
+        silence_s: float | None = None,
     ) -> Reply:
         """Make a call and wait for its whole answer.
 
+        Args:
+            method: `GET` or `POST`.
+            url: where the call goes.
+            body: what a `POST` carries.
+            headers: headers beside the usual ones.
+            wait_s: longest wait for the whole answer.
+            silence_s: longest wait for the connection and for each next part of the answer; None for no such limit.
+
         Raises:
             CallUnansweredError: no whole answer came in time.
         """
         content = body if method == 'POST' else None
+        limits = aiohttp.ClientTimeout(total=None, sock_connect=silence_s, sock_read=silence_s)
         try:
             async with asyncio.timeout(wait_s):
                 async with self.session.request(
-                    method, url, data=content, headers=headers
+                    method, url, data=content, headers=headers, timeout=limits
                 ) as answer:
                     return Reply(answer.status, await answer.read())
         except aiohttp.ClientConnectorError as refused:
--- a/marigoldlift/platform/store.py
+++ b/marigoldlift/platform/store.py
@@ -43,6 +43,10 @@
 #: Longest wait for a page of a snapshot, in s; it has up to 1 MB, in base64, and takes 2 s over the slowest link.
 PAGE_S = 8.0
 
+#: Longest wait for the next part of such a page, in s; a store that is slow begins its answer within 0.3 s, and one that
+#: is silent must not hold up an entry that has no snapshot yet until the whole wait is over.
+PAGE_SILENCE_S = 1.0
+
 LENGTH = struct.Struct('>I')
 POSITION = struct.Struct('>QQ')
 
@@ -97,7 +101,7 @@
     async def newest(self, after: str) -> SnapshotPage:
         """Return the newest records of the keys that follow a key."""
         query = f'&after={quote(after, safe="")}' if after else ''
-        reply = await self.fetch(self.path('log-newest', query), PAGE_S)
+        reply = await self.fetch(self.path('log-newest', query), PAGE_S, PAGE_SILENCE_S)
         if reply.status != OK:
             raise LogUnavailableError(f'snapshot answered {reply.status}')
         try:
@@ -110,10 +114,10 @@
             raise LogUnavailableError(f'snapshot cannot be read: {fault}') from fault
         return SnapshotPage(page.end, records, page.more)
 
-    async def fetch(self, path: str, wait_s: float) -> Reply:
+    async def fetch(self, path: str, wait_s: float, silence_s: float | None = None) -> Reply:
         """Make a reading call."""
         try:
-            return await self.route.call('GET', path, b'', wait_s)
+            return await self.route.call('GET', path, b'', wait_s, silence_s)
         except CallUnansweredError as fault:
             raise LogUnavailableError(str(fault)) from fault
 
--- a/marigoldlift/platform/store_route.py
+++ b/marigoldlift/platform/store_route.py
@@ -80,23 +80,35 @@
         """Tell whether calls reach the store, but only through another entry."""
         return not self.is_direct and bool(self.peer)
 
-    async def call(self, method: str, path: str, body: bytes, wait_s: float) -> Reply:
+    async def call(
+        self, method: str, path: str, body: bytes, wait_s: float, silence_s: float | None = None
+    ) -> Reply:
         """Make a call by the best way known.
 
+        Args:
+            method: `GET` or `POST`.
+            path: path and query at the store.
+            body: what a `POST` carries.
+            wait_s: longest wait for the whole answer.
+            silence_s: longest wait for each next part of an answer that comes directly; None for no such limit.
+
         Raises:
             CallUnansweredError: no answer, by the way that was tried last.
         """
         if self.is_direct:
-            reply = await self.call_direct(method, path, body, wait_s)
+            reply = await self.call_direct(method, path, body, wait_s, silence_s)
             if reply.status not in TURNED_AWAY:
                 return reply
             self.leave_direct(f'answered {reply.status}')
         return await self.call_peer(method, path, body, wait_s)
 
-    async def call_direct(self, method: str, path: str, body: bytes, wait_s: float) -> Reply:
+    async def call_direct(
+        self, method: str, path: str, body: bytes, wait_s: float, silence_s: float | None = None
+    ) -> Reply:
         """Make a call over the direct way."""
+        url = f'http://{self.address}{path}'
         try:
-            return await self.calls.call(method, f'http://{self.address}{path}', body, {}, wait_s)
+            return await self.calls.call(method, url, body, {}, wait_s, silence_s)
         except CallUnansweredError as fault:
             self.leave_direct(str(fault))
             raise
--- /dev/null
+++ b/marigoldlift/platform/tests/test_store.py
@@ -0,0 +1,64 @@
+"""Snapshot pages of a store that is silent or slow, over real connections."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from marigoldlift.errors import LogUnavailableError
+from marigoldlift.platform.calls import HttpCalls
+from marigoldlift.platform.store import PAGE_SILENCE_S, WORK_TOPIC, PlatformLog
+from marigoldlift.platform.store_route import StoreRoute
+from marigoldlift.util import steady_now
+
+PAGE = b'{"items":[{"key":"s/1","value":"YQ==","offset":4}],"more":false,"end":5}'
+
+#: Time after which the test ends a call that would wait on, in s.
+GUARD_S = 15
+
+#: Pause between two parts of a slow answer, in s; all of them take longer than the longest silence.
+PART_PAUSE_S = 0.2
+
+
+@pytest.fixture
+async def log(server):
+    """Return the work topic of a store on loopback."""
+    calls = HttpCalls()
+    yield PlatformLog(StoreRoute(calls, server.address, '10.0.0.2:1', steady_now), WORK_TOPIC)
+    await calls.close()
+
+
+async def slowly(request):
+    """Answer with a page in parts."""
+    response = web.StreamResponse(headers={'Content-Length': str(len(PAGE))})
+    await response.prepare(request)
+    for start in range(0, len(PAGE), len(PAGE) // 7):
+        await asyncio.sleep(PART_PAUSE_S)
+        await response.write(PAGE[start : start + len(PAGE) // 7])
+    return response
+
+
+async def test_page_without_an_answer_is_given_up_early(monkeypatch, server, log):
+    """Guards against an entry that knows nothing for 8 s since its first call met a store that was silent."""
+    monkeypatch.setattr('marigoldlift.platform.store.PAGE_S', 1000)
+    given_up = asyncio.Event()
+
+    async def answer_too_late(_request):
+        await given_up.wait()
+        return web.Response(body=PAGE)
+
+    server.reply = answer_too_late
+    try:
+        async with asyncio.timeout(GUARD_S):
+            with pytest.raises(LogUnavailableError):
+                await log.newest('')
+    finally:
+        given_up.set()
+
+
+async def test_page_over_a_slow_link_is_read_whole(server, log):
+    """Guards against a page that is given up while its parts still come."""
+    server.reply = slowly
+    page = await log.newest('')
+    assert [found.key for found in page.records] == ['s/1']
+    assert PART_PAUSE_S * 7 > PAGE_SILENCE_S
--- a/marigoldlift/platform/tests/test_store_route.py
+++ b/marigoldlift/platform/tests/test_store_route.py
@@ -27,7 +27,7 @@
         self.sent = []
         self.parted = set()
 
-    async def call(self, method, url, body, headers, wait_s):
+    async def call(self, method, url, body, headers, wait_s, silence_s=None):
         """Answer a call, or let it time out."""
         address, _, path = url.removeprefix('http://').partition('/')
         self.sent.append((address, f'/{path}'))
