Show that an entry that was away for long runs a forgotten submission again

An entry that reaches no log for longer than twice the period for which outcomes are promised (240 s on the platform), while the history is dropped, keeps a submission as open that ended and was forgotten meanwhile. When it leads later, it runs the submission a second time.

--- a/tests/cell/test_retention.py
+++ b/tests/cell/test_retention.py
@@ -23,6 +23,9 @@
 STEPS = (Step(count=6, cpu_m=500), Step(count=3, cpu_m=1000, after=(0,)))
 ONE_TASK = (Step(count=1, cpu_m=500),)
 
+#: Promised period that ends within a story, in s.
+SHORT_KEPT_S = 4.0
+
 #: Times of the tasks that end at once and of the one that ends later, in s.
 SHORT_S = 0.1
 LAST_S = (0.3, 0.6)
@@ -148,3 +151,28 @@
             assert set(answers) == {Outcome.complete}
 
     play(story, seed=seed)
+
+
+def test_forgotten_submission_is_not_run_again_by_an_entry_that_was_away(play):
+    """Guards against a second run: an entry that missed the drop of a submission leads after the history was lost."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        leader = cell.leader()
+        away = next(entry for entry in cell.entries if entry is not leader)
+        await cell.submit(leader, 'job', ONE_TASK)
+        assert await away.node.acceptance.outcome('job', 1.0) is Outcome.queued
+        away.log.fault = LogFault.silent
+        await cell.settle(['job'], 30)
+        await asyncio.sleep(SHORT_KEPT_S * 2 + 10)
+        assert not keys(cell, 's') | keys(cell, 'f')
+        cell.log.drop_history()
+        away.log.fault = None
+        await asyncio.sleep(3)
+        for killed in cell.entries:
+            if killed is not away:
+                killed.kill()
+        await asyncio.sleep(15)
+        assert cell.leader() is away
+
+    play(story, outcome_kept_s=SHORT_KEPT_S)
