Close callers' connections in order, within the grace time

What callers saw: requests that an entry had read whole ended without an answer 6.01 s after its SIGTERM, when SIGKILL came. Cause: the entry waited for a moment without any request under way, with its listener open. Callers who kept coming while the store was slow held it up until the grace time had passed; `grace_s` was read and not used.

New connections now end 3 s after the request to stop, or earlier where the grace time is short. Idle connections are closed, the others once each request that was read is answered and its answer is sent, until 0.5 s before the end of the grace time. The leadership is handed over beside that. Log lines tell how long both took, how many connections were open and busy, and how many were cut.

An answer that is not written out when the entry ends is shown only with one of 32 MB, which no request of the product has.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -20,6 +20,7 @@
     PeerCalls,
     PeerServer,
     listen,
+    listen_for_callers,
     ready_handler,
     text_handler,
 )
@@ -31,7 +32,7 @@
 from marigoldlift.telemetry.logs import configure_logging
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
-from marigoldlift.util import steady_now
+from marigoldlift.util import loop_now, steady_now
 
 __all__ = ('Entry', 'run_cell_entry')
 
@@ -44,12 +45,6 @@
 #: Age of the store's last answer from which the entry is not ready, in s; reads wait for 1 s.
 STALE_S = 2.5
 
-#: How long an entry goes on serving after it was asked to stop, in s; the balancer needs two misses of 1 s.
-DRAIN_S = 3.0
-
-#: Pause between two looks at the requests under way, in s.
-DRAIN_TICK_S = 0.05
-
 
 class Entry:
     """One entry of the cell.
@@ -125,12 +120,10 @@
 
     async def run(self) -> None:
         """Serve until asked to stop."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self.watch.wanted.set)
+        self.follow_signals()
         peers = PeerServer(self.route, self.advice, self.node.appender)
+        callers = await listen_for_callers(self.settings.caller_address, self.front.handle)
         servers = [
-            await listen(self.settings.caller_address, self.front.handle),
             await listen(self.settings.ready_address, ready_handler(self.is_ready)),
             await listen(self.settings.peer_address, peers.handle),
             await listen(f'{self.settings.ip}:{METRICS_PORT}', text_handler(self.render_metrics)),
@@ -143,22 +136,28 @@
             task.add_done_callback(report_end)
         gc.freeze()
         await self.stopping.wait()
-        await self.drain()
+        logger.info('stop requested: leading={}', self.node.election.tenure is not None)
+        self.front.leaving = True
+        retirement = asyncio.create_task(self.retire())
+        await callers.drain(self.settings.grace_s)
+        await retirement
         for server in servers:
             server.close()
         for ended in tasks:
             ended.cancel()
         await self.calls.close()
 
-    async def drain(self) -> None:
-        """Hand the leadership over, and serve until callers have gone elsewhere."""
-        logger.info('stop requested: leading={}', self.node.election.tenure is not None)
-        self.front.leaving = True
+    def follow_signals(self) -> None:
+        """Stop at SIGTERM, and read the settings file again at SIGHUP."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.watch.wanted.set)
+
+    async def retire(self) -> None:
+        """Hand the leadership over."""
+        asked_at = loop_now()
         await self.node.election.retire()
-        await asyncio.sleep(DRAIN_S)
-        while self.front.under_way:
-            await asyncio.sleep(DRAIN_TICK_S)
-        logger.info('stopped')
+        logger.info('leadership handed over: took_s={:.3f}', loop_now() - asked_at)
 
     def reconfigure(self, settings: NodeSettings) -> None:
         """Use changed addresses of the platform; all else is in force from the next start."""
--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -73,17 +73,12 @@
         self.may_be_stale = may_be_stale
         self.configuration: CellConfiguration | None = None
         self.leaving = False
-        self.under_way = 0
         self.metrics = metrics
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        self.under_way += 1
         arrived_at = steady_now()
-        try:
-            response = await self.answer(request)
-        finally:
-            self.under_way -= 1
+        response = await self.answer(request)
         if self.leaving:
             response.force_close()
         self.metrics.add(Metric.requests, workspace=request.method, status=str(response.status))
--- a/marigoldlift/platform/servers.py
+++ b/marigoldlift/platform/servers.py
@@ -9,12 +9,21 @@
 
 from marigoldlift.errors import AppendInDoubtError, AppendRefusedError
 from marigoldlift.platform.advice import ADVISE_PATH, PlatformAdvice
+from marigoldlift.platform.caller_server import CallerServer
 from marigoldlift.platform.calls import CallUnansweredError, HttpCalls
 from marigoldlift.platform.store_route import RELAY_PREFIX, StoreRoute
 from marigoldlift.replication.appender import Appender
 from marigoldlift.submissions.stored import decode_record
 
-__all__ = ('Handler', 'PeerCalls', 'PeerServer', 'listen', 'ready_handler', 'text_handler')
+__all__ = (
+    'Handler',
+    'PeerCalls',
+    'PeerServer',
+    'listen',
+    'listen_for_callers',
+    'ready_handler',
+    'text_handler',
+)
 
 #: Path under which an entry stores a record for another one, and the field that says how long that one waits, in ms.
 APPEND_PATH = '/append'
@@ -47,8 +56,21 @@
 
 async def listen(address: str, handler: Handler) -> asyncio.Server:
     """Serve HTTP on one address."""
+    return await bind(
+        address, web.Server(handler, access_log=None, keepalive_timeout=KEEP_ALIVE_S)
+    )
+
+
+async def listen_for_callers(address: str, handler: Handler) -> CallerServer:
+    """Serve callers on one address."""
+    server = CallerServer(handler, access_log=None, keepalive_timeout=KEEP_ALIVE_S)
+    server.listener = await bind(address, server)
+    return server
+
+
+async def bind(address: str, server: web.Server) -> asyncio.Server:
+    """Let a server listen on one address."""
     host, _, port = address.rpartition(':')
-    server = web.Server(handler, access_log=None, keepalive_timeout=KEEP_ALIVE_S)
     loop = asyncio.get_running_loop()
     return await loop.create_server(server, host, int(port), backlog=BACKLOG)
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real entries under planned work, with clients that never stop."""
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,206 @@
+"""Clients that send whole requests over their own connections and note each one without an answer."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from tests.soak.entries import EntryProcess
+
+__all__ = ('HOST', 'PREFIX', 'Clients', 'Cut')
+
+HOST = 'q.example'
+PREFIX = '/q1/'
+
+#: A request that was sent less than this before the end of its connection may not have been read, in s.
+SLACK_S = 0.2
+
+#: Longest wait for an answer on a connection that stays open, in s.
+ANSWER_S = 10.0
+
+OK = 200
+GONE = 410
+
+#: Pause between two looks at how late timers fire, in s.
+TICK_S = 0.01
+
+BODY = b'{"spec":"x","phases":[{"count":1,"cpu":100,"mem_mb":10,"est_ms":100}]}'
+
+
+class Cut(msgspec.Struct, frozen=True):
+    """A request whose connection ended without a whole answer.
+
+    Attributes:
+        waited_s: time from its last byte to the end of the connection.
+        after_stop_s: time from the last SIGTERM of the entry to that end.
+    """
+
+    entry: str
+    kind: str
+    method: str
+    waited_s: float
+    after_stop_s: float
+
+
+class Clients:
+    """All clients of one run.
+
+    Attributes:
+        accepted: ids of the submissions that were acknowledged.
+        cut: requests without an answer that an entry has had time to read.
+        forgotten: ids of acknowledged submissions that were said to be gone.
+        statuses: number of answers by method and status.
+        stalled_s: time for which this process could not look at its connections, as on a busy machine.
+    """
+
+    def __init__(self, rng: random.Random, entries: list[EntryProcess]) -> None:
+        """Start without requests."""
+        self.rng = rng
+        self.entries = entries
+        self.accepted: list[str] = []
+        self.cut: list[Cut] = []
+        self.forgotten: list[str] = []
+        self.statuses: dict[tuple[str, int], int] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+        self.ending = False
+        self.stalled_s: float = 0
+
+    def start(self, count: int) -> None:
+        """Start some clients of each kind; more than one in two hold their connections."""
+        kinds: tuple[Callable[[], Awaitable[None]], ...] = (
+            self.keep_busy,
+            self.keep_idle,
+            self.open_fresh,
+            self.send_slowly,
+        )
+        for kind in kinds:
+            self.tasks.extend(asyncio.create_task(self.repeat(kind)) for _ in range(count))
+        self.tasks.append(asyncio.create_task(self.measure_stalls()))
+
+    async def measure_stalls(self) -> None:
+        """Add up the time by which timers fire late."""
+        loop = asyncio.get_running_loop()
+        while not self.ending:
+            due_at = loop.time() + TICK_S
+            await asyncio.sleep(TICK_S)
+            self.stalled_s += max(0, loop.time() - due_at - TICK_S)
+
+    async def finish(self) -> None:
+        """Let each client end its exchange."""
+        self.ending = True
+        await asyncio.gather(*self.tasks)
+
+    async def repeat(self, kind: Callable[[], Awaitable[None]]) -> None:
+        """Open one connection after the other."""
+        while not self.ending:
+            with contextlib.suppress(OSError):
+                await kind()
+            await asyncio.sleep(self.rng.uniform(0, 0.05))
+
+    async def keep_busy(self) -> None:
+        """Hold a connection until it ends, with short pauses."""
+        await self.hold('busy', 0.1)
+
+    async def keep_idle(self) -> None:
+        """Hold a connection until it ends, with long pauses."""
+        await self.hold('idle', 2.5)
+
+    async def hold(self, kind: str, longest_pause_s: float) -> None:
+        """Hold a connection until it ends."""
+        async with Connection(self, kind) as connection:
+            while not self.ending and await connection.exchange(1):
+                await asyncio.sleep(self.rng.uniform(0, longest_pause_s))
+
+    async def open_fresh(self) -> None:
+        """Send one request over a new connection."""
+        async with Connection(self, 'fresh') as connection:
+            await connection.exchange(1)
+
+    async def send_slowly(self) -> None:
+        """Send requests in two parts."""
+        async with Connection(self, 'slow') as connection:
+            while not self.ending and await connection.exchange(1, pause_s=0.3):
+                await asyncio.sleep(self.rng.uniform(0, 0.2))
+
+    def next_request(self) -> tuple[str, str, bytes]:
+        """Return method, id and bytes of a request."""
+        method = self.rng.choices(('POST', 'GET', 'DELETE', 'LIST'), (5, 6, 1, 1))[0]
+        name = f'{self.rng.getrandbits(64):016x}'
+        if method in {'GET', 'DELETE'} and self.accepted:
+            name = self.rng.choice(self.accepted[-40:])
+        verb, path = ('GET', PREFIX) if method == 'LIST' else (method, PREFIX + name)
+        body = BODY if method == 'POST' else b''
+        head = f'{verb} {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {len(body)}\r\n\r\n'
+        return method, name, head.encode() + body
+
+    def note(self, method: str, name: str, status: int) -> None:
+        """Count an answer."""
+        key = (method, status)
+        self.statuses[key] = self.statuses.get(key, 0) + 1
+        if method == 'POST' and status == OK:
+            self.accepted.append(name)
+        if status == GONE and name in self.accepted:
+            self.forgotten.append(name)
+
+
+class Connection:
+    """One connection of a client to an entry, which may be about to stop."""
+
+    def __init__(self, clients: Clients, kind: str) -> None:
+        """Choose the entry."""
+        self.clients = clients
+        self.kind = kind
+        self.entry = clients.rng.choice(clients.entries)
+
+    async def __aenter__(self) -> 'Connection':
+        """Connect."""
+        streams = await asyncio.open_connection(self.entry.ip, self.entry.front_port)
+        self.reader = streams[0]
+        self.writer = streams[1]
+        return self
+
+    async def __aexit__(self, *_raised: object) -> None:
+        """Close."""
+        self.writer.close()
+
+    async def exchange(self, count: int, pause_s: float = 0) -> bool:
+        """Send requests at once and wait for all answers; tell whether the connection stays open.
+
+        Args:
+            count: number of requests.
+            pause_s: longest pause before the last byte.
+        """
+        loop = asyncio.get_running_loop()
+        asked = [self.clients.next_request() for _ in range(count)]
+        content = b''.join(request for _, _, request in asked)
+        self.writer.write(content[:-1])
+        await asyncio.sleep(self.clients.rng.uniform(0, pause_s))
+        self.writer.write(content[-1:])
+        sent_at = loop.time() - self.clients.stalled_s
+        for place, (method, name, _) in enumerate(asked):
+            try:
+                status, is_open = await self.read_answer()
+            except (OSError, EOFError, TimeoutError):
+                self.note_cut(method, loop.time() - self.clients.stalled_s - sent_at)
+                return False
+            self.clients.note(method, name, status)
+            is_last = place + 1 == len(asked)
+        return is_open and is_last
+
+    async def read_answer(self) -> tuple[int, bool]:
+        """Return status of an answer, and whether the connection stays open after it."""
+        async with asyncio.timeout(ANSWER_S):
+            head = (await self.reader.readuntil(b'\r\n\r\n')).decode().lower()
+            size = int(head.partition('content-length: ')[2].partition('\r\n')[0])
+            await self.reader.readexactly(size)
+        return int(head.split(' ', 2)[1]), 'connection: close' not in head
+
+    def note_cut(self, method: str, waited_s: float) -> None:
+        """Note a request without a whole answer, unless the entry may not have read it."""
+        if waited_s <= SLACK_S:
+            return
+        after_stop_s = asyncio.get_running_loop().time() - self.entry.stopped_at
+        cut = Cut(self.entry.name, self.kind, method, round(waited_s, 3), round(after_stop_s, 3))
+        self.clients.cut.append(cut)
--- /dev/null
+++ b/tests/soak/entries.py
@@ -0,0 +1,175 @@
+"""Entries of the platform as processes, each at a loopback address of its own."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from marigoldlift.platform.node_settings import SETTINGS_VARIABLE
+
+__all__ = ('EntryProcess', 'SettingsTable')
+
+ROOT = Path(__file__).parents[2]
+
+#: Time from SIGTERM to SIGKILL, in s, as the settings name it.
+GRACE_S = 6.0
+
+#: Exit codes of a process that was asked to stop.
+ORDERLY = frozenset((0, -signal.SIGTERM))
+
+#: Pause between the end of a process and its next start, in s.
+RESTART_S = 0.15
+
+#: Pause between two looks at whether an entry is ready, and the longest wait for that, in s.
+POLL_S = 0.05
+READY_S = 20.0
+
+SettingsTable = dict[str, str]
+
+
+def loopback_ip(number: int) -> str:
+    """Return an address that no other process of the tests listens at."""
+    pid = os.getpid()
+    return f'127.{pid // 256 % 250 + 2}.{pid % 256}.{number + 2}'
+
+
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return ports that the system chose."""
+    with contextlib.ExitStack() as held:
+        sockets = [held.enter_context(socket.socket()) for _ in range(count)]
+        for unbound in sockets:
+            unbound.bind((ip, 0))
+        return [opened.getsockname()[1] for opened in sockets]
+
+
+class EntryProcess:
+    """One entry VM, whose process is stopped and started again.
+
+    Attributes:
+        stopped_at: time of the last SIGTERM by the loop's clock.
+        unexpected: exit codes of ends that nobody asked for, and of stops that were not in order. SIGTERM may end a
+            process that does not serve yet or any more.
+    """
+
+    def __init__(self, number: int, folder: Path, store_address: str) -> None:
+        """Write the settings."""
+        self.name = f'edge-{number}'
+        self.ip = loopback_ip(number)
+        ports = free_ports(self.ip, 3)
+        self.front_port = ports[0]
+        self.ready_port = ports[1]
+        self.control_port = ports[2]
+        self.path = folder / f'{self.name}.conf'
+        self.log_path = folder / f'{self.name}.log'
+        self.fields: SettingsTable = {
+            'node_name': self.name,
+            'zone': 'recife',
+            'ip': self.ip,
+            'listen.front': f'{self.ip}:{self.front_port}',
+            'listen.ready': f'{self.ip}:{self.ready_port}',
+            'listen.control': self.peer_address,
+            'internal_ports': '7720,7735',
+            'limits.cpu_share': '1',
+            'limits.cores': '1',
+            'bounds.hold_max_ms': '6000',
+            'bounds.gang_ms': '3000',
+            'bounds.status_s': '120',
+            'bounds.grace_s': str(GRACE_S),
+            'orders': 'call',
+            'platform.addr': store_address,
+        }
+        self.write_settings()
+        self.process: asyncio.subprocess.Process | None = None
+        self.stopped_at = float('-inf')
+        self.unexpected: list[int] = []
+        self.stopping = False
+        self.life: asyncio.Task[None] | None = None
+
+    @property
+    def peer_address(self) -> str:
+        """Return where other entries reach it."""
+        return f'{self.ip}:{self.control_port}'
+
+    def write_settings(self, **changes: str) -> None:
+        """Replace the settings file at once; a process that starts with half a file ends."""
+        self.fields.update(changes)
+        lines = [f'{name}={content}\n' for name, content in self.fields.items()]
+        fresh = self.path.with_suffix('.new')
+        fresh.write_text(''.join(lines), encoding='utf-8')
+        fresh.replace(self.path)
+
+    def start(self) -> None:
+        """Keep a process running until `end`."""
+        self.life = asyncio.create_task(self.live())
+
+    async def live(self) -> None:
+        """Run one process after the other."""
+        while True:
+            with self.log_path.open('ab') as log:
+                self.process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    '-m',
+                    'marigoldlift',
+                    'cell',
+                    env={**os.environ, SETTINGS_VARIABLE: str(self.path)},
+                    cwd=ROOT,
+                    stdout=log,
+                    stderr=log,
+                )
+            code = await self.process.wait()
+            if not self.stopping or code not in ORDERLY:
+                self.unexpected.append(code)
+            self.stopping = False
+            await asyncio.sleep(RESTART_S)
+
+    def send(self, signum: signal.Signals) -> None:
+        """Send a signal to the process, if there is one."""
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(signum)
+
+    async def stop(self) -> None:
+        """Send SIGTERM, and SIGKILL after the grace time; the process is then started again."""
+        process = self.process
+        if process is None or process.returncode is not None or self.stopping:
+            return
+        self.stopping = True
+        self.stopped_at = asyncio.get_running_loop().time()
+        self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await process.wait()
+        except TimeoutError:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+
+    async def is_ready(self) -> bool:
+        """Tell whether the entry says that it is ready."""
+        try:
+            reader, writer = await asyncio.open_connection(self.ip, self.ready_port)
+        except OSError:
+            return False
+        with contextlib.closing(writer):
+            writer.write(b'GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n')
+            try:
+                return b' 200 ' in await reader.readline()
+            except OSError:
+                return False
+
+    async def wait_ready(self) -> None:
+        """Wait until the entry is ready."""
+        async with asyncio.timeout(READY_S):
+            while not await self.is_ready():
+                await asyncio.sleep(POLL_S)
+
+    async def end(self) -> None:
+        """End the process for good."""
+        if self.life is not None:
+            self.life.cancel()
+            await asyncio.wait([self.life])
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
--- /dev/null
+++ b/tests/soak/test_planned_work.py
@@ -0,0 +1,205 @@
+"""Entries that are stopped, restarted and configured anew while clients go on sending.
+
+`SOAK_SEEDS=50 python -m pytest tests/soak` runs more seeds than the check does.
+"""
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+
+import msgspec
+import pytest
+from loguru import logger
+
+from marigoldlift.submissions.records import Outcome, Progress
+from marigoldlift.submissions.stored import encode_record, record_key
+from standins.cell.store import StoreServer
+
+from tests.soak.clients import HOST, PREFIX, Clients
+from tests.soak.entries import EntryProcess
+
+pytestmark = pytest.mark.integration
+
+#: Environment variables: number of seeds, and the first of them.
+SEEDS = range(
+    int(os.environ.get('SOAK_FIRST', '1')),
+    int(os.environ.get('SOAK_FIRST', '1')) + int(os.environ.get('SOAK_SEEDS', '2')),
+)
+
+ENTRIES = 3
+CLIENTS_OF_A_KIND = 6
+
+#: Length of the traffic, in s; a stop takes 3 s and more.
+TRAFFIC_S = 13.0
+
+#: Longest pause between two steps of planned work, in s.
+PAUSE_S = 0.8
+
+#: Longest time that the store adds to a call while it is slow, in s.
+SLOW_S = 0.5
+
+KEEP_RUNNING_S = 0.3
+
+#: Every so manieth acknowledged submission is asked for at the end, over so many connections to each entry.
+SAMPLE = 5
+CONNECTIONS = 20
+
+
+class PlannedWork:
+    """Stops, signals, settings and configurations in series and at once."""
+
+    def __init__(self, rng, store, entries):
+        self.rng = rng
+        self.store = store
+        self.entries = entries
+        self.version = 1
+        self.tasks = []
+        self.done = {}
+        self.steps = (
+            self.stop,
+            self.stop,
+            self.stop_and_hang_up,
+            self.hang_up,
+            self.change_settings,
+            self.change_settings_unsaid,
+            self.configure,
+            self.slow_down,
+        )
+
+    async def run(self):
+        """Make one step after the other without waiting for its end."""
+        while True:
+            step = self.rng.choice(self.steps)
+            self.done[step.__name__] = self.done.get(step.__name__, 0) + 1
+            self.tasks.append(asyncio.create_task(step(self.rng.choice(self.entries))))
+            await asyncio.sleep(self.rng.uniform(0, PAUSE_S))
+
+    async def stop(self, entry):
+        await entry.stop()
+
+    async def stop_and_hang_up(self, entry):
+        """Send more signals while an entry stops."""
+        stopping = asyncio.create_task(entry.stop())
+        for signum in (signal.SIGHUP, signal.SIGTERM):
+            await asyncio.sleep(self.rng.uniform(0, 2))
+            if entry.stopping:
+                entry.send(signum)
+        await stopping
+
+    async def hang_up(self, entry):
+        if await entry.is_ready():
+            entry.send(signal.SIGHUP)
+
+    async def change_settings(self, entry):
+        await self.change_settings_unsaid(entry)
+        await self.hang_up(entry)
+
+    async def change_settings_unsaid(self, entry):
+        seeds = ','.join(other.peer_address for other in self.entries if other is not entry)
+        entry.write_settings(seeds=seeds, marker=str(self.rng.random()))
+
+    async def configure(self, _entry):
+        self.version += self.rng.randint(1, 4)
+        self.store.configure(configuration(self.version, self.rng.randint(1, 4)))
+
+    async def slow_down(self, _entry):
+        self.store.delay_s = SLOW_S
+        await asyncio.sleep(self.rng.uniform(0.5, 2))
+        self.store.delay_s = 0
+
+
+def configuration(version, extra):
+    """Return a configuration with the queue that clients use, and some more."""
+    route = {'name': 'q1', 'host': HOST, 'path_prefix': PREFIX, 'service': 's'}
+    others = [
+        {**route, 'name': f'extra-{number}', 'path_prefix': f'/extra-{number}/'}
+        for number in range(extra)
+    ]
+    routes = [{**route, 'timeout_ms': 3000 + version}, *others]
+    return {'version': version, 'routes': routes, 'services': [{'name': 's'}], 'limits': {}}
+
+
+async def keep_running(store, clients):
+    """Show each second submission as running, as a leader does whose workers have begun."""
+    seen = 0
+    while True:
+        await asyncio.sleep(KEEP_RUNNING_S)
+        names = clients.accepted[seen:]
+        seen += len(names)
+        records = [Progress(name, 0, Outcome.running) for name in names[::2]]
+        if records:
+            stored = [(record_key(record), encode_record(record)) for record in records]
+            store.topic('keyed.work').store(stored)
+
+
+async def unknown_at(entry, names):
+    """Return the ids that an entry does not know."""
+    unknown = []
+    reader, writer = await asyncio.open_connection(entry.ip, entry.front_port)
+    with contextlib.closing(writer):
+        for name in names:
+            writer.write(f'GET {PREFIX}{name} HTTP/1.1\r\nHost: {HOST}\r\n\r\n'.encode())
+            head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+            body = await reader.readexactly(
+                int(head.partition('content-length: ')[2].partition('\r\n')[0])
+            )
+            if ' 200 ' not in head or not msgspec.json.decode(body).get('state'):
+                unknown.append((name, head[:20]))
+    return unknown
+
+
+@pytest.fixture
+async def store():
+    """Return a store with a configuration."""
+    server = StoreServer(random.Random(1))
+    await server.start()
+    server.configure(configuration(1, 1))
+    yield server
+    server.close()
+
+
+@pytest.fixture
+async def entries(store, tmp_path):
+    """Return ready entries."""
+    started = [EntryProcess(number, tmp_path, store.address) for number in range(ENTRIES)]
+    for entry in started:
+        entry.start()
+    try:
+        for entry in started:
+            await entry.wait_ready()
+        yield started
+    finally:
+        for entry in started:
+            await entry.end()
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+async def test_planned_work_cuts_no_request(seed, store, entries):
+    """Guards against requests cut by an entry that stops, and submissions forgotten by a restart."""
+    rng = random.Random(seed)
+    clients = Clients(random.Random(seed), entries)
+    work = PlannedWork(rng, store, entries)
+    clients.start(CLIENTS_OF_A_KIND)
+    running = [asyncio.create_task(work.run()), asyncio.create_task(keep_running(store, clients))]
+    await asyncio.sleep(TRAFFIC_S)
+    for task in running:
+        task.cancel()
+    await asyncio.gather(*work.tasks)
+    await clients.finish()
+    store.delay_s = 0
+    for entry in entries:
+        await entry.wait_ready()
+    ends = [one.unexpected for one in entries]
+    logger.info(
+        'seed {}: {} {} cut={} ends={}', seed, work.done, clients.statuses, clients.cut, ends
+    )
+    assert not clients.cut
+    assert not clients.forgotten
+    assert not any(ends), ends
+    asked = clients.accepted[::SAMPLE]
+    parts = [
+        unknown_at(one, asked[part::CONNECTIONS]) for one in entries for part in range(CONNECTIONS)
+    ]
+    assert not any(await asyncio.gather(*parts))
