Answer all requests read on a connection before a stop closes it

What callers saw: of requests sent at once on one connection to an entry that stops, the first was answered and the others were dropped with the connection, 0.2 to 0.9 s after they were sent. Cause: each answer of a leaving entry ended its connection, whether or not more requests had been read there. Now the answer of the last one does.

`test_leaving_entry_answers_all_requests_sent_at_once` fails without the change with `assert 1 == 3`.

--- a/marigoldlift/platform/caller_server.py
+++ b/marigoldlift/platform/caller_server.py
@@ -8,7 +8,7 @@
 
 from marigoldlift.util import loop_now
 
-__all__ = ('CallerConnection', 'CallerServer')
+__all__ = ('CallerConnection', 'CallerServer', 'more_follow')
 
 #: How long an entry goes on serving after it was asked to stop, in s; the balancer needs two misses of 1 s.
 SERVE_S = 3.0
@@ -33,6 +33,10 @@
         """Tell whether every request that was read is answered; the answers may still be on their way."""
         return self._waiter is not None and not self._waiter.done()
 
+    def has_more(self) -> bool:
+        """Tell whether another request was read behind the one that is answered now."""
+        return bool(self._messages)
+
 
 class CallerServer(web.Server):
     """Makes the connections and closes them when the entry stops.
@@ -87,3 +91,9 @@
 def is_idle(connection: RequestHandler) -> bool:
     """Tell whether every request that was read on a connection is answered."""
     return isinstance(connection, CallerConnection) and connection.is_idle()
+
+
+def more_follow(request: web.BaseRequest) -> bool:
+    """Tell whether another request was read behind this one on its connection."""
+    connection = request.protocol
+    return isinstance(connection, CallerConnection) and connection.has_more()
--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from marigoldlift.errors import LogUnavailableError
+from marigoldlift.platform.caller_server import more_follow
 from marigoldlift.platform.configuration import CellConfiguration, Queue
 from marigoldlift.platform.wire import StepBody, SubmissionBody
 from marigoldlift.submissions.acceptance import Acceptance, Answer
@@ -79,7 +80,7 @@
         """Answer one request."""
         arrived_at = steady_now()
         response = await self.answer(request)
-        if self.leaving:
+        if self.leaving and not more_follow(request):
             response.force_close()
         self.metrics.add(Metric.requests, workspace=request.method, status=str(response.status))
         self.metrics.observe(Metric.request, steady_now() - arrived_at, service=request.method)
--- a/marigoldlift/platform/tests/test_front.py
+++ b/marigoldlift/platform/tests/test_front.py
@@ -1,5 +1,8 @@
 """What clients get for each request, with faulty ones among them."""
 
+import asyncio
+import contextlib
+
 import pytest
 from aiohttp import test_utils
 from hypothesis import given, settings, strategies
@@ -7,6 +10,7 @@
 from marigoldlift.errors import LogUnavailableError
 from marigoldlift.platform.configuration import CellConfiguration, Queue
 from marigoldlift.platform.front import Front, read_submission, submission_decoder
+from marigoldlift.platform.servers import listen_for_callers
 from marigoldlift.submissions.acceptance import Answer
 from marigoldlift.submissions.model import Policy, SubmissionId
 from marigoldlift.submissions.records import Outcome
@@ -154,6 +158,19 @@
         assert response.headers['Connection'] == 'close'
 
 
+async def test_leaving_entry_answers_all_requests_sent_at_once(front):
+    """Guards against a request that was read and is dropped with the connection, as an earlier one is answered."""
+    front.leaving = True
+    callers = await listen_for_callers('127.0.0.1:0', front.handle)
+    address = callers.listener.sockets[0].getsockname()
+    reader, writer = await asyncio.open_connection(*address)
+    with contextlib.closing(writer), contextlib.closing(callers.listener):
+        writer.write(b'GET /q1/ HTTP/1.1\r\nHost: h.example\r\n\r\n' * 3)
+        told = await reader.read()
+    assert told.count(b' 200 OK') == 3
+    assert told.lower().count(b'connection: close') == 1
+
+
 @given(strategies.binary(max_size=200))
 @settings(max_examples=300, derandomize=True)
 def test_any_bytes_are_read_or_refused(body):
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -26,6 +26,9 @@
 #: Pause between two looks at how late timers fire, in s.
 TICK_S = 0.01
 
+#: Most requests that are sent at once on one connection.
+PIPELINED = 3
+
 BODY = b'{"spec":"x","phases":[{"count":1,"cpu":100,"mem_mb":10,"est_ms":100}]}'
 
 
@@ -73,6 +76,7 @@
             self.keep_busy,
             self.keep_idle,
             self.open_fresh,
+            self.pipeline,
             self.send_slowly,
         )
         for kind in kinds:
@@ -118,6 +122,12 @@
         async with Connection(self, 'fresh') as connection:
             await connection.exchange(1)
 
+    async def pipeline(self) -> None:
+        """Send several requests at once."""
+        async with Connection(self, 'pipelined') as connection:
+            while not self.ending and await connection.exchange(self.rng.randint(2, PIPELINED)):
+                await asyncio.sleep(self.rng.uniform(0, 0.2))
+
     async def send_slowly(self) -> None:
         """Send requests in two parts."""
         async with Connection(self, 'slow') as connection:
