Ignore SIGHUP until an entry has its handlers, and read the settings again then

What the platform saw: an entry that got SIGHUP within the first 0.7 s ended with the signal and was started again, which is priced as an end of its own. Cause: the handlers are installed once all modules are imported and the parts are built. A change of the settings file whose signal comes before that is now found by a look at the start, not 2 s later.

No request is cut by it, since nothing listens yet.

--- a/marigoldlift/cmdline.py
+++ b/marigoldlift/cmdline.py
@@ -3,6 +3,7 @@
 import importlib
 import os
 import pathlib
+import signal
 import sys
 from collections.abc import Callable, Sequence
 from types import MappingProxyType
@@ -77,7 +78,11 @@
 
 
 def run_cell(words: Sequence[str]) -> int:
-    """Run an entry on the platform, from the settings file that the environment names."""
+    """Run an entry on the platform, from the settings file that the environment names.
+
+    SIGHUP ends a process that has no handler for it, and may come before the entry has set up its own.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     node_settings = importlib.import_module('marigoldlift.platform.node_settings')
     path = os.environ.get(node_settings.SETTINGS_VARIABLE)
     if len(words) > 1 or not path:
--- a/marigoldlift/platform/settings_watch.py
+++ b/marigoldlift/platform/settings_watch.py
@@ -19,7 +19,7 @@
     """Reads the file again and hands changed settings on; a faulty file leaves those in force.
 
     Attributes:
-        wanted: set to look at once.
+        wanted: set to look at once, as at the start, since the file may have changed after it was read.
     """
 
     def __init__(self, path: Path, text: str, changed: Callable[[NodeSettings], None]) -> None:
@@ -34,6 +34,7 @@
         self.text = text
         self.changed = changed
         self.wanted = asyncio.Event()
+        self.wanted.set()
 
     async def run(self) -> None:
         """Follow the file until cancelled."""
