Ignore signals once an entry has stopped

What the platform saw: an entry that was asked to stop ended with SIGHUP's exit code instead of 0. Cause: asyncio gives signals their default back as the loop closes, and the end of the interpreter takes a while after that. No request is cut by it, since all connections are closed by then.

`test_ending_entry_survives_signals` fails without the change with `assert -15 == 0`.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -183,3 +183,12 @@
     entry = Entry(settings)
     entry.watch = SettingsWatch(path, text, entry.reconfigure)
     await entry.run()
+    ignore_signals()
+
+
+def ignore_signals() -> None:
+    """Let the process end by itself: as the loop closes, its handlers give way to the default, which ends a process."""
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGHUP):
+        loop.remove_signal_handler(signum)
+        signal.signal(signum, signal.SIG_IGN)
--- a/marigoldlift/platform/tests/test_early_signals.py
+++ b/marigoldlift/platform/tests/test_signals.py
@@ -1,7 +1,8 @@
-"""SIGHUP before an entry has set up its handlers."""
+"""Signals before an entry has set up its handlers, and after its loop has closed."""
 
 import asyncio
 import os
+import re
 import subprocess
 import sys
 
@@ -22,6 +23,20 @@
 sys.exit(cmdline.main(['cell']))
 """
 
+#: Runs an entry that is asked to stop at once, and gets more signals while the interpreter ends.
+STOPPING_PROGRAM = """
+import atexit, os, signal, sys
+from marigoldlift import cell, cmdline
+follow = cell.Entry.follow_signals
+def follow_and_stop(entry):
+    follow(entry)
+    os.kill(os.getpid(), signal.SIGTERM)
+cell.Entry.follow_signals = follow_and_stop
+for signum in (signal.SIGHUP, signal.SIGTERM):
+    atexit.register(os.kill, os.getpid(), signum)
+sys.exit(cmdline.main(['cell']))
+"""
+
 
 @pytest.fixture
 def path(tmp_path):
@@ -33,12 +48,24 @@
 
 def test_starting_entry_survives_a_hangup(path):
     """Guards against a process that ends, and is started again, since its settings change as it starts."""
-    ended = subprocess.run(
-        [sys.executable, '-c', PROGRAM],
-        env={**os.environ, SETTINGS_VARIABLE: str(path)},
-        check=False,
-    )
-    assert ended.returncode == 0
+    assert exit_code(PROGRAM, path) == 0
+
+
+@pytest.mark.integration
+def test_ending_entry_survives_signals(path):
+    """Guards against a stop that counts as an end by a signal, since settings change as it ends."""
+    ip = f'127.{os.getpid() // 256 % 250 + 2}.{os.getpid() % 256}.1'
+    local = re.sub(r'^ip=.*$', f'ip={ip}', GOOD, flags=re.MULTILINE)
+    local = re.sub(r'10\.1\.0\.13:\d+', f'{ip}:0', local)
+    local = re.sub(r'10\.200\.1\.[79]:\d+', f'{ip}:1', local)
+    path.write_text(local.replace('grace_s=6', 'grace_s=0.5'), encoding='utf-8')
+    assert exit_code(STOPPING_PROGRAM, path) == 0
+
+
+def exit_code(program, path):
+    """Return the exit code of a program with settings."""
+    environment = {**os.environ, SETTINGS_VARIABLE: str(path)}
+    return subprocess.run([sys.executable, '-c', program], env=environment, check=False).returncode
 
 
 @pytest.mark.looptime
