--- a/marigoldlift/platform/caller_server.py
+++ b/marigoldlift/platform/caller_server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers that stops in order: each request that was read gets its answer first."""
 
 import asyncio
+import contextlib
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
@@ -17,7 +18,7 @@
 #: 1.2 s at most.
 ANSWERS_S = 1.5
 
-#: Part of the grace time that is kept for the end of the process, in s; a VM of half a core takes 0.2 s for it.
+#: Part of the grace time that is kept for the end of the process, in s: SIGKILL must not come before it.
 EXIT_S = 0.5
 
 #: Pause between two looks at the connections that are left, in s.
@@ -65,13 +66,12 @@
         self.listener.close()
         opened = len(self.connections)
         busy = opened - sum(map(is_idle, self.connections))
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(asked_at + grace_s - EXIT_S):
                 await self.close_all()
-        except TimeoutError:
-            logger.warning('requests cut by the stop: connections={}', len(self.connections))
         took_s = loop_now() - asked_at
-        logger.info('callers gone: took_s={:.3f} open={} busy={}', took_s, opened, busy)
+        cut = len(self.connections)
+        logger.info('drained: took_s={:.3f} open={} busy={} cut={}', took_s, opened, busy, cut)
 
     async def close_all(self) -> None:
         """Close connections that stay idle, until none is left and all answers are sent.
