Move the store to another address in the tests under planned work

Guards against calls that are lost as the settings name another store. Settings, with or without SIGHUP, now switch between two addresses of the store in use.

--- a/standins/cell/store.py
+++ b/standins/cell/store.py
@@ -39,7 +39,7 @@
     """Serves appends, reads and snapshots of keyed topics with one partition each.
 
     Attributes:
-        address: where it listens, once it was started.
+        addresses: where it listens.
         delay_s: longest time that an append or a read takes beyond its wait, in s.
     """
 
@@ -47,7 +47,8 @@
         """Start without topics."""
         self.rng = rng
         self.topics: dict[str, MemoryLog] = {}
-        self.address = ''
+        self.addresses: list[str] = []
+        self.listeners: list[asyncio.Server] = []
         self.delay_s: float = 0
         self.routes = {
             ('POST', '/-/log-append'): self.append,
@@ -55,17 +56,19 @@
             ('GET', '/-/log-newest'): self.newest,
         }
 
-    async def start(self) -> None:
-        """Listen on a port that the system chooses."""
+    async def listen(self) -> None:
+        """Listen on one more port, which the system chooses."""
         server = web.Server(self.handle, access_log=None)
         loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(server, LOOPBACK, 0)
-        host, port = self.listener.sockets[0].getsockname()
-        self.address = f'{host}:{port}'
+        listener = await loop.create_server(server, LOOPBACK, 0)
+        self.listeners.append(listener)
+        host, port = listener.sockets[0].getsockname()
+        self.addresses.append(f'{host}:{port}')
 
     def close(self) -> None:
         """Stop listening."""
-        self.listener.close()
+        for listener in self.listeners:
+            listener.close()
 
     def topic(self, name: str) -> MemoryLog:
         """Return a topic, made on first use."""
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -81,7 +81,7 @@
             'orders': 'call',
             'platform.addr': store_address,
         }
-        self.write_settings()
+        self.write_settings({})
         self.process: asyncio.subprocess.Process | None = None
         self.stopped_at = float('-inf')
         self.unexpected: list[int] = []
@@ -93,7 +93,7 @@
         """Return where other entries reach it."""
         return f'{self.ip}:{self.control_port}'
 
-    def write_settings(self, **changes: str) -> None:
+    def write_settings(self, changes: SettingsTable) -> None:
         """Replace the settings file at once; a process that starts with half a file ends."""
         self.fields.update(changes)
         lines = [f'{name}={content}\n' for name, content in self.fields.items()]
--- a/tests/soak/test_planned_work.py
+++ b/tests/soak/test_planned_work.py
@@ -42,7 +42,7 @@
 
 KEEP_RUNNING_S = 0.3
 
-#: Every so manieth acknowledged submission is asked for at the end, over so many connections to each entry.
+#: One in so many acknowledged submissions is asked for at the end, over so many connections to each entry.
 SAMPLE = 5
 CONNECTIONS = 20
 
@@ -98,7 +98,8 @@
 
     async def change_settings_unsaid(self, entry):
         seeds = ','.join(other.peer_address for other in self.entries if other is not entry)
-        entry.write_settings(seeds=seeds, marker=str(self.rng.random()))
+        changes = {'seeds': seeds, 'platform.addr': self.rng.choice(self.store.addresses)}
+        entry.write_settings(changes)
 
     async def configure(self, _entry):
         self.version += self.rng.randint(1, 4)
@@ -154,7 +155,8 @@
 async def store():
     """Return a store with a configuration."""
     server = StoreServer(random.Random(1))
-    await server.start()
+    await server.listen()
+    await server.listen()
     server.configure(configuration(1, 1))
     yield server
     server.close()
@@ -163,7 +165,7 @@
 @pytest.fixture
 async def entries(store, tmp_path):
     """Return ready entries."""
-    started = [EntryProcess(number, tmp_path, store.address) for number in range(ENTRIES)]
+    started = [EntryProcess(number, tmp_path, store.addresses[0]) for number in range(ENTRIES)]
     for entry in started:
         entry.start()
     try:
