--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from marigoldlift.errors import LogUnavailableError
+from marigoldlift.platform.caller_server import more_follow
 from marigoldlift.platform.configuration import CellConfiguration, Queue
 from marigoldlift.platform.wire import StepBody, SubmissionBody
 from marigoldlift.submissions.acceptance import Acceptance, Answer
@@ -73,18 +74,13 @@
         self.may_be_stale = may_be_stale
         self.configuration: CellConfiguration | None = None
         self.leaving = False
-        self.under_way = 0
         self.metrics = metrics
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        self.under_way += 1
         arrived_at = steady_now()
-        try:
-            response = await self.answer(request)
-        finally:
-            self.under_way -= 1
-        if self.leaving:
+        response = await self.answer(request)
+        if self.leaving and not more_follow(request):
             response.force_close()
         self.metrics.add(Metric.requests, workspace=request.method, status=str(response.status))
         self.metrics.observe(Metric.request, steady_now() - arrived_at, service=request.method)
