Log the faults of a leader's tasks and give their work back

Callers saw submissions for ever as waiting or running with nothing running (LOST): an unexpected exception in a task beside the leader's rounds ended it without a line in the log, and what it had in hand stayed there.

- A start was neither answered nor given back: it is now in doubt until a look proves that it is not there, or given back where nothing is held.
- A record of a placement left its submission marked as being written: it is tried again.
- A question to the advice left the step marked as asking: it is asked again.
- A look at a worker was the last one, and an end whose taking in failed was passed over: looks go on after 0.2 s, the end is taken in again.
- The loop that stores a tenure's records ended alone: the tenure ends with it.
- A probe of the store left the entry on the indirect way; one failed try ended the whole search for another entry.

TaskSet logs the fault of each task that is run beside its owner.

Ruled out: the calls' own errors, which were handled. No run of the cell has shown such an exception by itself; the tests inject it.

--- a/marigoldlift/orders/following.py
+++ b/marigoldlift/orders/following.py
@@ -15,7 +15,7 @@
 
 
 async def follow(session: WorkerSession) -> None:
-    """Look at a worker until cancelled; a raised token is announced at once."""
+    """Look at a worker until cancelled or until a look ends by a fault; a raised token is announced at once."""
     waiting: asyncio.Future[bool] | None = None
     try:
         while True:
@@ -25,6 +25,7 @@
             if session.urgent.is_set():
                 await announce(session)
             if waiting.done():
+                waiting.result()
                 waiting = None
     finally:
         if waiting is not None:
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -276,19 +276,23 @@
             self.observer.room_changed()
 
     def note_end(self, ended: EndedRun) -> None:
-        """Pass on an end that is listed for the first time."""
-        if ended.number <= self.listed:
+        """Pass on an end that is listed for the first time; after a fault it counts as not listed yet."""
+        before = self.listed
+        if ended.number <= before:
             return
         self.listed = ended.number
         self.unstored.add(ended.number)
         self.room.note_end(ended.task, ended.run)
         known = self.room.runs.get(ended.task)
-        if known is not None and known.run == ended.run:
-            known.checkpoint = ended.checkpoint or known.checkpoint
+        if known is not None and known.run != ended.run:
+            known = None
+        try:
             self.observer.run_ended(self, ended, known)
+        except Exception:
+            self.listed = before
+            raise
+        if known is not None:
             self.release(ended.task)
-        else:
-            self.observer.run_ended(self, ended, None)
 
     def note_held(self, held: HeldRun, now: float) -> None:
         """Take in a run that is there; one that is not known is offered to the observer."""
--- a/marigoldlift/platform/store_route.py
+++ b/marigoldlift/platform/store_route.py
@@ -124,6 +124,9 @@
         except CallUnansweredError as fault:
             logger.debug('probe of the store not answered: {}', fault)
             return False
+        except Exception as unexpected:
+            logger.opt(exception=unexpected).error('probe of the store ended by a fault: {}', url)
+            return False
         return reply.status not in TURNED_AWAY and reply.status != BAD_GATEWAY
 
     async def call_peer(self, method: str, path: str, body: bytes, wait_s: float) -> Reply:
--- a/marigoldlift/platform/tests/test_store_route.py
+++ b/marigoldlift/platform/tests/test_store_route.py
@@ -128,3 +128,48 @@
     route = await build(calls, peers=())
     await cut(route, calls)
     assert (await route.call('POST', PATH, b'', 0.8)).status == 503
+
+
+class FaultyCalls(PartedCalls):
+    """Calls of which some end by an unexpected exception.
+
+    Attributes:
+        faulty: addresses whose calls do.
+    """
+
+    def __init__(self):
+        """Let no call fail."""
+        super().__init__()
+        self.faulty = set()
+
+    async def call(self, method, url, body, headers, wait_s):
+        """Answer a call, or let it end by an exception."""
+        if url.removeprefix('http://').partition('/')[0] in self.faulty:
+            raise RuntimeError('injected')
+        return await super().call(method, url, body, headers, wait_s)
+
+
+async def test_direct_way_is_taken_again_after_a_fault_of_a_probe():
+    """Guards against an entry that never takes the direct way again, since its probes have ended by an exception."""
+    calls = FaultyCalls()
+    route = await build(calls)
+    await cut(route, calls)
+    calls.faulty.add(STORE)
+    await asyncio.sleep(1)
+    calls.faulty.clear()
+    calls.parted.clear()
+    await asyncio.sleep(1)
+    assert route.is_direct
+
+
+async def test_search_goes_on_after_a_fault_of_one_try():
+    """Guards against calls that end by an exception of one of the entries that are tried."""
+    calls = FaultyCalls()
+    route = await build(calls)
+    await cut(route, calls)
+    calls.faulty.add('10.0.0.3:1')
+    for _ in range(5):
+        route.peer = ''
+        route.searching = None
+        assert (await route.call('POST', PATH, b'', 0.8)).status == 200
+        assert route.peer == '10.0.0.4:1'
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Iterable
 
 from loguru import logger
 
@@ -85,6 +86,7 @@
         try:
             await self.take_over()
             while not self.appender.fenced:
+                check_loops(loops)
                 self.work()
                 await self.pause()
         finally:
@@ -178,3 +180,10 @@
                 self.book.cancel(record.submission)
             case Progress() if record.outcome in FINAL:
                 self.book.forget(record.submission)
+
+
+def check_loops(loops: Iterable[asyncio.Task[None]]) -> None:
+    """Raise the fault by which a loop has ended, since the tenure can store nothing without it."""
+    for task in loops:
+        if task.done():
+            task.result()
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -10,6 +10,7 @@
 from marigoldlift.scheduling.tasks import JobRun
 from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.records import Outcome, Progress
+from marigoldlift.supervision import TaskSet
 
 __all__ = ('ProgressWriter',)
 
@@ -39,7 +40,7 @@
         self.callbacks: dict[SubmissionId, list[Stored]] = {}
         self.writing: set[SubmissionId] = set()
         self.wake = asyncio.Event()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = TaskSet()
 
     def note(self, job: JobRun, stored: Stored | None = None) -> None:
         """Note that a submission has changed.
@@ -68,8 +69,7 @@
                 self.wake.clear()
                 self.write_changed()
         finally:
-            for task in self.tasks:
-                task.cancel()
+            self.tasks.cancel()
 
     def write_changed(self) -> None:
         """Begin a record for each changed submission that has none under way."""
@@ -77,19 +77,17 @@
         for submission in idle:
             job = self.changed.pop(submission)
             self.writing.add(submission)
-            task = asyncio.create_task(self.write(job, self.callbacks.pop(submission, [])))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.tasks.spawn(self.write(job, self.callbacks.pop(submission, [])))
 
     async def write(self, job: JobRun, callbacks: list[Stored]) -> None:
         """Store one record, however long it takes, and tell those who wait for it."""
         while not await self.store(job):
             await asyncio.sleep(RETRY_S)
-        for stored in callbacks:
-            stored()
         self.writing.discard(job.id)
         if job.id in self.changed:
             self.wake.set()
+        for stored in callbacks:
+            stored()
 
     async def store(self, job: JobRun) -> bool:
         """Try once."""
@@ -100,4 +98,7 @@
         except PlatformError as fault:
             logger.warning('progress not stored: submission={} {}', job.id, fault.reason)
             return False
+        except Exception as unexpected:
+            logger.opt(exception=unexpected).error('progress not stored: submission={}', job.id)
+            return False
         return True
--- a/marigoldlift/scheduling/roster.py
+++ b/marigoldlift/scheduling/roster.py
@@ -16,6 +16,7 @@
 from marigoldlift.scheduling.registry import Registry
 from marigoldlift.submissions.records import Dropped, KnownWorker
 from marigoldlift.submissions.state import CellState
+from marigoldlift.supervision import TaskSet
 
 __all__ = ('Roster', 'reborn_worker')
 
@@ -28,17 +29,31 @@
 SLOW_CLOCK = 1.02
 LAPSE_SLACK_S = 0.4
 
+#: Pause before a worker is looked at again after a fault, in s.
+LOOK_AGAIN_S = 0.2
+
 #: How long a record waits for the store, in s.
 RECORD_WAIT_S = 2
 
 
+class DarkBounds(msgspec.Struct, frozen=True):
+    """When all that a silent worker may hold has surely ended, in seconds of the steady clock.
+
+    Attributes:
+        listed: bound while the registry lists it, by the time of the takeover.
+        gone: bound once it does not, by the last order of an earlier leader.
+    """
+
+    listed: float
+    gone: float
+
+
 class Roster:
     """Opens, renews and closes the sessions of one tenure.
 
     Attributes:
         dark: workers that have not answered since the takeover, with the time at which all that they may hold has
-            surely ended, in seconds of the steady clock.
-        gone: the same for those of them that are gone from the registry, by the last order of an earlier leader.
+            surely ended.
     """
 
     def __init__(
@@ -68,9 +83,9 @@
         self.qualities: dict[str, WorkerQuality] = {}
         self.recorded: set[str] = set()
         self.leave_at: dict[str, float] = {}
-        self.dark: dict[str, float] = {}
-        self.gone: dict[str, float] = {}
+        self.dark: dict[str, DarkBounds] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.forgetting = TaskSet()
 
     def quality(self, worker: str) -> WorkerQuality:
         """Return how a worker has fared."""
@@ -87,8 +102,7 @@
         for known in self.state.workers.values():
             if known.worker not in self.sessions:
                 self.open(unlisted_worker(known), self.tenure)
-            self.dark[known.worker] = bound
-            self.gone[known.worker] = orders_ended_at(known.life) + self.gone_s
+            self.dark[known.worker] = DarkBounds(bound, orders_ended_at(known.life) + self.gone_s)
 
     def refresh(self) -> None:
         """Follow the registry."""
@@ -123,10 +137,16 @@
         self.tasks[session.worker.id] = asyncio.create_task(self.serve(session))
 
     async def serve(self, session: WorkerSession) -> None:
-        """Record the worker before its first order, then look at it."""
-        if session.worker.id not in self.recorded:
-            await self.record(session.worker)
-        await follow(session)
+        """Record the worker before its first order, then look at it; a fault ends one look, not all."""
+        while True:
+            try:
+                await self.record(session.worker)
+                await follow(session)
+            except Exception as fault:
+                logger.opt(exception=fault).error(
+                    'looks ended by a fault: worker={}', session.worker.id
+                )
+                await asyncio.sleep(LOOK_AGAIN_S)
 
     async def record(self, worker: Worker) -> None:
         """Store that a worker may hold tasks from now on."""
@@ -215,8 +235,12 @@
         A worker that is still listed runs, and may carry a late order out in a life of which this leader knows nothing
         yet; it is given longer.
         """
-        bounds = self.dark if name in self.registry.workers else self.gone
-        return now > bounds.get(name, now)
+        bounds = self.dark.get(name)
+        if bounds is None:
+            return False
+        if name in self.registry.workers:
+            return now > bounds.listed
+        return now > bounds.gone
 
     def is_needless(self, session: WorkerSession, now: float) -> bool:
         """Tell whether a worker is gone from the registry and can hold nothing any more."""
@@ -235,9 +259,7 @@
         self.sessions.pop(name)
         self.tasks.pop(name).cancel()
         self.recorded.discard(name)
-        task = asyncio.create_task(self.forget(name))
-        self.tasks[f'-{name}'] = task
-        task.add_done_callback(lambda _: self.tasks.pop(f'-{name}', None))
+        self.forgetting.spawn(self.forget(name))
 
     async def forget(self, name: str) -> None:
         """Drop the stored record of a worker."""
@@ -248,6 +270,7 @@
 
     def stop(self) -> None:
         """End all sessions."""
+        self.forgetting.cancel()
         for task in self.tasks.values():
             task.cancel()
 
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -1,6 +1,5 @@
 """Carries out what was placed: starts and stops, and what follows from refusals."""
 
-import asyncio
 from collections.abc import Coroutine
 from typing import Protocol
 
@@ -13,6 +12,7 @@
 from marigoldlift.scheduling.roster import Roster
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import TaskRef
+from marigoldlift.supervision import TaskSet
 
 __all__ = ('Starter',)
 
@@ -45,18 +45,15 @@
         self.progress = progress
         self.events = events
         self.clock = roster.clock
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = TaskSet()
 
     def spawn(self, work: Coroutine[None, None, None]) -> None:
         """Run an order beside the others."""
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks.spawn(work)
 
     def cancel(self) -> None:
         """Leave the orders under way to the next leader."""
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
 
     def start(self, step: StepRun, index: int, session: WorkerSession, run: int) -> None:
         """Take the room of a task and order its start."""
@@ -68,6 +65,17 @@
         self.spawn(self.send(step, session, ordered))
 
     async def send(self, step: StepRun, session: WorkerSession, ordered: Run) -> None:
+        """Order a start; one that ends by a fault is in doubt until a look proves that it is not there."""
+        try:
+            await self.order(step, session, ordered)
+        except Exception as fault:
+            logger.opt(exception=fault).error('order of a start ended by a fault')
+            if session.room.runs.get(ordered.task) is ordered:
+                session.doubt(ordered, fault)
+            else:
+                self.give_back(step, ordered.task.index, session)
+
+    async def order(self, step: StepRun, session: WorkerSession, ordered: Run) -> None:
         """Store where the task will run, order its start, and let it wait again when it surely does not run."""
         await self.progress.store_now(step.job)
         if not self.is_wanted(step, session, ordered):
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -128,10 +128,12 @@
         policy = step.job.submission.policy.advice
         if policy is None:
             return
-        allowed = await self.broker.ask(booking, cost_s, step.name, named)
-        step.ask_after = 0
+        allowed = None
+        try:
+            allowed = await self.broker.ask(booking, cost_s, step.name, named)
+        finally:
+            step.ask_after = self.clock() + ASK_AGAIN_S if allowed is None else 0
         if allowed is None:
-            step.ask_after = self.clock() + ASK_AGAIN_S
             return
         until = self.clock() + policy.valid_ms / MS_PER_S - VALID_MARGIN_S
         for worker in named:
