Start no task that a worker still holds, and count the room of a task once

A caller saw a task refused each 15 ms, or room of a worker that never came back (LOST, and prices for rejected starts).

Cause: a run that the leader has not ordered, for example one carried out late, takes room until it is stopped. When the task's own run ended meanwhile, the next start could go to that worker: its entry replaced the other's in the room's table without giving that room back, and the stop that was due for the other one was never sent. On another worker the task would have run twice.

A task now waits until no worker holds a run of it, and an entry replaces another one only after giving its room back.

Ruled out: an entry that stays, since checks stop what is not a task's own run and a silent worker's entries go with its lease.

Evidence: test_run_that_nobody_ordered_takes_its_room_once failed with TimeoutError ('start refused ... reason=old' for run 2, 3, 4 and on), passes; tests/cell, orders, scheduling and leadership pass (100 tests).

--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -123,7 +123,8 @@
         self.gpus += worker.gpus
 
     def take(self, run: Run) -> None:
-        """Count a run's demand."""
+        """Count a run's demand, in place of that of another run of the task."""
+        self.pop(run.task)
         self.runs[run.task] = run
         self.count(run.step, 1)
 
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -56,8 +56,13 @@
         self.tasks.cancel()
 
     def start(self, step: StepRun, index: int, session: WorkerSession, run: int) -> None:
-        """Take the room of a task and order its start."""
+        """Take the room of a task and order its start, unless a worker still holds a run of it that nobody ordered.
+
+        The checks stop such a run; the task waits until it has ended.
+        """
         ref = step.task(index)
+        if any(ref in other.room.runs for other in self.roster.sessions.values()):
+            return
         ordered = Run(ref, run, step.step, Phase.sent, self.clock())
         ordered.checkpoint = step.checkpoint(index)
         session.room.take(ordered)
--- a/tests/cell/test_standstill.py
+++ b/tests/cell/test_standstill.py
@@ -1,9 +1,15 @@
 """No task whose turn has come stands still longer than its worker's lease."""
 
+import asyncio
+
 import pytest
 
+from marigoldlift.submissions.model import Step, TaskRef
+from standins.cell.workers import HeldTask
+from tests.cell.standstill import Standstill
 from tests.cell.troubles import lead_changes, troubles
 
+LEAD_S = 1.5
 QUICK_SEEDS = range(12)
 LONG_SEEDS = range(12, 400)
 
@@ -26,3 +32,29 @@
 def test_no_task_stands_still_over_more_seeds(play, story, seed):
     """Guards as the short searches do, over more seeds."""
     play(story, seed=seed, workers=6)
+
+
+def test_run_that_nobody_ordered_takes_its_room_once(play):
+    """Guards against room that is never given back: a start on a worker that held the task replaced its entry."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        watch = Standstill(cell)
+        cell.durations[TaskRef('job', 0, 0, 0)] = 30.0
+        await cell.submit(cell.entries[0], 'job', (Step(count=1, cpu_m=4000),), max_attempts=9)
+        await asyncio.sleep(1)
+        task, held = next(pair for worker in cell.workers.values() for pair in worker.held.items())
+        (holder, other) = sorted(cell.workers.values(), key=lambda worker: -len(worker.held))
+        other.held[task] = HeldTask(held.run, held.step, 99, cell.loop.time())
+        sessions = cell.leader().node.dispatcher.roster.sessions
+        while task not in sessions[other.name].room.runs:
+            await asyncio.sleep(0.01)
+        cell.durations[task] = 1.0
+        holder.fails = True
+        held.ends_at = 0
+        await asyncio.sleep(0.3)
+        holder.fails = False
+        await cell.settle(['job'], 10)
+        assert not watch.violations, watch.violations[:3]
+
+    play(story, workers=2)
