--- a/marigoldlift/platform/tests/test_store_route.py
+++ b/marigoldlift/platform/tests/test_store_route.py
@@ -142,11 +142,11 @@
         super().__init__()
         self.faulty = set()
 
-    async def call(self, method, url, body, headers, wait_s):
+    async def call(self, method, url, body, headers, wait_s, silence_s=None):
         """Answer a call, or let it end by an exception."""
         if url.removeprefix('http://').partition('/')[0] in self.faulty:
             raise RuntimeError('injected')
-        return await super().call(method, url, body, headers, wait_s)
+        return await super().call(method, url, body, headers, wait_s, silence_s)
 
 
 async def test_direct_way_is_taken_again_after_a_fault_of_a_probe():
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -6,7 +6,6 @@
 
 from marigoldlift.submissions.model import AdvicePolicy, Step
 from marigoldlift.submissions.records import Progress
-from tests.cell import model
 
 LEAD_S = 1.5
 SETTLED_S = 12
@@ -26,9 +25,9 @@
         return self.wrapped(*args, **kwargs)
 
 
-async def submit(cell, count=4, name='job'):
+async def submit(cell, count=4, name='job', **policy):
     """Hand a submission in at the leader."""
-    await cell.submit(cell.leader(), name, (Step(count=count, cpu_m=4000),))
+    await cell.submit(cell.leader(), name, (Step(count=count, cpu_m=4000),), **policy)
 
 
 @pytest.mark.parametrize('failures', [1, 4])
@@ -98,19 +97,14 @@
     play(story)
 
 
-def test_advice_is_asked_again_after_a_fault(play, monkeypatch):
+def test_advice_is_asked_again_after_a_fault(play):
     """Guards against steps that wait for ever for an answer of the advice that has ended by an exception."""
-    with_advice = model.policy
-    advised = AdvicePolicy(10, 1, 4000)
-    monkeypatch.setattr(
-        model, 'policy', lambda: model.msgspec.structs.replace(with_advice(), advice=advised)
-    )
 
     async def story(cell):
         await asyncio.sleep(LEAD_S)
         broker = cell.leader().node.broker
         broker.ask = FailsFirst(broker.ask, 1)
-        await submit(cell)
+        await submit(cell, advice=AdvicePolicy(10, 1, 4000))
         await cell.settle(['job'], SETTLED_S)
 
     play(story)
