--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -102,9 +102,10 @@
 
     async def story(cell):
         await asyncio.sleep(LEAD_S)
+        cell.advice.policy = AdvicePolicy(10, 1, 4000)
         broker = cell.leader().node.broker
         broker.ask = FailsFirst(broker.ask, 1)
-        await submit(cell, advice=AdvicePolicy(10, 1, 4000))
+        await submit(cell, advice=cell.advice.policy)
         await cell.settle(['job'], SETTLED_S)
 
     play(story)
