Answer the calls made for other entries before an entry ends

A leader's questions, passed on by an entry that was about to end, were answered 502 or 500 (ServerDisconnectedError, "Session is closed"): the entry closed its client with those calls under way, while its connections from other entries still served.

Now the server for other entries closes as that for callers does, after it: no new connections, each request that was read is answered, idle connections are closed, all within the grace time. The class serves both and is named for it.

Ruled out: a retry at the entry (tried, reverted; its client was closed already).

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -17,10 +17,11 @@
 from marigoldlift.platform.front import Front
 from marigoldlift.platform.node_settings import NodeSettings
 from marigoldlift.platform.servers import (
+    DrainingServer,
     PeerCalls,
     PeerServer,
     listen,
-    listen_for_callers,
+    listen_draining,
     ready_handler,
     text_handler,
 )
@@ -121,11 +122,11 @@
     async def run(self) -> None:
         """Serve until asked to stop."""
         self.follow_signals()
-        peers = PeerServer(self.route, self.advice, self.node.appender)
-        callers = await listen_for_callers(self.settings.caller_address, self.front.handle)
+        peer_server = PeerServer(self.route, self.advice, self.node.appender)
+        peers = await listen_draining(self.settings.peer_address, peer_server.handle)
+        callers = await listen_draining(self.settings.caller_address, self.front.handle)
         servers = [
             await listen(self.settings.ready_address, ready_handler(self.is_ready)),
-            await listen(self.settings.peer_address, peers.handle),
             await listen(f'{self.settings.ip}:{METRICS_PORT}', text_handler(self.render_metrics)),
         ]
         tasks = [
@@ -136,17 +137,22 @@
             task.add_done_callback(report_end)
         gc.freeze()
         await self.stopping.wait()
-        logger.info('stop requested: leading={}', self.node.election.tenure is not None)
-        self.front.leaving = True
-        retirement = asyncio.create_task(self.retire())
-        await callers.drain(self.settings.grace_s)
-        await retirement
+        await self.drain(callers, peers)
         for server in servers:
             server.close()
         for ended in tasks:
             ended.cancel()
         await self.calls.close()
 
+    async def drain(self, callers: DrainingServer, peers: DrainingServer) -> None:
+        """Answer callers, then what is under way for other entries, while the leadership is handed over."""
+        logger.info('stop requested: leading={}', self.node.election.tenure is not None)
+        self.front.leaving = True
+        retirement = asyncio.create_task(self.retire())
+        until = await callers.drain(self.settings.grace_s)
+        await retirement
+        await peers.close_in_order(until)
+
     def follow_signals(self) -> None:
         """Stop at SIGTERM, and read the settings file again at SIGHUP."""
         loop = asyncio.get_running_loop()
--- a/marigoldlift/platform/caller_server.py
+++ b/marigoldlift/platform/draining_server.py
@@ -1,4 +1,4 @@
-"""HTTP server for callers that stops in order: each request that was read gets its answer first."""
+"""HTTP server that stops in order: each request that was read gets its answer first."""
 
 import asyncio
 import contextlib
@@ -9,7 +9,7 @@
 
 from marigoldlift.util import loop_now
 
-__all__ = ('CallerConnection', 'CallerServer', 'more_follow')
+__all__ = ('DrainingServer', 'TrackedConnection', 'more_follow')
 
 #: How long an entry goes on serving after it was asked to stop, in s; the balancer needs two misses of 1 s.
 SERVE_S = 3.0
@@ -25,7 +25,7 @@
 TICK_S = 0.02
 
 
-class CallerConnection(RequestHandler):
+class TrackedConnection(RequestHandler):
     """One connection; it tells whether requests wait on it."""
 
     __slots__ = ()
@@ -39,8 +39,8 @@
         return bool(self._messages)
 
 
-class CallerServer(web.Server):
-    """Makes the connections and closes them when the entry stops.
+class DrainingServer(web.Server):
+    """Makes the connections of callers or of other entries, and closes them when the entry stops.
 
     Attributes:
         listener: takes new connections; set once the server listens.
@@ -50,9 +50,9 @@
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
-        return CallerConnection(self, loop=self._loop, **self._kwargs)
+        return TrackedConnection(self, loop=self._loop, **self._kwargs)
 
-    async def drain(self, grace_s: float) -> None:
+    async def drain(self, grace_s: float) -> float:
         """Serve until callers have gone elsewhere, then answer what was read and close all connections.
 
         New connections end after a fixed time, since callers who keep coming would hold up the stop until the process
@@ -60,16 +60,29 @@
 
         Args:
             grace_s: time from the request to stop until the process is killed.
+
+        Returns:
+            Time of the loop's clock at which requests that are still under way elsewhere have to be cut.
         """
-        asked_at = loop_now()
+        until = loop_now() + grace_s - EXIT_S
         await asyncio.sleep(min(SERVE_S, max(0, grace_s - EXIT_S - ANSWERS_S)))
+        await self.close_in_order(until)
+        return until
+
+    async def close_in_order(self, until: float) -> None:
+        """Take no new connections, answer what was read, and close all connections.
+
+        Args:
+            until: time of the loop's clock at which requests are cut.
+        """
+        began_at = loop_now()
         self.listener.close()
         opened = len(self.connections)
         busy = opened - sum(map(is_idle, self.connections))
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(asked_at + grace_s - EXIT_S):
+            async with asyncio.timeout_at(until):
                 await self.close_all()
-        took_s = loop_now() - asked_at
+        took_s = loop_now() - began_at
         cut = len(self.connections)
         logger.info('drained: took_s={:.3f} open={} busy={} cut={}', took_s, opened, busy, cut)
 
@@ -90,10 +103,10 @@
 
 def is_idle(connection: RequestHandler) -> bool:
     """Tell whether every request that was read on a connection is answered."""
-    return isinstance(connection, CallerConnection) and connection.is_idle()
+    return isinstance(connection, TrackedConnection) and connection.is_idle()
 
 
 def more_follow(request: web.BaseRequest) -> bool:
     """Tell whether another request was read behind this one on its connection."""
     connection = request.protocol
-    return isinstance(connection, CallerConnection) and connection.has_more()
+    return isinstance(connection, TrackedConnection) and connection.has_more()
--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from marigoldlift.errors import LogUnavailableError
-from marigoldlift.platform.caller_server import more_follow
+from marigoldlift.platform.draining_server import more_follow
 from marigoldlift.platform.configuration import CellConfiguration, Queue
 from marigoldlift.platform.wire import StepBody, SubmissionBody
 from marigoldlift.submissions.acceptance import Acceptance, Answer
--- a/marigoldlift/platform/servers.py
+++ b/marigoldlift/platform/servers.py
@@ -9,18 +9,19 @@
 
 from marigoldlift.errors import AppendInDoubtError, AppendRefusedError
 from marigoldlift.platform.advice import ADVISE_PATH, PlatformAdvice
-from marigoldlift.platform.caller_server import CallerServer
+from marigoldlift.platform.draining_server import DrainingServer
 from marigoldlift.platform.calls import CallUnansweredError, HttpCalls
 from marigoldlift.platform.store_route import RELAY_PREFIX, StoreRoute
 from marigoldlift.replication.appender import Appender
 from marigoldlift.submissions.stored import decode_record
 
 __all__ = (
+    'DrainingServer',
     'Handler',
     'PeerCalls',
     'PeerServer',
     'listen',
-    'listen_for_callers',
+    'listen_draining',
     'ready_handler',
     'text_handler',
 )
@@ -61,9 +62,9 @@
     )
 
 
-async def listen_for_callers(address: str, handler: Handler) -> CallerServer:
-    """Serve callers on one address."""
-    server = CallerServer(handler, access_log=None, keepalive_timeout=KEEP_ALIVE_S)
+async def listen_draining(address: str, handler: Handler) -> DrainingServer:
+    """Serve HTTP on one address until the connections are closed in order."""
+    server = DrainingServer(handler, access_log=None, keepalive_timeout=KEEP_ALIVE_S)
     server.listener = await bind(address, server)
     return server
 
--- a/marigoldlift/platform/tests/test_caller_server.py
+++ b/marigoldlift/platform/tests/test_draining_server.py
@@ -6,8 +6,8 @@
 import pytest
 from aiohttp import web
 
-from marigoldlift.platform import caller_server
-from marigoldlift.platform.servers import listen_for_callers
+from marigoldlift.platform import draining_server
+from marigoldlift.platform.servers import listen_draining
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
 
@@ -49,8 +49,8 @@
 @pytest.fixture
 async def callers(script, monkeypatch):
     """Return a server that closes its connections at once when it stops."""
-    monkeypatch.setattr(caller_server, 'SERVE_S', 0)
-    server = await listen_for_callers('127.0.0.1:0', script.answer)
+    monkeypatch.setattr(draining_server, 'SERVE_S', 0)
+    server = await listen_draining('127.0.0.1:0', script.answer)
     yield server
     server.listener.close()
     for connection in server.connections:
@@ -149,5 +149,5 @@
     async with connect(callers) as (reader, writer):
         writer.write(REQUEST)
         await script.arrived.wait()
-        await callers.drain(caller_server.EXIT_S + POLL_S)
+        await callers.drain(draining_server.EXIT_S + POLL_S)
         assert callers.connections
--- a/marigoldlift/platform/tests/test_front.py
+++ b/marigoldlift/platform/tests/test_front.py
@@ -10,7 +10,7 @@
 from marigoldlift.errors import LogUnavailableError
 from marigoldlift.platform.configuration import CellConfiguration, Queue
 from marigoldlift.platform.front import Front, read_submission, submission_decoder
-from marigoldlift.platform.servers import listen_for_callers
+from marigoldlift.platform.servers import listen_draining
 from marigoldlift.submissions.acceptance import Answer
 from marigoldlift.submissions.model import Policy, SubmissionId
 from marigoldlift.submissions.records import Outcome
@@ -161,7 +161,7 @@
 async def test_leaving_entry_answers_all_requests_sent_at_once(front):
     """Guards against a request that was read and is dropped with the connection, as an earlier one is answered."""
     front.leaving = True
-    callers = await listen_for_callers('127.0.0.1:0', front.handle)
+    callers = await listen_draining('127.0.0.1:0', front.handle)
     address = callers.listener.sockets[0].getsockname()
     reader, writer = await asyncio.open_connection(*address)
     with contextlib.closing(writer), contextlib.closing(callers.listener):
--- a/tests/soak/test_planned_work.py
+++ b/tests/soak/test_planned_work.py
@@ -15,9 +15,9 @@
 
 from marigoldlift.submissions.records import Outcome, Progress
 from marigoldlift.submissions.stored import encode_record, record_key
-from standins.cell.store import StoreServer
 
 from tests.soak.clients import HOST, PREFIX, Clients
+from tests.soak.conftest import configuration
 from tests.soak.entries import EntryProcess
 
 pytestmark = pytest.mark.integration
@@ -111,17 +111,6 @@
         self.store.delay_s = 0
 
 
-def configuration(version, extra):
-    """Return a configuration with the queue that clients use, and some more."""
-    route = {'name': 'q1', 'host': HOST, 'path_prefix': PREFIX, 'service': 's'}
-    others = [
-        {**route, 'name': f'extra-{number}', 'path_prefix': f'/extra-{number}/'}
-        for number in range(extra)
-    ]
-    routes = [{**route, 'timeout_ms': 3000 + version}, *others]
-    return {'version': version, 'routes': routes, 'services': [{'name': 's'}], 'limits': {}}
-
-
 async def keep_running(store, clients):
     """Show each second submission as running, as a leader does whose workers have begun."""
     seen = 0
@@ -151,17 +140,6 @@
     return unknown
 
 
-@pytest.fixture
-async def store():
-    """Return a store with a configuration."""
-    server = StoreServer(random.Random(1))
-    await server.listen()
-    await server.listen()
-    server.configure(configuration(1, 1))
-    yield server
-    server.close()
-
-
 @pytest.fixture
 async def entries(store, tmp_path):
     """Return ready entries."""
