Close connections of other entries with their next answer as an entry ends

An entry that had answered its callers waited for up to 2.4 s more, since other entries used their kept connections again and again. Now each answer given then closes its connection.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -66,6 +66,7 @@
         self.metrics = Metrics()
         self.advice = PlatformAdvice(self.calls, settings.advice_address, own_address)
         self.node = self.build_node()
+        self.peer_server = PeerServer(self.route, self.advice, self.node.appender)
         self.node.peer_observers.append(self.route.learn_one)
         reader = ConfigurationReader(self.configure)
         operators = PlatformLog(self.route, OPERATORS_TOPIC)
@@ -122,8 +123,7 @@
     async def run(self) -> None:
         """Serve until asked to stop."""
         self.follow_signals()
-        peer_server = PeerServer(self.route, self.advice, self.node.appender)
-        peers = await listen_draining(self.settings.peer_address, peer_server.handle)
+        peers = await listen_draining(self.settings.peer_address, self.peer_server.handle)
         callers = await listen_draining(self.settings.caller_address, self.front.handle)
         servers = [
             await listen(self.settings.ready_address, ready_handler(self.is_ready)),
@@ -151,6 +151,7 @@
         retirement = asyncio.create_task(self.retire())
         until = await callers.drain(self.settings.grace_s)
         await retirement
+        self.peer_server.leaving = True
         await peers.close_in_order(until)
 
     def follow_signals(self) -> None:
--- a/marigoldlift/platform/servers.py
+++ b/marigoldlift/platform/servers.py
@@ -96,16 +96,28 @@
 
 
 class PeerServer:
-    """Makes calls to the platform for other entries."""
+    """Makes calls to the platform for other entries.
+
+    Attributes:
+        leaving: the entry is about to end, so that other entries should use the next connection elsewhere.
+    """
 
     def __init__(self, route: StoreRoute, advice: PlatformAdvice, appender: Appender) -> None:
         """Use this entry's ways to store and advice, and its appends."""
         self.route = route
         self.advice = advice
         self.appender = appender
+        self.leaving = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call of another entry."""
+        response = await self.answer(request)
+        if self.leaving:
+            response.force_close()
+        return response
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Make the call that is asked for."""
         body = await request.read()
         if request.path.startswith(RELAY_PREFIX):
             path = request.path_qs.removeprefix(RELAY_PREFIX)
