--- a/marigoldlift/platform/servers.py
+++ b/marigoldlift/platform/servers.py
@@ -9,18 +9,19 @@
 
 from marigoldlift.errors import AppendInDoubtError, AppendRefusedError
 from marigoldlift.platform.advice import ADVISE_PATH, PlatformAdvice
-from marigoldlift.platform.caller_server import CallerServer
+from marigoldlift.platform.draining_server import DrainingServer
 from marigoldlift.platform.calls import CallUnansweredError, HttpCalls
 from marigoldlift.platform.store_route import RELAY_PREFIX, StoreRoute
 from marigoldlift.replication.appender import Appender
 from marigoldlift.submissions.stored import decode_record
 
 __all__ = (
+    'DrainingServer',
     'Handler',
     'PeerCalls',
     'PeerServer',
     'listen',
-    'listen_for_callers',
+    'listen_draining',
     'ready_handler',
     'text_handler',
 )
@@ -61,9 +62,9 @@
     )
 
 
-async def listen_for_callers(address: str, handler: Handler) -> CallerServer:
-    """Serve callers on one address."""
-    server = CallerServer(handler, access_log=None, keepalive_timeout=KEEP_ALIVE_S)
+async def listen_draining(address: str, handler: Handler) -> DrainingServer:
+    """Serve HTTP on one address until the connections are closed in order."""
+    server = DrainingServer(handler, access_log=None, keepalive_timeout=KEEP_ALIVE_S)
     server.listener = await bind(address, server)
     return server
 
@@ -95,16 +96,28 @@
 
 
 class PeerServer:
-    """Makes calls to the platform for other entries."""
+    """Makes calls to the platform for other entries.
+
+    Attributes:
+        leaving: the entry is about to end, so that other entries should use the next connection elsewhere.
+    """
 
     def __init__(self, route: StoreRoute, advice: PlatformAdvice, appender: Appender) -> None:
         """Use this entry's ways to store and advice, and its appends."""
         self.route = route
         self.advice = advice
         self.appender = appender
+        self.leaving = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call of another entry."""
+        response = await self.answer(request)
+        if self.leaving:
+            response.force_close()
+        return response
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Make the call that is asked for."""
         body = await request.read()
         if request.path.startswith(RELAY_PREFIX):
             path = request.path_qs.removeprefix(RELAY_PREFIX)
