Prove no run absent by a list with a row that cannot be read

A row of a worker's list that cannot be read was skipped with a log line, and the run that it names then counted as absent: its task would have been started again beside it (TWICE). Such a list is no longer taken as whole.

--- a/marigoldlift/platform/workers.py
+++ b/marigoldlift/platform/workers.py
@@ -127,13 +127,16 @@
 
 
 def read_look(reply: LookReply) -> Look:
-    """Return a look as the product has it."""
+    """Return a look as the product has it; with a row that cannot be read it does not tell what is absent."""
+    running = [held for held in map(read_held, reply.running) if held is not None]
+    ended = [found for found in map(read_ended, reply.finished) if found is not None]
+    rows = len(reply.running) + len(reply.finished)
     return Look(
         clock_ms=reply.clock_ms,
         born_ms=reply.born,
-        running=[held for held in map(read_held, reply.running) if held is not None],
-        ended=[ended for ended in map(read_ended, reply.finished) if ended is not None],
-        whole=len(reply.finished) < MOST_ENDS,
+        running=running,
+        ended=ended,
+        whole=len(running) + len(ended) == rows and len(reply.finished) < MOST_ENDS,
         leaving_ms=reply.remaining_ms,
     )
 
