Give a worker that refuses connections no new work for 0.5 s

Cause: a start that surely did not reach its worker left no trace there. The fullest worker that fits comes first, so it was chosen again in the next pass until its look had failed too.

--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -66,7 +66,7 @@
     Attributes:
         room: what takes room there; a run whose start got no answer counts too.
         seen: highest number of an end up to which all are stored, so that the worker may forget them.
-        full_until: no new work before that time, since the worker has refused some for want of room.
+        full_until: no new work before that time, since the worker has refused some.
         synced: whether the worker has answered under the current token.
         contact_at: when the last answer came.
         missed: whether the last look got no answer.
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -16,7 +16,7 @@
 
 __all__ = ('Starter',)
 
-#: How long a worker that refuses for want of room gets no new work, in s.
+#: How long a worker that refuses connections, or a start for want of room, gets no new work, in s.
 FULL_PAUSE_S = 0.5
 
 #: Pause before an unanswered stop is sent again, in s.
@@ -105,6 +105,8 @@
             runs = False
         else:
             self.events.start_answered(step, outcome_of(ordered, runs=runs))
+            if not runs:
+                session.full_until = self.clock() + FULL_PAUSE_S
         if not runs:
             self.give_back(step, ordered.task.index, session)
 
