Count no failed run of a task that is done

What callers would see: a submission shown as `failed` without cause. Ends that are listed late, of runs that were given up when their worker was silent, counted as attempts of a task that had been done elsewhere, and closed the submission while later steps ran.

Evidence: tests/cell/test_late_ends.py, `failed` before, `complete` after.

--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -85,7 +85,7 @@
         if ended.kind is EndKind.done and not lasting:
             self.finish(step, index, session)
             return
-        if ended.kind is EndKind.failed and not lasting:
+        if ended.kind is EndKind.failed and not lasting and index not in step.done:
             step.shun(index, session.worker.id, self.clock())
             failures = step.fail(index, ended.run)
             logger.info(
