Bound silent workers by the last order of any earlier leader

What callers would see: a task that runs twice (TWICE).

Cause: one life was kept for each worker, that of the last leader, which says nothing of the one before. Now the latest time at which any earlier leader can have given orders bounds all of them. Nothing has to be recorded for that, so the append that each takeover made for it is gone again.

Evidence: tests/cell/test_cut_leader.py, `TWICE with ['w0'] run=2` before, passes after.

--- a/marigoldlift/leadership/earlier.py
+++ b/marigoldlift/leadership/earlier.py
@@ -39,7 +39,10 @@
         """Note that a life gives no more orders in its tenure."""
         self.until[life] = self.clock()
 
-    def ended_at(self, life: str) -> float:
-        """Return when a life can have given orders last; one that no record tells of counts as the latest of all."""
-        latest = max(self.until.values(), default=self.clock())
-        return self.until.get(life, latest)
+    def ended_at(self) -> float:
+        """Return when any earlier leader can have given orders last.
+
+        No worker has a bound of its own: the one that has led before last may still reach a worker that the last one
+        does not.
+        """
+        return max(self.until.values(), default=self.clock())
--- a/marigoldlift/leadership/tests/test_earlier.py
+++ b/marigoldlift/leadership/tests/test_earlier.py
@@ -26,7 +26,7 @@
     await asyncio.sleep(1)
     earlier.note(record('b1', released=True))
     earlier.note_end('c2')
-    assert earlier.ended_at('a1') == ACT_LIMIT_S
-    assert earlier.ended_at('b1') == earlier.ended_at('c2') == 2
-    assert earlier.ended_at('c1') == 1
-    assert earlier.ended_at('unknown') == ACT_LIMIT_S
+    assert earlier.until == {'a1': ACT_LIMIT_S, 'b1': 2, 'c2': 2, 'c1': 1}
+    assert earlier.ended_at() == ACT_LIMIT_S
+    earlier.note(record('a1', released=True))
+    assert earlier.ended_at() == 2
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -63,7 +63,6 @@
             self.appender,
             self.events,
             tenure,
-            parts.election.candidate.life,
             parts.lease_s,
         )
         self.starter = Starter(self.roster, self.progress, self.events)
@@ -125,7 +124,7 @@
         self.log_is_read = True
         for submission in tuple(self.parts.state.jobs):
             self.book.open(submission)
-        self.roster.open_known(self.parts.election.earlier.ended_at)
+        self.roster.open_known(self.parts.election.earlier.ended_at())
         deadline = self.clock() + TAKEOVER_WAIT_S
         while self.clock() < deadline and not self.roster.all_synced():
             await asyncio.sleep(PASS_PACE_S)
--- a/marigoldlift/scheduling/roster.py
+++ b/marigoldlift/scheduling/roster.py
@@ -1,7 +1,6 @@
 """Sessions with all workers that are listed or that may still hold tasks."""
 
 import asyncio
-from collections.abc import Callable
 
 import msgspec
 from loguru import logger
@@ -64,7 +63,6 @@
         appender: Appender,
         observer: RunObserver,
         tenure: int,
-        life: str,
         longest_lease_s: float,
     ) -> None:
         """Start without sessions."""
@@ -74,7 +72,6 @@
         self.appender = appender
         self.observer = observer
         self.tenure = tenure
-        self.life = life
         self.clock = state.clock
         self.lease_s = longest_lease_s - LEASE_MARGIN_S
         self.gone_s = longest_lease_s * SLOW_CLOCK + LAPSE_SLACK_S
@@ -91,18 +88,19 @@
         """Return how a worker has fared."""
         return self.qualities.setdefault(worker, WorkerQuality())
 
-    def open_known(self, orders_ended_at: Callable[[str], float]) -> None:
+    def open_known(self, orders_ended_at: float) -> None:
         """Open sessions with workers that an earlier leader has used, listed or not.
 
         Args:
-            orders_ended_at: returns when a life of an entry can have given orders last.
+            orders_ended_at: when an earlier leader can have given orders last, in seconds of the steady clock.
         """
-        bound = self.clock() + self.lapse_s
+        bounds = DarkBounds(self.clock() + self.lapse_s, orders_ended_at + self.gone_s)
         self.refresh()
         for known in self.state.workers.values():
+            self.recorded.add(known.worker)
             if known.worker not in self.sessions:
                 self.open(unlisted_worker(known), self.tenure)
-            self.dark[known.worker] = DarkBounds(bound, orders_ended_at(known.life) + self.gone_s)
+            self.dark[known.worker] = bounds
 
     def refresh(self) -> None:
         """Follow the registry."""
@@ -151,7 +149,7 @@
     async def record(self, worker: Worker) -> None:
         """Store that a worker may hold tasks from now on."""
         while worker.id not in self.recorded:
-            known = KnownWorker(worker.id, worker.address, worker.failure_domain, self.life)
+            known = KnownWorker(worker.id, worker.address, worker.failure_domain)
             try:
                 await self.appender.append(known, RECORD_WAIT_S)
             except PlatformError as fault:
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -103,16 +103,11 @@
 
 
 class KnownWorker(Record, tag='w'):
-    """A worker that may hold tasks; written by each leader before its first order.
-
-    Attributes:
-        life: the life of an entry that has written it, so that a later leader knows who has given orders last.
-    """
+    """A worker that may hold tasks; written before its first order."""
 
     worker: str
     address: str
     failure_domain: str
-    life: str = ''
 
 
 class Dropped(Record, tag='d'):
--- /dev/null
+++ b/tests/cell/test_cut_leader.py
@@ -0,0 +1,58 @@
+"""A leader that is cut off together with a worker, and goes on giving it orders."""
+
+import asyncio
+
+from marigoldlift.errors import LogUnavailableError
+from marigoldlift.submissions.model import Step
+from standins.cell.log import LogFault
+from tests.cell.idle import take
+
+LEAD_S = 1.5
+LONG_S = 25.0
+
+
+def cut_off(cell, leader, worker):
+    """Let a leader reach one worker and nothing else, and nobody else reach that worker."""
+
+    async def read(start, wait_ms):
+        await asyncio.sleep(1)
+        raise LogUnavailableError('cut off')
+
+    leader.log.read = read
+    leader.log.fault = LogFault.silent
+    leader.calls.cut.update(set(cell.workers) - {worker.name})
+    for other in cell.entries:
+        if other is not leader:
+            other.calls.cut.add(worker.name)
+    cell.is_listing = False
+    cell.workers_log.store([(worker.name, b'')])
+
+
+async def next_leader(cell, *earlier):
+    """Return the entry that leads after others."""
+    while True:
+        for entry in cell.entries:
+            if entry not in earlier and entry.node.election.tenure is not None:
+                return entry
+        await asyncio.sleep(0.05)
+
+
+def test_task_of_a_leader_before_last_runs_once(play):
+    """Guards against a second run: the last leader had never reached the worker, and its orders bounded the wait."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        take(cell, LONG_S)
+        first = cell.leader()
+        await cell.submit(first, 'job', (Step(count=2, cpu_m=3000),))
+        await asyncio.sleep(1.5)
+        worker = next(one for one in cell.workers.values() if one.held)
+        cut_off(cell, first, worker)
+        second = await next_leader(cell, first)
+        await asyncio.sleep(0.5)
+        await asyncio.wait((second.gate.spawn(second.node.election.retire()),))
+        second.kill()
+        await asyncio.sleep(14)
+        assert any(one.held for one in cell.workers.values() if one is not worker)
+
+    play(story, workers=3)
