Start a gang only when no worker holds a run of its members

What callers would see: a gang that never runs again (LOST).

Cause: when a silent worker held runs of all members that nobody had ordered, the gang counted as started while none of its members was; it was then broken up for good, since only the end of a member lets it wait again. A start that was not made also counted as a placement, in the log and in the count of steps without room.

--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -186,8 +186,7 @@
             if session is None and not step.avoid.get(index):
                 return placed
             if session is not None:
-                self.starter.start(step, index, session, step.next_run(index))
-                placed = True
+                placed |= self.starter.start(step, index, session, step.next_run(index))
         return placed
 
     def place_gang(self, step: StepRun, allowed: list[WorkerSession], *, overdue: bool) -> bool:
@@ -196,6 +195,8 @@
             return self.complete_gang(step, allowed, overdue=overdue)
         if step.active or len(step.todo) < step.step.count:
             return False
+        if any(self.starter.is_held(step.task(index)) for index in step.todo):
+            return False
         places = self.placer.place_gang(step, allowed, overdue=overdue)
         if places is None:
             if self.placer.place_gang(step, allowed, overdue=True) is None:
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -55,19 +55,21 @@
         """Leave the orders under way to the next leader."""
         self.tasks.cancel()
 
-    def start(self, step: StepRun, index: int, session: WorkerSession, run: int) -> None:
-        """Take the room of a task and order its start, unless a worker still holds a run of it that nobody ordered.
+    def is_held(self, ref: TaskRef) -> bool:
+        """Tell whether a worker still holds a run of a task, as one that nobody ordered; the checks stop it."""
+        return any(ref in session.room.runs for session in self.roster.sessions.values())
 
-        The checks stop such a run; the task waits until it has ended.
-        """
+    def start(self, step: StepRun, index: int, session: WorkerSession, run: int) -> bool:
+        """Take the room of a task and order its start, unless a worker still holds a run of it."""
         ref = step.task(index)
-        if any(ref in other.room.runs for other in self.roster.sessions.values()):
-            return
+        if self.is_held(ref):
+            return False
         ordered = Run(ref, run, step.step, Phase.sent, self.clock())
         ordered.checkpoint = step.checkpoint(index)
         session.room.take(ordered)
         step.begin(index, session, run)
         self.spawn(self.send(step, session, ordered))
+        return True
 
     async def send(self, step: StepRun, session: WorkerSession, ordered: Run) -> None:
         """Order a start; one that ends by a fault is in doubt until a look proves that it is not there."""
--- /dev/null
+++ b/tests/cell/test_foreign_runs.py
@@ -0,0 +1,43 @@
+"""Runs at workers that no leader has ordered, of tasks that wait."""
+
+import asyncio
+
+import pytest
+
+from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
+from standins.cell.workers import HeldTask
+
+LEAD_S = 1.5
+LONG_S = 30.0
+SETTLED_S = 20
+
+
+@pytest.mark.parametrize('gang', [False, True])
+def test_tasks_run_once_a_silent_worker_cannot_hold_them(play, gang):
+    """Guards against a gang that never runs again, since none of its members could be started at its first try."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        tasks = [TaskRef(SubmissionId('job'), 0, 0, index) for index in range(2)]
+        cell.durations.update(dict.fromkeys(tasks, LONG_S))
+        await cell.submit(cell.entries[0], 'job', (Step(count=2, cpu_m=2000, gang=gang),))
+        await asyncio.sleep(1)
+        holder = next(worker for worker in cell.workers.values() if worker.held)
+        other = next(worker for worker in cell.workers.values() if not worker.held)
+        now = cell.loop.time()
+        other.held.update(
+            {task: HeldTask(run.run, run.step, LONG_S, now) for task, run in holder.held.items()}
+        )
+        room = cell.leader().node.dispatcher.roster.sessions[other.name].room
+        while not all(task in room.runs for task in tasks):
+            await asyncio.sleep(0.01)
+        cell.durations.update(dict.fromkeys(tasks, 1.0))
+        cell.leader().calls.cut.add(other.name)
+        holder.fails = True
+        for run in holder.held.values():
+            run.ends_at = 0
+        await asyncio.sleep(0.3)
+        holder.fails = False
+        await cell.settle(['job'], SETTLED_S)
+
+    play(story, workers=3)
