Keep the tenure when an order of a worker's earlier life is refused by the token of the next

What callers saw: nothing new starts anywhere for the time of a takeover after a worker was born again with starts under way.

Cause: those starts meet the higher token of the new life's session, which is this leader's as well; the refusal was taken for another holder, and a new tenure began.

--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -168,7 +168,12 @@
             self.roster.replace(session, reborn_worker(session.worker, born_ms))
 
     def fenced(self, session: WorkerSession) -> None:
-        """Claim a new tenure when this entry still leads by the log."""
+        """Claim a new tenure when this entry still leads by the log.
+
+        The session of a worker's earlier life is refused by the token of its next one, which is this leader's as well.
+        """
+        if self.roster.sessions.get(session.worker.id) is not session:
+            return
         now = self.clock()
         logger.warning('token refused: worker={} token={}', session.worker.id, session.token)
         if self.may_act() and now - self.claimed_at > CLAIM_PAUSE_S:
--- a/tests/cell/test_rebirth.py
+++ b/tests/cell/test_rebirth.py
@@ -88,3 +88,31 @@
         await cell.settle(['job'], 20)
 
     play(story)
+
+
+def test_starts_of_an_earlier_life_do_not_end_the_tenure(play):
+    """Guards against a takeover of the whole cell since starts under way met the token of the worker's next session."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        leader = cell.leader()
+        tenure = leader.node.election.tenure
+        started = leader.calls.start
+
+        async def delay(worker, token, order):
+            await asyncio.sleep(1)
+            return await started(worker, token, order)
+
+        leader.calls.start = delay
+        await cell.submit(leader, 'job', (Step(count=3, cpu_m=1000),))
+        await asyncio.sleep(0.3)
+        dispatcher = leader.node.dispatcher
+        placed = next(one for one in dispatcher.roster.sessions.values() if one.room.runs)
+        cell.workers[placed.worker.id].be_born()
+        cell.list_workers()
+        await asyncio.sleep(0.5)
+        leader.calls.start = started
+        await cell.settle(['job'], 10)
+        assert leader.node.election.tenure == tenure
+
+    play(story)
