Bound second tries at the advice, and know entries from more than acceptances

What callers would see: with several entries cut off at once, up to 139 questions at the leader's own entry, which wait for 2.6 s and of which the advice refuses those beyond 32; and after all processes were killed a leader that again asks alone, since it knows entries by the acceptances of open submissions only.

Now a second try is made only while an entry has a turn, else the question is given back. Entries are known by leadership records and from the settings as well, and are forgotten after eight faults in a row instead of four (46 s).

Entries that have neither led nor accepted since stay unknown.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -68,6 +68,8 @@
         self.node = self.build_node()
         self.peer_server = PeerServer(self.route, self.advice, self.node.appender)
         self.node.peer_observers.append(self.route.learn_one)
+        for seed in settings.seeds:
+            self.node.broker.note_relay(seed)
         reader = ConfigurationReader(self.configure)
         operators = PlatformLog(self.route, OPERATORS_TOPIC)
         self.operators = Replica(operators, reader.apply, steady_now, OPERATORS_PACE_S)
--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -117,6 +117,7 @@
             self.broker.note_relay(record.submission.relay)
             self.note_peer(record.submission.relay)
         elif isinstance(record, Leadership):
+            self.broker.note_relay(record.address)
             self.note_peer(record.address)
         self.election.observe(offset, record)
         if self.dispatcher is not None:
--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -10,7 +10,14 @@
 from marigoldlift.errors import PlatformError
 from marigoldlift.submissions.model import AdvicePolicy
 
-__all__ = ('ANSWER_MARGIN_S', 'FIRST_PAUSE_S', 'AdviceBroker', 'AdviceRelay', 'Booking')
+__all__ = (
+    'ANSWER_MARGIN_S',
+    'FIRST_PAUSE_S',
+    'LONGEST_QUEUE_S',
+    'AdviceBroker',
+    'AdviceRelay',
+    'Booking',
+)
 
 MS_PER_S = 1000
 
@@ -23,8 +30,8 @@
 FIRST_PAUSE_S = 2
 LONGEST_PAUSE_S = 8
 
-#: Faults in a row after which an entry is forgotten until it accepts something; with the pauses between, 14 s.
-MOST_FAILURES = 4
+#: Faults in a row after which an entry is forgotten until it writes to the log again; with the pauses between, 46 s.
+MOST_FAILURES = 8
 
 #: Share of the entries that is kept free for urgent questions; others take up to a second each.
 URGENT_SHARE = 0.25
@@ -33,9 +40,6 @@
 #: the advice lets wait, at 0.015 s for a short step. Each call under way holds a connection.
 LONGEST_QUEUE_S = 0.3
 
-#: Tries of one call over different entries.
-TRIES = 2
-
 
 class AdviceRelay(Protocol):
     """Makes a call to the advice from one of the entries."""
@@ -159,11 +163,16 @@
         relay = min(self.usable(), key=lambda candidate: max(candidate.busy_until, now))
         return Booking(relay, now, relay.take(cost_s, now))
 
-    def book_again(self, failed: Relay, cost_s: float) -> Booking:
-        """Take a turn after a failed call: at this entry, which no other entry has to pass the call on for."""
-        if failed is self.own:
-            return self.book(cost_s)
+    def book_again(self, failed: Relay, cost_s: float) -> Booking | None:
+        """Take a turn after a failed call: at this entry, which no other entry has to pass the call on for.
+
+        None when too many calls are booked; the question is asked again later.
+        """
+        if not self.has_turn(urgent=True):
+            return None
         now = self.clock()
+        if failed is self.own or self.own.busy_until >= now + LONGEST_QUEUE_S:
+            return self.book(cost_s)
         return Booking(self.own, now, self.own.take(cost_s, now))
 
     async def ask(
@@ -177,20 +186,26 @@
             step: name of the step.
             workers: ids of the workers that are asked for.
         """
-        for tries_left in reversed(range(TRIES)):
-            try:
-                allowed = await self.make_call(booking, step, workers)
-            except (PlatformError, TimeoutError) as fault:
-                logger.info(
-                    'advice not given: step={} relay={} {}', step, booking.relay.address, fault
-                )
-                booking.relay.fail(booking.booked_at, self.clock())
-                if tries_left:
-                    booking = self.book_again(booking.relay, cost_s)
-            else:
-                booking.relay.succeed()
-                return allowed
-        return None
+        allowed = await self.try_call(booking, step, workers)
+        if allowed is not None:
+            return allowed
+        again = self.book_again(booking.relay, cost_s)
+        return await self.try_call(again, step, workers) if again else None
+
+    async def try_call(
+        self, booking: Booking, step: str, workers: Sequence[str]
+    ) -> dict[str, str] | None:
+        """Make one call, and note how its entry fares; None when it was not answered."""
+        try:
+            allowed = await self.make_call(booking, step, workers)
+        except (PlatformError, TimeoutError) as fault:
+            logger.info(
+                'advice not given: step={} relay={} {}', step, booking.relay.address, fault
+            )
+            booking.relay.fail(booking.booked_at, self.clock())
+            return None
+        booking.relay.succeed()
+        return allowed
 
     async def make_call(
         self, booking: Booking, step: str, workers: Sequence[str]
