--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -85,7 +85,7 @@
         if ended.kind is EndKind.done and not lasting:
             self.finish(step, index, session)
             return
-        if ended.kind is EndKind.failed and not lasting:
+        if ended.kind is EndKind.failed and not lasting and index not in step.done:
             step.shun(index, session.worker.id, self.clock())
             failures = step.fail(index, ended.run)
             logger.info(
@@ -168,7 +168,12 @@
             self.roster.replace(session, reborn_worker(session.worker, born_ms))
 
     def fenced(self, session: WorkerSession) -> None:
-        """Claim a new tenure when this entry still leads by the log."""
+        """Claim a new tenure when this entry still leads by the log.
+
+        The session of a worker's earlier life is refused by the token of its next one, which is this leader's as well.
+        """
+        if self.roster.sessions.get(session.worker.id) is not session:
+            return
         now = self.clock()
         logger.warning('token refused: worker={} token={}', session.worker.id, session.token)
         if self.may_act() and now - self.claimed_at > CLAIM_PAUSE_S:
