Ask the advice for as many workers as a call may name once the first answer did not do

Cause: each question named 30 workers, of 175. Where the advice allows few and those asked first have no room, one question follows the other, 0.6 s each.

--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -151,9 +151,11 @@
         return named[:CALL_WORKERS]
 
     def width(self, step: StepRun, unknown: Sequence[WorkerSession]) -> int:
-        """Return how many workers a question names."""
+        """Return how many workers a question names: as many as one may when those of the first did not do."""
         if not unknown:
             return 0
+        if step.tickets:
+            return CALL_WORKERS
         room = max(1, room_for(unknown[0], step.step))
         needed = math.ceil(len(step.todo) / room)
         return min(CALL_WORKERS, max(FIRST_WORKERS, needed * WORKERS_FOR_ONE))
--- a/tests/cell/idle.py
+++ b/tests/cell/idle.py
@@ -6,10 +6,13 @@
 from standins.cell.judge import Judge
 from tests.cell.model import ModelCell
 
-__all__ = ('IdleWatch', 'take')
+__all__ = ('LOST_AFTER_S', 'IdleWatch', 'take')
 
 TICK_S = 0.02
 
+#: Time without a run after which the platform's rules count a submission as lost while there is room, in s.
+LOST_AFTER_S = 3.0
+
 
 def take(cell: ModelCell, duration_s: float) -> None:
     """Let all tasks take the same time."""
--- a/tests/cell/test_idle.py
+++ b/tests/cell/test_idle.py
@@ -3,14 +3,11 @@
 import asyncio
 
 from marigoldlift.submissions.model import AdvicePolicy, Step
-from tests.cell.idle import IdleWatch, take
+from tests.cell.idle import LOST_AFTER_S, IdleWatch, take
 from tests.cell.model import ModelCell
 
 LEAD_S = 1.5
 
-#: Time without a run after which the platform's rules count a submission as lost while there is room, in s.
-LOST_AFTER_S = 3.0
-
 #: Advice for long steps at the size to design for: 0.6 s a call, tickets valid for 2 s.
 SLOW_ADVICE = AdvicePolicy(450, 6.5, 2000)
 
--- a/tests/cell/test_questions.py
+++ b/tests/cell/test_questions.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from marigoldlift.submissions.model import AdvicePolicy, Step
-from tests.cell.idle import take
+from tests.cell.idle import LOST_AFTER_S, IdleWatch, take
 
 LEAD_S = 1.5
 LONG_S = 8.0
@@ -31,3 +31,18 @@
         assert asked[-1] > 1
 
     play(story)
+
+
+def test_step_that_few_of_many_workers_may_run_starts_in_time(play):
+    """Guards against a step that asks for 30 workers after 30 others, with free ones that it may use among the last."""
+
+    async def story(cell):
+        await asyncio.sleep(LEAD_S)
+        take(cell, 0.5)
+        watch = IdleWatch(cell)
+        cell.advice.allowed = set(list(cell.workers)[-10:])
+        await cell.submit(cell.entries[0], 'job', GANG, advice=SLOW_ADVICE)
+        await cell.settle(['job'], 20)
+        assert watch.longest_s['job'] < LOST_AFTER_S
+
+    play(story, workers=175)
