--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -100,7 +100,8 @@
         self.listing = Replica(
             parts.workers_log, self.registry.apply, clock, WORKERS_READ_INTERVAL_S
         )
-        self.listing.reset_observers.append(self.registry.reset)
+        self.listing.snapshot_observers.append(self.registry.retain)
+        self.replica.snapshot_observers.append(self.state.retain)
         self.election = Election(candidate, self.appender, self.replica, clock, parts.is_indirect)
         self.election.on_change.append(self.follow_leadership)
         append_router = AppendRouter(
--- a/marigoldlift/replication/replica.py
+++ b/marigoldlift/replication/replica.py
@@ -1,7 +1,7 @@
 """Tail of one keyed partition: a snapshot first, then each record in order."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from loguru import logger
 
@@ -33,6 +33,7 @@
         last_response_s: duration of the last read that did not wait for records, in s.
         read_at: when the last read ended, or when the last read by `refresh` began.
         read_interval_s: shortest pause between two reads, in s, since each read has a cost.
+        snapshot_observers: called with the keys of a snapshot before its records are applied; other keys were dropped.
     """
 
     def __init__(
@@ -62,7 +63,7 @@
         self.last_response_s: float = 0
         self.failing = False
         self.interrupted = False
-        self.reset_observers: list[Callable[[], None]] = []
+        self.snapshot_observers: list[Callable[[Collection[str]], None]] = []
 
     async def run(self) -> None:
         """Follow the partition until cancelled."""
@@ -150,8 +151,9 @@
             records.extend(page.records)
             more = page.more and bool(page.records)
             after = page.records[-1].key if page.records else after
-        for observer in self.reset_observers:
-            observer()
+        listed = {stored.key for stored in records}
+        for observer in self.snapshot_observers:
+            observer(listed)
         for stored in sorted(records, key=lambda stored: stored.offset):
             self.apply(stored)
         self.offset = start or 0
--- a/marigoldlift/scheduling/registry.py
+++ b/marigoldlift/scheduling/registry.py
@@ -1,6 +1,6 @@
 """Registry of the workers that the platform lists."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from marigoldlift.orders.api import Worker
 from marigoldlift.submissions.record_codec import StoredRecord
@@ -39,6 +39,7 @@
             for observer in self.changed:
                 observer()
 
-    def reset(self) -> None:
-        """Remove all entries before a snapshot is applied."""
-        self.workers.clear()
+    def retain(self, keys: Collection[str]) -> None:
+        """Remove the workers whose keys a snapshot does not contain."""
+        for key in self.workers.keys() - keys:
+            self.workers.pop(key)
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -1,6 +1,6 @@
 """State of the cell, built by applying the records of the shared log."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 from loguru import logger
@@ -195,6 +195,18 @@
         self.early_records.pop(record.submission, None)
         self.finished[record.submission] = FinishedJob(record.outcome, self.clock())
 
+    def retain(self, keys: Collection[str]) -> None:
+        """Remove the submissions, outcomes and workers whose keys a snapshot does not contain.
+
+        Their keys were dropped while this entry could not read the log.
+        """
+        known = [f's/{name}' for name in self.jobs]
+        known.extend(f'f/{name}' for name in self.finished)
+        known.extend(f'w/{name}' for name in self.workers)
+        for key in known:
+            if key not in keys:
+                self.drop(key)
+
     def drop(self, key: str) -> None:
         """Remove the submission, outcome or worker of a dropped key."""
         kind, _, name = key.partition('/')
