--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -72,7 +72,13 @@
             self.node.broker.note_relay(seed)
         reader = ConfigurationReader(self.configure)
         operators = PlatformLog(self.route, OPERATORS_TOPIC)
-        self.operators = Replica(operators, reader.apply, monotonic_now, OPERATORS_READ_INTERVAL_S)
+        self.operators = Replica(
+            operators,
+            reader.apply,
+            monotonic_now,
+            OPERATORS_READ_INTERVAL_S,
+            self.node.faults,
+        )
         self.front = ClientRequestHandler(
             self.node.acceptance, own_address, self.is_stale, self.metrics
         )
--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -21,6 +21,7 @@
 from marigoldlift.submissions.acceptance import Acceptance
 from marigoldlift.submissions.records import Accepted, Leadership, Outcome, Record
 from marigoldlift.submissions.state import CellState
+from marigoldlift.supervision import FaultBoundary
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 
@@ -55,13 +56,13 @@
     Attributes:
         log: log of the product's own records.
         workers_log: log of the platform's list of workers.
-        decode_worker: returns the worker of a key and its content, None if they describe none.
+        decode_worker: returns the worker of a key and its content, or raises `MalformedMessageError`.
         is_indirect: returns whether the log is reached only through another entry.
     """
 
     log: KeyedLog
     workers_log: KeyedLog
-    decode_worker: Callable[[str, bytes], Worker | None]
+    decode_worker: Callable[[str, bytes], Worker]
     calls: WorkerCalls
     advice: AdviceRelay
     metrics: Metrics
@@ -92,13 +93,16 @@
         self.limits = limits
         self.clock = clock
         self.state = CellState(clock)
+        self.faults = FaultBoundary(clock, parts.metrics)
         self.appender = Appender(
             parts.log, Producer(candidate.life, FIRST_EPOCH), clock, parts.metrics
         )
-        self.replica = Replica(parts.log, self.state.apply, clock, FOLLOWER_READ_INTERVAL_S)
-        self.registry = Registry(parts.decode_worker)
+        self.replica = Replica(
+            parts.log, self.state.apply, clock, FOLLOWER_READ_INTERVAL_S, self.faults
+        )
+        self.registry = Registry(parts.decode_worker, parts.metrics)
         self.listing = Replica(
-            parts.workers_log, self.registry.apply, clock, WORKERS_READ_INTERVAL_S
+            parts.workers_log, self.registry.apply, clock, WORKERS_READ_INTERVAL_S, self.faults
         )
         self.listing.snapshot_observers.append(self.registry.retain)
         self.replica.snapshot_observers.append(self.state.retain)
@@ -115,14 +119,14 @@
         self.tenure_tasks: list[asyncio.Task[None]] = []
 
     def observe(self, offset: int, record: Record) -> None:
-        """Pass a record to the advice broker, the election and the current dispatcher."""
+        """Pass a record to the election, the advice broker and the current dispatcher."""
+        self.election.observe(offset, record)
         if isinstance(record, Accepted):
             self.broker.note_relay(record.submission.relay)
             self.note_peer(record.submission.relay)
         elif isinstance(record, Leadership):
             self.broker.note_relay(record.address)
             self.note_peer(record.address)
-        self.election.observe(offset, record)
         if self.dispatcher is not None:
             self.dispatcher.observe(offset, record)
 
@@ -170,6 +174,7 @@
             gang_wait_s=self.limits.gang_wait_s,
             outcome_kept_s=self.limits.outcome_kept_s,
             metrics=self.parts.metrics,
+            faults=self.faults,
         )
 
     def set_gauges(self) -> None:
--- a/marigoldlift/errors.py
+++ b/marigoldlift/errors.py
@@ -7,6 +7,7 @@
     'FencedError',
     'InvalidInputError',
     'LogUnavailableError',
+    'MalformedMessageError',
     'MarigoldliftError',
     'NotFoundError',
     'OverloadedError',
@@ -44,6 +45,12 @@
     code = 'invalid_input'
 
 
+class MalformedMessageError(InvalidInputError):
+    """Bytes of another process that are no message of the expected type, or that are too large for one."""
+
+    code = 'malformed_message'
+
+
 class SettingsError(InvalidInputError):
     """A settings file that cannot be used; `errors` lists every problem with its path."""
 
--- a/marigoldlift/leadership/tests/test_election.py
+++ b/marigoldlift/leadership/tests/test_election.py
@@ -14,6 +14,7 @@
 from marigoldlift.replication.replica import Replica
 from marigoldlift.submissions.record_codec import decode_record
 from marigoldlift.telemetry.metrics import Metrics
+from marigoldlift.supervision import FaultBoundary
 from standins.cell.log import LogClient, LogFault, MemoryLog
 
 pytestmark = pytest.mark.looptime
@@ -28,7 +29,9 @@
         clock = asyncio.get_running_loop().time
         self.log = LogClient(log, random.Random(1))
         self.appender = Appender(self.log, Producer(f'{name}{life}', 1), clock, Metrics())
-        self.replica = Replica(self.log, self.apply, clock, PACE_S)
+        self.replica = Replica(
+            self.log, self.apply, clock, PACE_S, FaultBoundary(clock, Metrics())
+        )
         candidate = Candidate(name, f'{name}{life}', 'a', name, 1.0)
         self.indirect = False
         self.election = Election(
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -19,6 +19,7 @@
 from marigoldlift.orders.clock import WorkerClock
 from marigoldlift.orders.runs import Phase, Run, RunTable
 from marigoldlift.submissions.model import Step, TaskRef
+from marigoldlift.supervision import ItemKind
 
 __all__ = ('RunObserver', 'WorkerSession')
 
@@ -54,6 +55,9 @@
     def fenced(self, session: 'WorkerSession') -> None:
         """Handle a refusal because another holder has a higher token."""
 
+    def handling_failed(self, kind: ItemKind, name: str, fault: Exception) -> None:
+        """Log and count an exception of the observer itself; the run or end is offered again with the next status."""
+
     def capacity_changed(self) -> None:
         """Handle more free capacity on a worker, or its answering again."""
 
@@ -77,6 +81,7 @@
         synced: whether the worker has answered under the current token.
         last_answer_at: when the last answer arrived, in seconds of the monotonic clock.
         poll_failed: whether the last status poll got no answer.
+        unhandled_ends: numbers of the listed ends over which the observer has raised.
     """
 
     def __init__(
@@ -100,6 +105,7 @@
         self.last_listed = 0
         self.last_acknowledged = 0
         self.unstored: set[int] = set()
+        self.unhandled_ends: set[int] = set()
         self.synced = False
         self.last_answer_at = clock()
         self.poll_requested = asyncio.Event()
@@ -286,11 +292,13 @@
             self.observer.capacity_changed()
 
     def note_end(self, ended: EndedRun) -> None:
-        """Report a newly listed ended run; if the observer raises, the next listing reports it again."""
-        before = self.last_listed
-        if ended.number <= before:
+        """Report a newly listed ended run; if the observer raises, the next listing reports it again.
+
+        An end that was not handled is never acknowledged, and does not hold up those that follow.
+        """
+        if ended.number <= self.last_listed and ended.number not in self.unhandled_ends:
             return
-        self.last_listed = ended.number
+        self.last_listed = max(self.last_listed, ended.number)
         self.unstored.add(ended.number)
         self.run_table.note_end(ended.task, ended.run)
         known = self.run_table.runs.get(ended.task)
@@ -298,9 +306,11 @@
             known = None
         try:
             self.observer.run_ended(self, ended, known)
-        except Exception:
-            self.last_listed = before
-            raise
+        except Exception as fault:
+            self.unhandled_ends.add(ended.number)
+            self.observer.handling_failed(ItemKind.end, ended.task.name, fault)
+            return
+        self.unhandled_ends.discard(ended.number)
         if known is not None:
             self.release(ended.task)
 
@@ -316,7 +326,7 @@
         """Adopt a run started by an earlier leader; skip one that has ended, which a late answer may still list."""
         if (held.task, held.run) in self.run_table.ended:
             return
-        step = self.observer.run_found(self, held)
+        step = find_demand(self, held)
         if step is not None:
             adopted = Run(held.task, held.run, step, Phase.held, now)
             adopted.confirm(held, now)
@@ -336,3 +346,13 @@
         """Record that an ended run is stored; the worker may forget all those before the first unstored one."""
         self.unstored.discard(number)
         self.last_acknowledged = min(self.unstored) - 1 if self.unstored else self.last_listed
+
+
+def find_demand(session: WorkerSession, held: HeldRun) -> Step | None:
+    """Return the demand of a run of an earlier leader; one that the observer fails over takes the whole worker."""
+    try:
+        return session.observer.run_found(session, held)
+    except Exception as fault:
+        session.observer.handling_failed(ItemKind.run, held.task.name, fault)
+    worker = session.worker
+    return Step(count=1, cpu_m=worker.cpu_m, mem_mb=worker.mem_mb, gpus=worker.gpus)
--- a/marigoldlift/platform/advice.py
+++ b/marigoldlift/platform/advice.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from marigoldlift.errors import PlatformError
+from marigoldlift.decoding import JsonDecoder
+from marigoldlift.errors import MalformedMessageError, PlatformError
 from marigoldlift.platform.calls import CallUnansweredError, HttpClient, Reply
 from marigoldlift.platform.wire import AdviceBody, AdviceReply
 
@@ -23,7 +24,10 @@
 #: Longest part of a refusal's reason that goes into the error, in bytes.
 MAX_REASON_BYTES = 200
 
-reply_decoder = msgspec.json.Decoder(AdviceReply)
+#: Largest answer of the advice, in bytes.
+MAX_REPLY_BYTES = 1_048_576
+
+reply_decoder: JsonDecoder[AdviceReply] = JsonDecoder(AdviceReply, MAX_REPLY_BYTES)
 
 
 class PlatformAdvice:
@@ -94,5 +98,5 @@
             raise PlatformError(f'advice answered {reply.status}: {reason}')
         try:
             return dict(reply_decoder.decode(reply.body).allowed)
-        except msgspec.DecodeError as fault:
+        except MalformedMessageError as fault:
             raise PlatformError(f'advice cannot be read: {fault}') from fault
--- a/marigoldlift/platform/calls.py
+++ b/marigoldlift/platform/calls.py
@@ -13,6 +13,14 @@
 
 JSON_TYPE = 'application/json'
 
+#: Largest body of an answer, in bytes, and size of the parts in which one of unknown length is read.
+MAX_BODY_BYTES = 16_777_216
+PART_BYTES = 65_536
+
+
+#: Errors of a call. `ValueError` and `OverflowError` come from addresses, ports and headers that no request can have.
+CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError, OverflowError)
+
 
 class CallUnansweredError(Exception):
     """A request got no answer.
@@ -99,10 +107,31 @@
         try:
             async with asyncio.timeout(wait_s):
                 async with self.session.request(
-                    method, url, data=content, headers=headers, timeout=limits
+                    method,
+                    url,
+                    data=content,
+                    headers=headers,
+                    timeout=limits,
+                    allow_redirects=False,
                 ) as answer:
-                    return Reply(answer.status, await answer.read())
+                    return Reply(answer.status, await read_body(answer))
         except aiohttp.ClientConnectorError as refused:
             raise CallUnansweredError(str(refused), was_sent=False) from refused
-        except (aiohttp.ClientError, TimeoutError, OSError) as fault:
+        except CALL_ERRORS as fault:
             raise CallUnansweredError(f'{type(fault).__name__} {fault}', was_sent=True) from fault
+
+
+async def read_body(answer: aiohttp.ClientResponse) -> bytes:
+    """Return the body of an answer.
+
+    Raises:
+        aiohttp.ClientPayloadError: it is larger than `MAX_BODY_BYTES`.
+    """
+    if answer.content_length is not None and answer.content_length <= MAX_BODY_BYTES:
+        return await answer.read()
+    body = bytearray()
+    async for part in answer.content.iter_chunked(PART_BYTES):
+        body.extend(part)
+        if len(body) > MAX_BODY_BYTES:
+            raise aiohttp.ClientPayloadError(f'body exceeds {MAX_BODY_BYTES} bytes')
+    return bytes(body)
--- a/marigoldlift/platform/configuration.py
+++ b/marigoldlift/platform/configuration.py
@@ -5,6 +5,8 @@
 import msgspec
 from loguru import logger
 
+from marigoldlift.decoding import JsonDecoder
+from marigoldlift.errors import MalformedMessageError
 from marigoldlift.platform.wire import ConfigurationBody, QueueBody
 from marigoldlift.submissions.model import AdvicePolicy, Policy
 from marigoldlift.submissions.record_codec import StoredRecord
@@ -13,7 +15,12 @@
 
 CONFIGURATION_KEY = 'config'
 
-configuration_decoder = msgspec.json.Decoder(ConfigurationBody)
+#: Largest configuration, in bytes.
+MAX_CONFIGURATION_BYTES = 8_388_608
+
+configuration_decoder: JsonDecoder[ConfigurationBody] = JsonDecoder(
+    ConfigurationBody, MAX_CONFIGURATION_BYTES
+)
 
 
 class Queue(msgspec.Struct, frozen=True):
@@ -56,7 +63,7 @@
             return
         try:
             body = configuration_decoder.decode(stored.content)
-        except msgspec.DecodeError as fault:
+        except MalformedMessageError as fault:
             logger.error('configuration cannot be read: offset={} {}', stored.offset, fault)
             return
         if body.version <= self.version:
--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -9,7 +9,8 @@
 from aiohttp import web
 from loguru import logger
 
-from marigoldlift.errors import LogUnavailableError
+from marigoldlift.decoding import JsonDecoder
+from marigoldlift.errors import InvalidInputError, LogUnavailableError
 from marigoldlift.platform.draining_server import has_pipelined_request
 from marigoldlift.platform.configuration import CellConfiguration, Queue
 from marigoldlift.platform.wire import StepBody, SubmissionBody
@@ -30,6 +31,9 @@
 #: Timeout of a caller that sends no deadline, in s.
 DEFAULT_TIMEOUT_S = 3.0
 
+#: Longest timeout of a caller that is taken into account, in s.
+MAX_TIMEOUT_S = 300
+
 #: Fraction of a caller's timeout within which the request is answered.
 TIMEOUT_SHARE = 0.8
 
@@ -37,9 +41,16 @@
 HEX_DIGITS = frozenset(string.hexdigits)
 MAX_CONTENT_BYTES = 4000
 
+#: Largest submission: steps, and tasks over all occurrences. Its progress has to fit into one record.
+MAX_STEPS = 1000
+MAX_TASKS = 10_000
+
 DEADLINE_HEADER = 'X-Deadline-Ms'
 
-submission_decoder = msgspec.json.Decoder(SubmissionBody)
+#: Largest body of a submission, in bytes.
+MAX_BODY_BYTES = 262_144
+
+submission_decoder: JsonDecoder[SubmissionBody] = JsonDecoder(SubmissionBody, MAX_BODY_BYTES)
 
 STATUS_OF = MappingProxyType(
     {
@@ -145,7 +156,7 @@
         body = await request.read()
         try:
             submission = parse_submission(submission_decoder.decode(body), queue, name, self.relay)
-        except (msgspec.DecodeError, ValueError) as fault:
+        except InvalidInputError as fault:
             logger.info('submission invalid: submission={} {}', name, fault)
             return error_reply(HTTPStatus.BAD_REQUEST, str(fault))
         answer = await self.acceptance.submit(submission, timeout_s(request))
@@ -155,9 +166,9 @@
 def timeout_s(request: web.BaseRequest) -> float:
     """Return the time within which a client's request has to be answered, in s."""
     deadline_ms = request.headers.get(DEADLINE_HEADER, '')
-    caller_timeout_s = (
-        float(deadline_ms) / MS_PER_S if deadline_ms.isdigit() else DEFAULT_TIMEOUT_S
-    )
+    caller_timeout_s = DEFAULT_TIMEOUT_S
+    if deadline_ms.isascii() and deadline_ms.isdigit():
+        caller_timeout_s = min(float(deadline_ms) / MS_PER_S, MAX_TIMEOUT_S)
     return caller_timeout_s * TIMEOUT_SHARE
 
 
@@ -186,15 +197,10 @@
     """Validate the body of a submission and convert it.
 
     Raises:
-        ValueError: there are no steps, the content is too long, or a step has no tasks or a wrong dependency.
+        InvalidInputError: there are no steps, the content is too long, there are too many tasks, or a step has no
+            tasks or a wrong dependency.
     """
-    if not body.phases:
-        raise ValueError('phases: at least one step is needed')
-    if len(body.spec.encode()) > MAX_CONTENT_BYTES:
-        raise ValueError(f'spec: longer than {MAX_CONTENT_BYTES} bytes')
-    for number, phase in enumerate(body.phases):
-        if phase.count < 1 or any(not 0 <= earlier < number for earlier in phase.after):
-            raise ValueError(f'phases[{number}]: count is below 1, or after names no earlier step')
+    check_submission(body)
     return Submission(
         id=name,
         content=body.spec,
@@ -207,6 +213,31 @@
     )
 
 
+def check_submission(body: SubmissionBody) -> None:
+    """Validate the body of a submission beyond the types and ranges of its fields.
+
+    Raises:
+        InvalidInputError: it cannot be accepted.
+    """
+    if not 1 <= len(body.phases) <= MAX_STEPS:
+        raise InvalidInputError(f'phases: 1 to {MAX_STEPS} steps are allowed')
+    if len(body.spec.encode()) > MAX_CONTENT_BYTES:
+        raise InvalidInputError(f'spec: longer than {MAX_CONTENT_BYTES} bytes')
+    tasks = sum(phase.count for phase in body.phases) * max(1, body.repeat_count)
+    if tasks > MAX_TASKS:
+        raise InvalidInputError(f'phases: {tasks} tasks in total, allowed are {MAX_TASKS}')
+    for number, phase in enumerate(body.phases):
+        if not is_step_valid(number, phase):
+            raise InvalidInputError(
+                f'phases[{number}]: count is below 1, or after names no earlier step'
+            )
+
+
+def is_step_valid(number: int, phase: StepBody) -> bool:
+    """Return whether a step has tasks and depends on earlier steps only."""
+    return phase.count >= 1 and all(0 <= earlier < number for earlier in phase.after)
+
+
 def parse_step(body: StepBody) -> Step:
     """Convert one step of a submission."""
     return Step(
--- a/marigoldlift/platform/node_settings.py
+++ b/marigoldlift/platform/node_settings.py
@@ -1,8 +1,11 @@
 """Parser of the settings file of a process on the platform: lines of the form `a.b=value`."""
 
+import math
+
 import msgspec
 
 from marigoldlift.errors import SettingsError
+from marigoldlift.platform.addresses import is_socket_address
 
 __all__ = ('NodeSettings', 'SETTINGS_VARIABLE', 'parse_node_settings')
 
@@ -11,6 +14,8 @@
 
 MS_PER_S = 1000
 
+MAX_PORT = 65535
+
 #: The only value of `orders`, the way in which workers get their orders, that this program supports.
 SUPPORTED_ORDERS = 'call'
 
@@ -83,18 +88,26 @@
         except ValueError:
             self.errors.append(f'{path}: {content!r} is not a number')
             return 0
-        if number < 0:
-            self.errors.append(f'{path}: {content} is below 0')
+        if not math.isfinite(number) or number < 0:
+            self.errors.append(f'{path}: {content} is no finite number of at least 0')
+            return 0
         return number
 
     def address(self, path: str) -> str:
         """Return a required field that has to hold an address of the form IP:PORT."""
         content = self.text(path)
-        host, _, port = content.rpartition(':')
-        if content and not (host and port.isdigit()):
+        if content and not is_socket_address(content, lowest_port=0):
             self.errors.append(f'{path}: {content!r} is not of the form IP:PORT')
         return content
 
+    def port(self, path: str) -> int:
+        """Return the first port of a required field that lists ports."""
+        first = self.text(path).partition(',')[0]
+        if not (first.isascii() and first.isdigit() and 0 < int(first) <= MAX_PORT):
+            self.errors.append(f'{path}: {first!r} is not a port')
+            return 0
+        return int(first)
+
 
 def parse_node_settings(text: str) -> NodeSettings:
     """Parse the text of a settings file.
@@ -106,9 +119,6 @@
     orders = lines.text('orders', SUPPORTED_ORDERS)
     if orders != SUPPORTED_ORDERS:
         lines.errors.append(f'orders: {orders!r} is not supported; allowed: {SUPPORTED_ORDERS}')
-    ports = lines.text('internal_ports').split(',')
-    if not ports[0].isdigit():
-        lines.errors.append(f'internal_ports: {ports[0]!r} is not a port')
     settings = NodeSettings(
         node=lines.text('node_name'),
         failure_domain=lines.text('zone'),
@@ -116,7 +126,7 @@
         caller_address=lines.address('listen.front'),
         ready_address=lines.address('listen.ready'),
         peer_address=lines.address('listen.control'),
-        metrics_port=int(ports[0]) if ports[0].isdigit() else 0,
+        metrics_port=lines.port('internal_ports'),
         cores=lines.number('limits.cpu_share', 1) * lines.number('limits.cores', 1),
         seeds=tuple(seed for seed in lines.text('seeds', '').split(',') if seed),
         store_address=lines.address('platform.addr'),
--- a/marigoldlift/platform/servers.py
+++ b/marigoldlift/platform/servers.py
@@ -4,13 +4,16 @@
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
-import msgspec
 from aiohttp import web
 
-from marigoldlift.errors import AppendOutcomeUnknownError, AppendRefusedError
+from marigoldlift.errors import (
+    AppendOutcomeUnknownError,
+    AppendRefusedError,
+    MalformedMessageError,
+)
 from marigoldlift.platform.advice import ADVISE_PATH, PlatformAdvice
 from marigoldlift.platform.draining_server import DrainingServer
-from marigoldlift.platform.calls import CallUnansweredError, HttpClient
+from marigoldlift.platform.calls import CallUnansweredError, HttpClient, Reply
 from marigoldlift.platform.store_route import RELAY_PREFIX, StoreRoute
 from marigoldlift.replication.appender import Appender
 from marigoldlift.submissions.record_codec import decode_record
@@ -139,12 +142,12 @@
         Answers 400 or 503 if the record is not stored, 504 if the outcome is unknown, and else 200 with the response
         time of the log's last append, in s.
         """
-        if not wait_ms.isdigit():
+        if not (wait_ms.isascii() and wait_ms.isdigit()):
             return web.Response(status=HTTPStatus.BAD_REQUEST)
         try:
             record = decode_record(body)
             await self.appender.append(record, int(wait_ms) / MS_PER_S)
-        except msgspec.DecodeError as fault:
+        except MalformedMessageError as fault:
             return web.Response(status=HTTPStatus.BAD_REQUEST, text=str(fault))
         except AppendRefusedError as refusal:
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, text=refusal.reason)
@@ -194,4 +197,16 @@
             raise AppendRefusedError(f'the leader answered {reply.status}')
         if reply.status != OK:
             raise AppendOutcomeUnknownError(f'the leader answered {reply.status}')
+        return parse_response_time(reply)
+
+
+def parse_response_time(reply: Reply) -> float:
+    """Return the response time in an answer of the leader, in s.
+
+    Raises:
+        AppendOutcomeUnknownError: the body is no number, so it is not the answer of an entry that stored the record.
+    """
+    try:
         return float(reply.body)
+    except ValueError as fault:
+        raise AppendOutcomeUnknownError(f'answer of the leader cannot be read: {fault}') from fault
--- a/marigoldlift/platform/store.py
+++ b/marigoldlift/platform/store.py
@@ -6,13 +6,14 @@
 from collections.abc import Iterator, Sequence
 from urllib.parse import quote
 
-import msgspec
 from loguru import logger
 
+from marigoldlift.decoding import JsonDecoder
 from marigoldlift.errors import (
     AppendOutcomeUnknownError,
     AppendRefusedError,
     LogUnavailableError,
+    MalformedMessageError,
     RetentionPassedError,
     SequenceMismatchError,
 )
@@ -57,11 +58,15 @@
 OK = 200
 GONE = 410
 
-#: Statuses with which the store says that a record was not appended.
-REFUSED_STATUSES = frozenset((429, 503, 507))
+#: Statuses with which the store says that a record was not appended; it rejects a malformed call with most of them.
+REFUSED_STATUSES = frozenset((400, 403, 404, 405, 411, 413, 414, 415, 422, 429, 503, 507))
 
-append_decoder = msgspec.json.Decoder(AppendReply)
-newest_decoder = msgspec.json.Decoder(NewestReply)
+#: Largest answers of the store, in bytes: to an append, and a page of a snapshot, whose records have up to 1 MB.
+MAX_APPEND_REPLY_BYTES = 65_536
+MAX_PAGE_BYTES = 8_388_608
+
+append_decoder: JsonDecoder[AppendReply] = JsonDecoder(AppendReply, MAX_APPEND_REPLY_BYTES)
+newest_decoder: JsonDecoder[NewestReply] = JsonDecoder(NewestReply, MAX_PAGE_BYTES)
 
 
 class PlatformLog:
@@ -137,7 +142,7 @@
                 StoredRecord(item.offset, item.key, base64.b64decode(item.value))
                 for item in page.items
             ]
-        except (msgspec.DecodeError, binascii.Error) as fault:
+        except (MalformedMessageError, binascii.Error) as fault:
             raise LogUnavailableError(f'snapshot cannot be read: {fault}') from fault
         return SnapshotPage(page.end, records, page.more)
 
@@ -203,7 +208,7 @@
         raise AppendRefusedError(f'append answered {reply.status}')
     try:
         answer = append_decoder.decode(reply.body)
-    except msgspec.DecodeError as fault:
+    except MalformedMessageError as fault:
         raise AppendOutcomeUnknownError(f'append answered {reply.status}: {fault}') from fault
     if reply.status == CONFLICT:
         logger.info('append conflict: {}', reply.body)
--- a/marigoldlift/platform/tests/test_front.py
+++ b/marigoldlift/platform/tests/test_front.py
@@ -7,7 +7,7 @@
 from aiohttp import test_utils
 from hypothesis import given, settings, strategies
 
-from marigoldlift.errors import LogUnavailableError
+from marigoldlift.errors import InvalidInputError, LogUnavailableError
 from marigoldlift.platform.configuration import CellConfiguration, Queue
 from marigoldlift.platform.front import ClientRequestHandler, parse_submission, submission_decoder
 from marigoldlift.platform.servers import listen_draining
@@ -179,8 +179,8 @@
 @given(strategies.binary(max_size=200))
 @settings(max_examples=300, derandomize=True)
 def test_arbitrary_bytes_are_parsed_or_refused(body):
-    """Guards against a parser that raises another exception than `DecodeError` and `ValueError`."""
+    """Guards against a parser that raises another exception than `InvalidInputError`."""
     try:
         parse_submission(submission_decoder.decode(body), QUEUE, SubmissionId(NAME), '')
-    except ValueError:
+    except InvalidInputError:
         return
--- a/marigoldlift/platform/tests/test_wire.py
+++ b/marigoldlift/platform/tests/test_wire.py
@@ -7,6 +7,7 @@
 from marigoldlift.errors import (
     AppendOutcomeUnknownError,
     AppendRefusedError,
+    MalformedMessageError,
     SequenceMismatchError,
     WorkerRefusedError,
     WorkerUnavailableError,
@@ -101,7 +102,8 @@
 def test_entries_of_other_writers_name_no_worker(json_value):
     """Guards against a decoder that fails on a registry entry of another writer."""
     content = msgspec.json.encode(json_value)
-    assert decode_worker('key', content) is None
+    with pytest.raises(MalformedMessageError):
+        decode_worker('key', content)
 
 
 def test_worker_entry():
--- a/marigoldlift/platform/wire.py
+++ b/marigoldlift/platform/wire.py
@@ -1,6 +1,6 @@
 """JSON bodies of the platform's interfaces; unknown fields are ignored when decoding."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -21,12 +21,36 @@
 )
 
 
+#: Largest Unix time that is accepted, in ms: the end of the year 2099.
+MAX_UNIX_MS = 4_102_444_800_000
+
+#: Largest reading of a clock and largest duration, in ms; a double represents whole numbers up to here exactly.
+MAX_MS = 9_007_199_254_740_992
+
+#: Largest resources of a worker or task: thousandths of a core, MB of memory, and GPUs.
+MAX_CPU_M = 10_000_000
+MAX_MEM_MB = 1_000_000_000
+MAX_GPUS = 10_000
+
+#: Largest count in a submission: tasks of a step, occurrences, and limits on tasks.
+MAX_COUNT = 1_000_000
+
+CpuThousandths = Annotated[int, msgspec.Meta(ge=0, le=MAX_CPU_M)]
+Megabytes = Annotated[int, msgspec.Meta(ge=0, le=MAX_MEM_MB)]
+GpuCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_GPUS)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+ClockMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+RemainingMs = Annotated[float, msgspec.Meta(ge=-MAX_MS, le=MAX_MS)]
+
+
 class CapacityBody(msgspec.Struct):
     """Capacity of a worker: processor in thousandths of a core, memory in MB, and GPUs."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: CpuThousandths = 0
+    mem_mb: Megabytes = 0
+    gpu: GpuCount = 0
 
 
 class WorkerBody(msgspec.Struct):
@@ -46,9 +70,9 @@
     state: str
     capacity: CapacityBody = msgspec.field(default_factory=CapacityBody)
     labels: list[str] = []
-    born: int = 0
-    clock_ms: float = 0
-    remaining_ms: float | None = None
+    born: UnixMs = 0
+    clock_ms: ClockMs = 0
+    remaining_ms: RemainingMs | None = None
 
 
 class QueueAdviceBody(msgspec.Struct):
@@ -103,22 +127,22 @@
 class StepBody(msgspec.Struct):
     """A step of a submission, called a phase on the wire."""
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    est_ms: float = 0
+    count: Count = 1
+    cpu: CpuThousandths = 0
+    mem_mb: Megabytes = 0
+    gpu: GpuCount = 0
+    est_ms: DurationMs = 0
     after: list[int] = []
     gang: bool = False
     same_rack: bool = False
     requires: str = ''
     data_rack: str = ''
-    anti_affinity: int = 0
+    anti_affinity: Count = 0
     speculative: bool = False
     checkpointing: bool = False
     long_running: bool = False
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Count = 0
 
 
 class SubmissionBody(msgspec.Struct):
@@ -126,15 +150,15 @@
 
     spec: str = ''
     phases: list[StepBody] = []
-    start_at_ms: float = 0
-    repeat_count: int = 0
-    interval_ms: float = 0
+    start_at_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_MS)] = 0
+    repeat_count: Count = 0
+    interval_ms: DurationMs = 0
 
 
 class OrderReply(msgspec.Struct):
     """Answer of a worker to an order; `reason` is set if the worker refused it."""
 
-    clock_ms: float = 0
+    clock_ms: ClockMs = 0
     reason: str = ''
 
 
@@ -149,11 +173,11 @@
         remaining_ms: least time left while the worker drains, None if it is unknown.
     """
 
-    clock_ms: float = 0
-    born: int = 0
+    clock_ms: ClockMs = 0
+    born: UnixMs = 0
     running: list[list[Any]] = []
     finished: list[list[Any]] = []
-    remaining_ms: float | None = None
+    remaining_ms: RemainingMs | None = None
 
 
 class AdviceBody(msgspec.Struct):
--- a/marigoldlift/platform/workers.py
+++ b/marigoldlift/platform/workers.py
@@ -6,8 +6,14 @@
 import msgspec
 from loguru import logger
 
-from marigoldlift.errors import WorkerRefusedError, WorkerUnavailableError
+from marigoldlift.decoding import JsonDecoder
+from marigoldlift.errors import (
+    MalformedMessageError,
+    WorkerRefusedError,
+    WorkerUnavailableError,
+)
 from marigoldlift.orders.api import EndedRun, EndKind, HeldRun, WorkerStatus, StartOrder, Worker
+from marigoldlift.platform.addresses import is_socket_address
 from marigoldlift.platform.calls import CallUnansweredError, HttpClient, Reply
 from marigoldlift.platform.wire import PollReply, OrderReply, WorkerBody
 from marigoldlift.submissions.model import TaskRef, parse_task_name
@@ -34,9 +40,23 @@
 
 EXPECT_HEADER = 'X-Expect-Instance'
 
-order_decoder = msgspec.json.Decoder(OrderReply)
-poll_decoder = msgspec.json.Decoder(PollReply)
-worker_decoder = msgspec.json.Decoder(WorkerBody)
+#: Largest messages of a worker, in bytes: answer to an order, status, and registry entry.
+MAX_ORDER_REPLY_BYTES = 65_536
+MAX_STATUS_BYTES = 8_388_608
+MAX_ENTRY_BYTES = 262_144
+
+#: Longest id of a worker; it becomes part of the key of a record, which has at most 255 bytes.
+MAX_ID_LENGTH = 200
+
+#: Largest number of an end or a run in a row.
+MAX_ROW_NUMBER = 9_007_199_254_740_992
+
+#: Errors of the conversion of a row with other fields than expected.
+ROW_ERRORS = (AttributeError, TypeError, ValueError, OverflowError)
+
+order_decoder: JsonDecoder[OrderReply] = JsonDecoder(OrderReply, MAX_ORDER_REPLY_BYTES)
+poll_decoder: JsonDecoder[PollReply] = JsonDecoder(PollReply, MAX_STATUS_BYTES)
+worker_decoder: JsonDecoder[WorkerBody] = JsonDecoder(WorkerBody, MAX_ENTRY_BYTES)
 STATES = frozenset(('ready', 'draining'))
 
 
@@ -93,7 +113,7 @@
         reply = await self.order(worker, 'hold', fields, ANSWER_TIMEOUT_S + wait_ms / MS_PER_S)
         try:
             return parse_poll(poll_decoder.decode(reply.body))
-        except msgspec.DecodeError as fault:
+        except MalformedMessageError as fault:
             raise WorkerUnavailableError(
                 f'poll answer cannot be read: {fault}', may_have_run=True
             ) from fault
@@ -138,7 +158,7 @@
     """Decode the body of an answer to an order."""
     try:
         return order_decoder.decode(reply.body)
-    except msgspec.DecodeError as fault:
+    except MalformedMessageError as fault:
         raise WorkerUnavailableError(
             f'answer cannot be read: {fault}', may_have_run=True
         ) from fault
@@ -167,8 +187,10 @@
     """Convert a row to a run on the worker; log a row of another form and return None."""
     try:
         name, run, checkpoint, percent = row[:HELD_FIELDS]
-        held = HeldRun(parse_task_name(name), int(run), checkpoint or '', float(percent))
-    except (AttributeError, TypeError, ValueError) as fault:
+        held = HeldRun(
+            parse_task_name(name), row_number(run), row_text(checkpoint), float(percent)
+        )
+    except ROW_ERRORS as fault:
         logger.warning('row of a run skipped: {} {}', row, fault)
         return None
     return held
@@ -179,24 +201,53 @@
     try:
         number, name, run, kind, checkpoint = row[:ENDED_FIELDS]
         ended = EndedRun(
-            int(number), parse_task_name(name), int(run), EndKind(kind), checkpoint or ''
+            row_number(number),
+            parse_task_name(name),
+            row_number(run),
+            EndKind(kind),
+            row_text(checkpoint),
         )
-    except (AttributeError, TypeError, ValueError) as fault:
+    except ROW_ERRORS as fault:
         logger.warning('row of an ended run skipped: {} {}', row, fault)
         return None
     return ended
 
 
-def decode_worker(key: str, content: bytes) -> Worker | None:
-    """Decode a registry entry; return None if it is not that of a worker, since the topic has other writers too."""
-    try:
-        body = worker_decoder.decode(content)
-    except msgspec.DecodeError as fault:
-        logger.debug('registry entry skipped: key={} {}', key, fault)
-        return None
+def row_number(field: Any) -> int:
+    """Return a field of a row that has to be a whole number of at least 0.
+
+    Raises:
+        ValueError: it is none, or it is too large.
+    """
+    if type(field) is not int or not 0 <= field <= MAX_ROW_NUMBER:  # noqa: WPS516 a bool is no number
+        raise ValueError(f'not a number of a run: {field!r}')
+    return field
+
+
+def row_text(field: Any) -> str:
+    """Return a field of a row that has to be a text or missing.
+
+    Raises:
+        ValueError: it is neither.
+    """
+    if field is not None and not isinstance(field, str):
+        raise ValueError(f'not a text: {field!r}')
+    return field or ''
+
+
+def decode_worker(key: str, content: bytes) -> Worker:
+    """Decode a registry entry.
+
+    Raises:
+        MalformedMessageError: the entry does not describe a worker; the registry has other writers too.
+    """
+    body = worker_decoder.decode(content)
+    if not is_worker_id(key):
+        raise MalformedMessageError('the key is no id of a worker')
     if body.state not in STATES:
-        logger.debug('registry entry skipped: key={} state={}', key, body.state)
-        return None
+        raise MalformedMessageError(f'unknown state {body.state[:MAX_ID_LENGTH]!r}')
+    if not is_socket_address(body.addr):
+        raise MalformedMessageError(f'no address of a worker: {body.addr[:MAX_ID_LENGTH]!r}')
     return Worker(
         id=key,
         address=body.addr,
@@ -210,3 +261,8 @@
         labels=tuple(body.labels),
         leaving_ms=body.remaining_ms,
     )
+
+
+def is_worker_id(key: str) -> bool:
+    """Return whether a key can be an id; orders carry it in a header."""
+    return 0 < len(key) <= MAX_ID_LENGTH and key.isascii() and key.isprintable()
--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -13,7 +13,12 @@
 )
 from marigoldlift.replication.api import KeyedLog, Producer
 from marigoldlift.submissions.records import Record
-from marigoldlift.submissions.record_codec import encode_record, record_key
+from marigoldlift.submissions.record_codec import (
+    MAX_KEY_BYTES,
+    MAX_RECORD_BYTES,
+    encode_record,
+    record_key,
+)
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 
@@ -45,8 +50,12 @@
     __slots__ = ('records', 'stored', 'deadline')
 
     def __init__(self, records: Sequence[Record], deadline: float) -> None:
-        """Encode the records."""
-        self.records = [(record_key(record), encode_record(record)) for record in records]
+        """Encode the records.
+
+        Raises:
+            AppendRefusedError: a record has another form than the log can store.
+        """
+        self.records = list(map(encode_for_log, records))
         self.deadline = deadline
         self.stored: asyncio.Future[int] = asyncio.get_running_loop().create_future()
 
@@ -284,3 +293,21 @@
         for entry in batch:
             entry.settle(offset)
             offset += len(entry.records) if offset >= 0 else 0
+
+
+def encode_for_log(record: Record) -> tuple[str, bytes]:
+    """Return the key and the content of a record.
+
+    Raises:
+        AppendRefusedError: the log takes no such record, however often it is sent.
+    """
+    try:
+        key, content = record_key(record), encode_record(record)
+        key_bytes = len(key.encode())
+    except (ValueError, TypeError, OverflowError) as fault:
+        raise AppendRefusedError(f'the record cannot be encoded: {fault}') from fault
+    if key_bytes > MAX_KEY_BYTES or len(content) > MAX_RECORD_BYTES:
+        raise AppendRefusedError(
+            f'the record is too large: key={key_bytes} content={len(content)} bytes'
+        )
+    return key, content
--- a/marigoldlift/replication/replica.py
+++ b/marigoldlift/replication/replica.py
@@ -8,6 +8,7 @@
 from marigoldlift.errors import LogUnavailableError, RetentionPassedError
 from marigoldlift.replication.api import KeyedLog
 from marigoldlift.submissions.record_codec import StoredRecord
+from marigoldlift.supervision import FaultBoundary, ItemKind
 
 __all__ = ('Replica',)
 
@@ -42,6 +43,7 @@
         apply: Callable[[StoredRecord], None],
         clock: Callable[[], float],
         read_interval_s: float,
+        faults: FaultBoundary,
     ) -> None:
         """Create a replica that has read nothing.
 
@@ -50,11 +52,13 @@
             apply: called with each record.
             clock: monotonic time in seconds.
             read_interval_s: shortest pause between two reads, in s.
+            faults: sets aside records that cannot be applied.
         """
         self.log = log
         self.apply = apply
         self.clock = clock
         self.read_interval_s = read_interval_s
+        self.faults = faults
         self.offset = 0
         self.ready = asyncio.Event()
         self.last_response_at = clock()
@@ -105,7 +109,7 @@
         for stored in page.records:
             if stored.offset == self.offset:
                 self.offset += 1
-                self.apply(stored)
+                self.apply_contained(stored)
         return page.end
 
     async def refresh(self, max_age_s: float) -> None:
@@ -155,11 +159,16 @@
         for observer in self.snapshot_observers:
             observer(listed)
         for stored in sorted(records, key=lambda stored: stored.offset):
-            self.apply(stored)
+            self.apply_contained(stored)
         self.offset = start or 0
         self.note_answer()
         self.ready.set()
 
+    def apply_contained(self, stored: StoredRecord) -> None:
+        """Apply one record; one that raises is set aside, since each entry would end over it in turn."""
+        with self.faults.contain(ItemKind.record, stored.key):
+            self.apply(stored)
+
     def note_answer(self) -> None:
         """Record an answer of the store, and whether it ends an outage."""
         now = self.clock()
--- a/marigoldlift/replication/tests/test_intake.py
+++ b/marigoldlift/replication/tests/test_intake.py
@@ -14,6 +14,7 @@
 from marigoldlift.submissions.records import Cancelled
 from marigoldlift.submissions.record_codec import decode_record
 from marigoldlift.telemetry.metrics import Metrics
+from marigoldlift.supervision import FaultBoundary
 from standins.cell.log import LogClient, MemoryLog
 
 pytestmark = pytest.mark.looptime
@@ -49,7 +50,9 @@
         self.turn = asyncio.Lock()
         self.leader_reachable = True
         self.appenders = [self.appender(number, clock) for number in range(ENTRIES)]
-        self.replica = Replica(LogClient(self.log, random.Random(1)), print, clock, 1)
+        self.replica = Replica(
+            LogClient(self.log, random.Random(1)), print, clock, 1, FaultBoundary(clock, Metrics())
+        )
         self.routers = [
             AppendRouter(appender, self.replica, self, functools.partial(str, LEADER))
             for appender in self.appenders[1:]
--- a/marigoldlift/replication/tests/test_replica.py
+++ b/marigoldlift/replication/tests/test_replica.py
@@ -7,6 +7,8 @@
 
 from marigoldlift.errors import LogUnavailableError
 from marigoldlift.replication.replica import Replica
+from marigoldlift.supervision import FaultBoundary
+from marigoldlift.telemetry.metrics import Metrics
 from standins.cell.log import LogClient, LogFault, MemoryLog
 
 pytestmark = pytest.mark.looptime
@@ -31,7 +33,8 @@
 @pytest.fixture
 async def replica(client, seen):
     """Return a running replica."""
-    made = Replica(client, seen.append, asyncio.get_running_loop().time, PACE_S)
+    clock = asyncio.get_running_loop().time
+    made = Replica(client, seen.append, clock, PACE_S, FaultBoundary(clock, Metrics()))
     running = asyncio.create_task(made.run())
     yield made
     running.cancel()
--- a/marigoldlift/replication/tests/test_search.py
+++ b/marigoldlift/replication/tests/test_search.py
@@ -12,6 +12,7 @@
 from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.records import Cancelled
 from marigoldlift.telemetry.metrics import Metrics
+from marigoldlift.supervision import FaultBoundary
 from standins.cell.log import LogClient, LogFault, MemoryLog
 
 pytestmark = pytest.mark.looptime
@@ -108,7 +109,8 @@
     client.page = rng.choice((1, 3, KEYS))
     client.answer_s = rng.choice((0.004, 0.03))
     content = Content()
-    replica = Replica(client, content.apply, asyncio.get_running_loop().time, 0.05)
+    clock = asyncio.get_running_loop().time
+    replica = Replica(client, content.apply, clock, 0.05, FaultBoundary(clock, Metrics()))
     running = asyncio.create_task(replica.run())
     writing = asyncio.create_task(write(client.log, rng))
     answered = 0
--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -9,6 +9,7 @@
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.starter import Starter
+from marigoldlift.supervision import FaultBoundary, ItemKind
 
 __all__ = ('RunChecks',)
 
@@ -31,8 +32,10 @@
         session_manager: SessionManager,
         starter: Starter,
         clock: Callable[[], float],
+        faults: FaultBoundary,
     ) -> None:
         """Keep the dependencies."""
+        self.faults = faults
         self.open_submissions = open_submissions
         self.session_manager = session_manager
         self.starter = starter
@@ -44,7 +47,10 @@
         for session in list(self.session_manager.sessions.values()):
             leaving = self.is_leaving(session, now)
             for run in list(session.run_table.runs.values()):
-                self.check_run(session, run, now, leaving=leaving)
+                try:
+                    self.check_run(session, run, now, leaving=leaving)
+                except Exception as fault:
+                    self.faults.note(ItemKind.run, run.task.name, fault)
 
     def is_leaving(self, session: WorkerSession, now: float) -> bool:
         """Return whether a draining worker leaves so soon that its runs must be stopped and placed elsewhere."""
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -22,6 +22,7 @@
 from marigoldlift.scheduling.tickets import TicketManager
 from marigoldlift.submissions.records import Accepted, Cancelled, Progress, Record
 from marigoldlift.submissions.state import FINAL_OUTCOMES
+from marigoldlift.supervision import ItemKind
 
 __all__ = ('Dispatcher',)
 
@@ -60,6 +61,7 @@
         self.parts = parts
         self.tenure = tenure
         self.clock = parts.clock
+        self.faults = parts.faults
         self.wake = asyncio.Event()
         self.log_is_read = False
         self.checked_at = self.clock()
@@ -68,7 +70,7 @@
             parts.log, Producer(LEADER, tenure + 1), self.clock, parts.metrics
         )
         self.progress = ProgressWriter(self.appender, tenure)
-        self.events = RunEvents(parts.election, tenure, self.wake, parts.metrics)
+        self.events = RunEvents(parts.election, tenure, self.wake, parts.metrics, self.faults)
         self.session_manager = SessionManager(
             parts.registry,
             parts.state,
@@ -77,6 +79,7 @@
             self.events,
             tenure,
             parts.lease_s,
+            self.faults,
         )
         self.starter = Starter(self.session_manager, self.progress, self.events)
         placer = Placer(self.session_manager.health, self.clock)
@@ -89,12 +92,13 @@
             self.clock,
             parts.gang_wait_s,
             parts.metrics,
+            self.faults,
         )
         self.open_submissions = OpenSubmissions(
-            parts.state, self.planner, self.starter, self.progress, self.clock
+            parts.state, self.planner, self.starter, self.progress, self.clock, self.faults
         )
         self.checks = RunChecks(
-            self.open_submissions, self.session_manager, self.starter, self.clock
+            self.open_submissions, self.session_manager, self.starter, self.clock, self.faults
         )
         self.retention = Retention(
             parts.state,
@@ -113,7 +117,8 @@
             await self.take_over()
             while not self.appender.fenced:
                 check_loops(loops)
-                self.run_once()
+                with self.faults.contain(ItemKind.round, 'round'):
+                    self.run_once()
                 await self.pause()
         finally:
             for task in loops:
@@ -194,10 +199,14 @@
 
     def run_checks(self) -> None:
         """Run the periodic checks, and a retention round if one is due."""
-        self.session_manager.refresh()
-        self.session_manager.check()
-        self.checks.check_runs()
-        self.planner.sample_idle()
+        for check in (
+            self.session_manager.refresh,
+            self.session_manager.check,
+            self.checks.check_runs,
+            self.planner.sample_idle,
+        ):
+            with self.faults.contain(ItemKind.round, check.__qualname__):
+                check()
         if self.retention.is_due():
             self.starter.spawn(self.retention.run_round())
 
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -14,6 +14,7 @@
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Step
 from marigoldlift.submissions.records import Outcome
+from marigoldlift.supervision import FaultBoundary, ItemKind
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 
@@ -40,12 +41,18 @@
     session_manager: SessionManager
 
     def __init__(
-        self, election: Election, tenure: int, wake: asyncio.Event, metrics: Metrics
+        self,
+        election: Election,
+        tenure: int,
+        wake: asyncio.Event,
+        metrics: Metrics,
+        faults: FaultBoundary,
     ) -> None:
         """Start in the state before the takeover is complete."""
         self.election = election
         self.tenure = tenure
         self.metrics = metrics
+        self.faults = faults
         self.wake = wake
         self.clock = election.clock
         self.ready = False
@@ -55,6 +62,10 @@
         """Return whether this tenure may send orders now."""
         return self.election.tenure == self.tenure and self.election.may_act()
 
+    def handling_failed(self, kind: ItemKind, name: str, fault: Exception) -> None:
+        """Log and count an exception that a listed run or end has caused."""
+        self.faults.note(kind, name, fault)
+
     def capacity_changed(self) -> None:
         """Request a scheduling pass."""
         self.wake.set()
--- a/marigoldlift/scheduling/open_submissions.py
+++ b/marigoldlift/scheduling/open_submissions.py
@@ -12,6 +12,7 @@
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Outcome
 from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState
+from marigoldlift.supervision import FaultBoundary, ItemKind
 
 __all__ = ('OpenSubmissions',)
 
@@ -31,6 +32,7 @@
         starter: Starter,
         progress: ProgressWriter,
         clock: Callable[[], float],
+        faults: FaultBoundary,
     ) -> None:
         """Start without submissions."""
         self.state = state
@@ -38,6 +40,7 @@
         self.starter = starter
         self.progress = progress
         self.clock = clock
+        self.faults = faults
         self.jobs: dict[SubmissionId, JobRun] = {}
         self.closed: set[SubmissionId] = set()
 
@@ -48,11 +51,12 @@
             return
         if job.state in FINAL_OUTCOMES:
             return
-        opened = JobRun(job)
-        self.jobs[submission] = opened
-        for step in opened.steps.values():
-            self.planner.add(step)
-        self.close_if_done(opened)
+        with self.faults.contain(ItemKind.submission, submission):
+            opened = JobRun(job)
+            self.jobs[submission] = opened
+            for step in opened.steps.values():
+                self.planner.add(step)
+            self.close_if_done(opened)
 
     def close_if_done(self, job: JobRun) -> None:
         """Close a submission as complete once all its tasks are done."""
@@ -93,7 +97,7 @@
         """Return the step of a task, None if its submission is not open or has no such task."""
         job = self.jobs.get(task.submission)
         step = job.steps.get((task.occurrence, task.step)) if job else None
-        if step is None or task.index >= step.step.count:
+        if step is None or not 0 <= task.index < step.step.count:
             return None
         return step
 
@@ -103,7 +107,7 @@
         If the submission is unknown, the demand is unknown too, and the whole worker counts as occupied.
         """
         job = self.state.jobs.get(task.submission)
-        if job is None or task.step >= len(job.submission.steps):
+        if job is None or not 0 <= task.step < len(job.submission.steps):
             logger.warning('run of an unknown submission: task={}', task.name)
             return Step(count=1, cpu_m=worker.cpu_m, mem_mb=worker.mem_mb, gpus=worker.gpus)
         return job.submission.steps[task.step]
--- a/marigoldlift/scheduling/parts.py
+++ b/marigoldlift/scheduling/parts.py
@@ -11,6 +11,7 @@
 from marigoldlift.scheduling.advice import AdviceBroker
 from marigoldlift.scheduling.registry import Registry
 from marigoldlift.submissions.state import CellState
+from marigoldlift.supervision import FaultBoundary
 from marigoldlift.telemetry.metrics import Metrics
 
 __all__ = ('DispatcherParts',)
@@ -33,6 +34,7 @@
         gang_wait_s: how long a member of a gang waits at its worker for the others, in seconds.
         outcome_kept_s: minimum time for which the outcome of a submission can be queried, in seconds.
         metrics: metrics of this entry.
+        faults: sets aside items whose handling raises.
     """
 
     state: CellState
@@ -48,3 +50,4 @@
     gang_wait_s: float
     outcome_kept_s: float
     metrics: Metrics
+    faults: FaultBoundary
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from operator import itemgetter
 
 from loguru import logger
 
@@ -14,6 +15,7 @@
 from marigoldlift.scheduling.tasks import PendingReason, StepRun
 from marigoldlift.scheduling.tickets import TicketManager
 from marigoldlift.scheduling.wait_report import WaitReport
+from marigoldlift.supervision import FaultBoundary, ItemKind
 from marigoldlift.telemetry.metrics import Metrics
 
 __all__ = ('Planner',)
@@ -50,6 +52,7 @@
         clock: Callable[[], float],
         gang_wait_s: float,
         metrics: Metrics,
+        faults: FaultBoundary,
     ) -> None:
         """Start without waiting steps.
 
@@ -61,12 +64,14 @@
             clock: monotonic clock in seconds.
             gang_wait_s: how long a member of a gang waits at its worker for the others, in seconds.
             metrics: receives the idle times of steps.
+            faults: sets aside submissions whose handling raises.
         """
         self.session_manager = session_manager
         self.placer = placer
         self.tickets = tickets
         self.starter = starter
         self.clock = clock
+        self.faults = faults
         self.gang_limit_s = gang_wait_s * GANG_START_SHARE
         self.waiting: dict[StepRun, None] = {}
         self.pools: dict[tuple[str, bool], Pool] = {}
@@ -91,16 +96,33 @@
         self.failed_placements = 0
         self.drop_finished()
         self.pending.reasons.clear()
-        ready = [step for step in self.waiting if self.may_start(step, wall_ms)]
-        ready.sort(key=lambda step: step.job.rank(now))
+        ready = self.ready_steps(now, wall_ms)
         for candidate in ready:
-            if self.failed_placements < MAX_FAILED_PLACEMENTS or self.pending.is_overdue(
-                candidate
-            ):
-                self.place(candidate)
+            with self.faults.contain(ItemKind.submission, candidate.job.id):
+                if self.failed_placements < MAX_FAILED_PLACEMENTS or self.pending.is_overdue(
+                    candidate
+                ):
+                    self.place(candidate)
         if self.wait_report.is_due():
             self.wait_report.report(ready, self.pool)
 
+    def ready_steps(self, now: float, wall_ms: float) -> list[StepRun]:
+        """Return the steps that may be placed now, the most urgent first.
+
+        Args:
+            now: time of the monotonic clock in seconds.
+            wall_ms: Unix time in ms.
+        """
+        ranked = []
+        for step in self.waiting:
+            if self.faults.is_set_aside(step.job.id):
+                continue
+            with self.faults.contain(ItemKind.submission, step.job.id):
+                if self.may_start(step, wall_ms):
+                    ranked.append((step.job.rank(now), step))
+        ranked.sort(key=itemgetter(0))
+        return [ready for _, ready in ranked]
+
     def sample_idle(self) -> None:
         """Record which steps are idle, with the reason that the last pass found."""
         self.pending.sample(self.waiting, time.time() * MS_PER_S)
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -97,10 +97,8 @@
 
     async def store(self, job: JobRun) -> bool:
         """Try once to append the progress record and return whether it was stored."""
-        steps = [step.progress() for step in job.steps.values() if step.last_run or step.done]
-        outcome = job.outcome or OPEN_OUTCOMES[job.begun]
         try:
-            await self.appender.append(Progress(job.id, self.tenure, outcome, steps), WAIT_S)
+            await self.appender.append(self.record_of(job), WAIT_S)
         except PlatformError as fault:
             logger.warning('progress not stored: submission={} {}', job.id, fault.reason)
             return False
@@ -108,3 +106,9 @@
             logger.opt(exception=unexpected).error('progress not stored: submission={}', job.id)
             return False
         return True
+
+    def record_of(self, job: JobRun) -> Progress:
+        """Return the record with the current progress of a submission."""
+        steps = [step.progress() for step in job.steps.values() if step.last_run or step.done]
+        outcome = job.outcome or OPEN_OUTCOMES[job.begun]
+        return Progress(job.id, self.tenure, outcome, steps)
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -5,7 +5,6 @@
 import msgspec
 from loguru import logger
 
-from marigoldlift.errors import PlatformError
 from marigoldlift.leadership.election import LEADER_LEASE_S
 from marigoldlift.orders.api import Worker, WorkerCalls
 from marigoldlift.orders.polling import poll_continuously
@@ -13,9 +12,10 @@
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.worker_health import WorkerHealth
 from marigoldlift.scheduling.registry import Registry
-from marigoldlift.submissions.records import Dropped, KnownWorker
+from marigoldlift.scheduling.worker_records import WorkerRecords
+from marigoldlift.submissions.records import KnownWorker
 from marigoldlift.submissions.state import CellState
-from marigoldlift.supervision import TaskSet
+from marigoldlift.supervision import FaultBoundary, ItemKind
 
 __all__ = ('SessionManager', 'restarted_worker')
 
@@ -31,9 +31,6 @@
 #: Pause before a worker is polled again after an unexpected exception, in s.
 POLL_RETRY_S = 0.2
 
-#: How long a record waits for the store, in s.
-RECORD_WAIT_S = 2
-
 
 class UnreachableDeadlines(msgspec.Struct, frozen=True):
     """Times after which everything that an unreachable worker may hold has certainly ended.
@@ -59,12 +56,12 @@
             lease of a leader and that of a worker.
         sessions: sessions by worker id.
         health_records: failures by worker id.
-        recorded: ids of the workers that are recorded in the log.
+        records: records of the workers in the log.
         leave_at: earliest time at which a draining worker leaves, by id, in seconds of the monotonic clock.
         unreachable: workers that have not answered since the takeover, with the times after which everything that they
             may hold has certainly ended.
         tasks: polling tasks by worker id.
-        removals: pending removals of worker records from the log.
+        faults: sets aside workers whose handling raises.
     """
 
     def __init__(
@@ -76,25 +73,25 @@
         observer: RunObserver,
         tenure: int,
         longest_lease_s: float,
+        faults: FaultBoundary,
     ) -> None:
         """Start without sessions."""
         self.registry = registry
         self.state = state
         self.calls = calls
-        self.appender = appender
         self.observer = observer
         self.tenure = tenure
+        self.faults = faults
         self.clock = state.clock
         self.lease_s = longest_lease_s - LEASE_MARGIN_S
         self.lease_expiry_s = longest_lease_s * SLOW_CLOCK_FACTOR + TIMER_SLACK_S
         self.orders_expiry_s = LEADER_LEASE_S + self.lease_expiry_s
         self.sessions: dict[str, WorkerSession] = {}
         self.health_records: dict[str, WorkerHealth] = {}
-        self.recorded: set[str] = set()
+        self.records = WorkerRecords(appender)
         self.leave_at: dict[str, float] = {}
         self.unreachable: dict[str, UnreachableDeadlines] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
-        self.removals = TaskSet()
 
     def health(self, worker: str) -> WorkerHealth:
         """Return the failure record of a worker."""
@@ -112,7 +109,7 @@
         )
         self.refresh()
         for known in self.state.workers.values():
-            self.recorded.add(known.worker)
+            self.records.recorded.add(known.worker)
             if known.worker not in self.sessions:
                 self.open(unlisted_worker(known), self.tenure)
             self.unreachable[known.worker] = deadlines
@@ -120,11 +117,18 @@
     def refresh(self) -> None:
         """Open or update sessions according to the registry."""
         for worker in tuple(self.registry.workers.values()):
-            session = self.sessions.get(worker.id)
-            if session is None:
-                self.open(worker, self.tenure)
-            elif session.worker != worker:
-                self.apply_entry(session, worker)
+            if self.faults.is_set_aside(worker.id):
+                continue
+            with self.faults.contain(ItemKind.worker, worker.id):
+                self.refresh_session(worker)
+
+    def refresh_session(self, worker: Worker) -> None:
+        """Open or update the session with a listed worker."""
+        session = self.sessions.get(worker.id)
+        if session is None:
+            self.open(worker, self.tenure)
+        elif session.worker != worker:
+            self.apply_entry(session, worker)
 
     def apply_entry(self, session: WorkerSession, worker: Worker) -> None:
         """Apply a changed registry entry; an entry of an earlier incarnation than that of the session is ignored."""
@@ -153,7 +157,7 @@
         """Record the worker before its first order, then poll it; polling resumes after an unexpected exception."""
         while True:
             try:
-                await self.record(session.worker)
+                await self.records.record(session.worker)
                 await poll_continuously(session)
             except Exception as fault:
                 logger.opt(exception=fault).error(
@@ -161,20 +165,6 @@
                 )
                 await asyncio.sleep(POLL_RETRY_S)
 
-    async def record(self, worker: Worker) -> None:
-        """Store that a worker may hold tasks from now on, and retry until it is stored.
-
-        A later leader opens sessions with all recorded workers.
-        """
-        while worker.id not in self.recorded:
-            known = KnownWorker(worker.id, worker.address, worker.failure_domain)
-            try:
-                await self.appender.append(known, RECORD_WAIT_S)
-            except PlatformError as fault:
-                logger.info('worker not recorded: worker={} {}', worker.id, fault.reason)
-            else:
-                self.recorded.add(worker.id)
-
     def update(self, session: WorkerSession, worker: Worker) -> None:
         """Apply a newer registry entry of the same incarnation."""
         if session.worker.ready and not worker.ready:
@@ -231,7 +221,7 @@
         name = session.worker.id
         if not session.worker.ready or name not in self.registry.workers:
             return False
-        if name not in self.recorded or not session.answers():
+        if name not in self.records.recorded or not session.answers():
             return False
         return now >= session.full_until
 
@@ -243,17 +233,22 @@
         """Give up runs whose lease has lapsed, and close sessions that are no longer needed."""
         now = self.clock()
         for session in list(self.sessions.values()):
-            if session.run_table.runs and session.is_lost():
-                logger.warning(
-                    'lease lapsed: worker={} runs={}',
-                    session.worker.id,
-                    len(session.run_table.runs),
-                )
-                session.give_up_runs()
-            if session.synced or self.unreachable_deadline_passed(session.worker.id, now):
-                self.unreachable.pop(session.worker.id, None)
-            if self.is_removable(session, now):
-                self.close(session)
+            with self.faults.contain(ItemKind.worker, session.worker.id):
+                self.check_session(session, now)
+
+    def check_session(self, session: WorkerSession, now: float) -> None:
+        """Give up the runs of a session whose lease has lapsed, and close it if it is no longer needed."""
+        if session.run_table.runs and session.is_lost():
+            logger.warning(
+                'lease lapsed: worker={} runs={}',
+                session.worker.id,
+                len(session.run_table.runs),
+            )
+            session.give_up_runs()
+        if session.synced or self.unreachable_deadline_passed(session.worker.id, now):
+            self.unreachable.pop(session.worker.id, None)
+        if self.is_removable(session, now):
+            self.close(session)
 
     def unreachable_deadline_passed(self, name: str, now: float) -> bool:
         """Return whether everything that an unreachable worker may hold has certainly ended.
@@ -284,19 +279,11 @@
         logger.info('session closed: worker={}', name)
         self.sessions.pop(name)
         self.tasks.pop(name).cancel()
-        self.recorded.discard(name)
-        self.removals.spawn(self.drop_record(name))
-
-    async def drop_record(self, name: str) -> None:
-        """Drop the record of a worker from the log."""
-        try:
-            await self.appender.append(Dropped(f'w/{name}'), RECORD_WAIT_S)
-        except PlatformError as fault:
-            logger.info('worker record not dropped: worker={} {}', name, fault.reason)
+        self.records.drop(name)
 
     def stop(self) -> None:
-        """Stop polling all workers and cancel pending removals."""
-        self.removals.cancel()
+        """Stop polling all workers and cancel pending removals of records."""
+        self.records.cancel()
         for task in self.tasks.values():
             task.cancel()
 
--- a/marigoldlift/submissions/record_codec.py
+++ b/marigoldlift/submissions/record_codec.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from marigoldlift.decoding import MsgpackDecoder
 from marigoldlift.submissions.records import (
     Accepted,
     Cancelled,
@@ -17,7 +18,14 @@
     Record,
 )
 
-__all__ = ('StoredRecord', 'decode_record', 'encode_record', 'record_key')
+__all__ = (
+    'MAX_KEY_BYTES',
+    'MAX_RECORD_BYTES',
+    'StoredRecord',
+    'decode_record',
+    'encode_record',
+    'record_key',
+)
 
 
 class StoredRecord(msgspec.Struct, frozen=True):
@@ -47,9 +55,13 @@
     return KEY_BUILDERS[type(record)](record)
 
 
+#: Largest content of a record, in bytes, and longest key; the store takes no larger ones.
+MAX_RECORD_BYTES = 261_000
+MAX_KEY_BYTES = 255
+
 encoder = msgspec.msgpack.Encoder()
-decoder = msgspec.msgpack.Decoder(
-    Accepted | Cancelled | Progress | Finished | Leadership | KnownWorker
+decoder: MsgpackDecoder[Record] = MsgpackDecoder(
+    Accepted | Cancelled | Progress | Finished | Leadership | KnownWorker, MAX_RECORD_BYTES
 )
 
 
@@ -64,6 +76,6 @@
     """Return the record decoded from its content.
 
     Raises:
-        msgspec.DecodeError: the content is not a valid record.
+        MalformedMessageError: the content is not a valid record.
     """
     return decoder.decode(content)
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -5,6 +5,7 @@
 import msgspec
 from loguru import logger
 
+from marigoldlift.errors import MalformedMessageError
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.submissions.records import (
     Accepted,
@@ -147,7 +148,7 @@
             return
         try:
             record = decode_record(stored.content)
-        except msgspec.DecodeError as fault:
+        except MalformedMessageError as fault:
             logger.warning('record skipped: offset={} key={} {}', stored.offset, stored.key, fault)
             return
         self.apply_decoded(stored.offset, record)
--- a/marigoldlift/supervision.py
+++ b/marigoldlift/supervision.py
@@ -1,12 +1,91 @@
-"""Background tasks whose exceptions are logged."""
+"""Containment of unexpected exceptions: background tasks, and items that are handled one after the other."""
 
 import asyncio
-from collections.abc import Coroutine
+import contextlib
+from collections.abc import Callable, Coroutine, Iterator
+from enum import Enum
 from typing import Any
 
+import msgspec
 from loguru import logger
 
-__all__ = ('TaskSet',)
+from marigoldlift.telemetry.metric_table import Metric
+from marigoldlift.telemetry.metrics import Metrics
+
+__all__ = ('FaultBoundary', 'ItemKind', 'TaskSet')
+
+#: Pause of an item after its first exception, and longest one, in s; it doubles with each further exception.
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 8.0
+
+#: Number of items that are remembered as set aside; beyond it the oldest one is tried again.
+MAX_SET_ASIDE = 1000
+
+
+class ItemKind(Enum):
+    """Kind of item whose handling is contained; label of the metric."""
+
+    record = 'record'
+    submission = 'submission'
+    worker = 'worker'
+    end = 'end'
+    run = 'run'
+    round = 'round'
+
+
+class SetAside(msgspec.Struct):
+    """An item whose handling has raised.
+
+    Attributes:
+        until: time before which it is not handled again, in seconds of the monotonic clock.
+        pause_s: length of that pause, in s.
+    """
+
+    until: float
+    pause_s: float
+
+
+class FaultBoundary:
+    """Contains an unexpected exception to the item whose handling raised it, so that others are still handled.
+
+    Without it, one record or submission that cannot be handled would end each leader in turn.
+
+    Attributes:
+        clock: monotonic clock in seconds.
+        metrics: counts the exceptions by kind of item.
+        set_aside: items that are not handled again yet, by name.
+    """
+
+    def __init__(self, clock: Callable[[], float], metrics: Metrics) -> None:
+        """Start without exceptions."""
+        self.clock = clock
+        self.metrics = metrics
+        self.set_aside: dict[str, SetAside] = {}
+
+    @contextlib.contextmanager
+    def contain(self, kind: ItemKind, name: str) -> Iterator[None]:
+        """Log and count an exception of the block, and set the item aside; cancellation passes through."""
+        try:
+            yield
+        except Exception as fault:
+            self.note(kind, name, fault)
+
+    def note(self, kind: ItemKind, name: str, fault: Exception) -> None:
+        """Log and count an exception, and set the item aside, for longer after each further one."""
+        before = self.set_aside.pop(name, None)
+        pause_s = min(before.pause_s * 2, LONGEST_PAUSE_S) if before else FIRST_PAUSE_S
+        self.set_aside[name] = SetAside(self.clock() + pause_s, pause_s)
+        if len(self.set_aside) > MAX_SET_ASIDE:
+            self.set_aside.pop(next(iter(self.set_aside)))
+        self.metrics.add(Metric.faults_contained, kind=kind.value)
+        logger.opt(exception=fault).error(
+            'item set aside: kind={} name={} pause_s={}', kind.value, name, pause_s
+        )
+
+    def is_set_aside(self, name: str) -> bool:
+        """Return whether an item must not be handled now because its handling has raised."""
+        found = self.set_aside.get(name)
+        return found is not None and self.clock() < found.until
 
 
 class TaskSet:
@@ -22,7 +101,7 @@
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine as a background task, named after it."""
-        task = asyncio.create_task(work, name=work.__qualname__)
+        task = asyncio.create_task(work, name=getattr(work, '__qualname__', 'task'))
         self.tasks.add(task)
         task.add_done_callback(self.on_task_done)
 
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -74,6 +74,12 @@
     submissions_gone = MetricSpec(
         COUNTER, '', (), 'Callers told that there is no such submission.'
     )
+    faults_contained = MetricSpec(
+        COUNTER, '', ('kind',), 'Unexpected exceptions, by kind of the item that was set aside.'
+    )
+    entries_skipped = MetricSpec(
+        COUNTER, '', (), 'Entries of the list of workers that describe no worker.'
+    )
     leading = MetricSpec(GAUGE, '', (), 'Whether this entry gives the orders: 1 or 0.')
     log_age = MetricSpec(GAUGE, 'seconds', ('stream',), 'Time since the log last answered a read.')
     starts = MetricSpec(COUNTER, '', ('outcome',), 'Starts ordered, by answer.')
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -23,6 +23,9 @@
 MEMORY_MB = 1_000_000
 LONGEST_STOP_S = 0.8
 
+#: Address in the list of workers; calls find a worker by its id.
+WORKER_ADDRESS = '10.0.0.1:80'
+
 
 class HeldTask:
     """Run that a worker holds."""
@@ -99,7 +102,7 @@
         """Return the worker's record in the list of workers."""
         return Worker(
             id=self.name,
-            address=self.name,
+            address=WORKER_ADDRESS,
             failure_domain='a',
             service='service',
             ready=not self.draining,
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -12,6 +12,7 @@
 from marigoldlift.errors import AppendRefusedError
 from marigoldlift.leadership.election import Candidate
 from marigoldlift.orders.api import Worker
+from marigoldlift.platform.workers import decode_worker
 from marigoldlift.submissions.acceptance import AcceptanceResult
 from marigoldlift.submissions.model import (
     AdvicePolicy,
@@ -48,9 +49,19 @@
     return Policy('queue', 'service', priority, max_attempts, 2.0, 1000, advice)
 
 
-def decode_worker(key: str, content: bytes) -> Worker:
-    """Decode one record of the list of workers."""
-    return msgspec.msgpack.decode(content, type=Worker)
+def registry_entry(worker: Worker) -> bytes:
+    """Return the entry that a worker writes into the platform's registry."""
+    return msgspec.json.encode(
+        {
+            'service': worker.service,
+            'addr': worker.address,
+            'zone': worker.failure_domain,
+            'state': 'ready' if worker.ready else 'draining',
+            'capacity': {'cpu': worker.cpu_m, 'mem_mb': worker.mem_mb, 'gpu': worker.gpus},
+            'labels': worker.labels,
+            'born': worker.born_ms,
+        }
+    )
 
 
 class ModelAdvice:
@@ -186,7 +197,7 @@
         now = self.loop.time()
         for worker in self.workers.values():
             if worker.up:
-                content = msgspec.msgpack.encode(worker.describe())
+                content = registry_entry(worker.describe())
                 self.workers_log.store([(worker.name, content)])
                 self.last_heartbeat_at[worker.name] = now
             elif now - self.last_heartbeat_at.get(worker.name, now) > EXPIRY_S:
