--- a/marigoldlift/platform/configuration.py
+++ b/marigoldlift/platform/configuration.py
@@ -1,6 +1,6 @@
 """The operators' configuration, read from records of the platform's store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from loguru import logger
@@ -31,16 +31,31 @@
     policy: Policy
 
 
-class CellConfiguration(msgspec.Struct, frozen=True):
-    """One version of the configuration; queues with longer prefixes come first."""
+class CellConfiguration:
+    """One version of the configuration.
 
-    version: int
-    queues: tuple[Queue, ...]
+    Attributes:
+        version: number of the version.
+        queues: queues by host and path prefix.
+        prefix_lengths: lengths of the path prefixes of each host, the longest first.
+    """
+
+    def __init__(self, version: int, queues: Iterable[Queue]) -> None:
+        """Index the queues."""
+        self.version = version
+        self.queues = {(queue.host, queue.prefix): queue for queue in queues}
+        lengths: dict[str, set[int]] = {}
+        for host, prefix in self.queues:
+            lengths.setdefault(host, set()).add(len(prefix))
+        self.prefix_lengths = {
+            host: sorted(found, reverse=True) for host, found in lengths.items()
+        }
 
     def queue_of(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest match for a path, None if none matches."""
-        for queue in self.queues:
-            if queue.host == host and path.startswith(queue.prefix):
+        for length in self.prefix_lengths.get(host, ()):
+            queue = self.queues.get((host, path[:length]))
+            if queue is not None:
                 return queue
         return None
 
@@ -69,9 +84,8 @@
         if body.version <= self.version:
             return
         self.version = body.version
-        queues = sorted(map(parse_queue, body.routes), key=lambda queue: -len(queue.prefix))
-        logger.info('configuration in force: version={} queues={}', body.version, len(queues))
-        self.on_change(CellConfiguration(body.version, tuple(queues)))
+        logger.info('configuration in force: version={} queues={}', body.version, len(body.routes))
+        self.on_change(CellConfiguration(body.version, map(parse_queue, body.routes)))
 
 
 def parse_queue(body: QueueBody) -> Queue:
--- a/marigoldlift/platform/tests/test_front.py
+++ b/marigoldlift/platform/tests/test_front.py
@@ -127,6 +127,19 @@
     assert front.acceptance.submitted[0].policy.queue == 'deep'
 
 
+def test_queue_is_found_among_many():
+    """Guards against a lookup that takes the time of a scan through all queues of a large configuration."""
+    many = [
+        Queue(f'h{number % 7}.example', f'/{number:x}/', QUEUE.policy) for number in range(3000)
+    ]
+    configuration = CellConfiguration(1, (QUEUE, LONGER, *many))
+    assert configuration.queue_of('h.example', f'/q1/deep/{NAME}') is LONGER
+    assert configuration.queue_of('h.example', f'/q1/other/{NAME}') is QUEUE
+    assert configuration.queue_of('h.example', '/q1') is None
+    assert configuration.queue_of('h3.example', f'/{10:x}/{NAME}') is many[10]
+    assert max(map(len, configuration.prefix_lengths.values())) <= 4
+
+
 @pytest.mark.parametrize(
     'body',
     [
