Serve submissions that can still meet their objective before those that cannot

In the order of deadlines alone, each submission at the crest of a swing waits until it is late. A gang that is starting keeps its place. Whether a gang fits at all is counted before workers are grouped and sorted.

--- a/marigoldlift/scheduling/placement.py
+++ b/marigoldlift/scheduling/placement.py
@@ -133,6 +133,8 @@
         """
         avoided = set() if overdue else self.avoided_by_step(step_run)
         usable = [session for session in sessions if session.worker.id not in avoided]
+        if not self.has_room(step_run, usable):
+            return None
         groups = self.group_by_rack(usable) if step_run.step.same_rack else []
         for group in (*groups, *self.group_by_failure_domain(usable), usable):
             places = self.pack(step_run, group)
@@ -140,6 +142,15 @@
                 return places
         return None
 
+    def has_room(self, step_run: StepRun, sessions: Iterable[WorkerSession]) -> bool:
+        """Return whether all tasks of a step fit at once; stops counting as soon as they do."""
+        missing = step_run.step.count
+        for session in sessions:
+            missing -= self.placeable_tasks(session, step_run)
+            if missing <= 0:
+                return True
+        return False
+
     def group_by_rack(self, sessions: Sequence[WorkerSession]) -> list[list[WorkerSession]]:
         """Group workers by rack: by each of their labels after the first."""
         groups: dict[str, list[WorkerSession]] = {}
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -10,6 +10,7 @@
 from marigoldlift.scheduling.pending import PendingSteps
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.pool import Pool
+from marigoldlift.scheduling.service_order import service_rank
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tasks import PendingReason, StepRun
@@ -119,7 +120,7 @@
                 continue
             with self.faults.contain(ItemKind.submission, step.job.id):
                 if self.may_start(step, wall_ms):
-                    ranked.append((step.job.rank(now), step))
+                    ranked.append((service_rank(step, now), step))
         ranked.sort(key=itemgetter(0))
         return [ready for _, ready in ranked]
 
--- /dev/null
+++ b/marigoldlift/scheduling/service_order.py
@@ -0,0 +1,69 @@
+"""Order of service among waiting steps.
+
+Answers the load at the crest of a swing, when more work waits than the workers can finish in time. In the order of
+deadlines alone each submission then waits until it is late, and all are. Here a submission that can no longer meet its
+objective gives way to those that still can; it is served as soon as they leave room.
+"""
+
+from enum import IntEnum
+
+from marigoldlift.scheduling.tasks import JobRun, StepRun
+
+__all__ = ('ServiceClass', 'ServiceRank', 'service_class', 'service_rank')
+
+#: Multiple of its objective after which a submission no longer earns anything; three by the rules of the platform.
+WORTHLESS_FACTOR = 3
+
+#: Sort key of a step: class, priority of its queue, and the time at which its submission should be complete.
+ServiceRank = tuple[int, int, float]
+
+
+class ServiceClass(IntEnum):
+    """Class of a waiting step; the lowest is served first.
+
+    Attributes:
+        urgent: the queue has the highest priority, and the objective can still be met.
+        urgent_late: the queue has the highest priority.
+        in_time: the objective can still be met, or the step is a gang whose first members wait for the others.
+        late: the submission is going to be late.
+        worthless: the submission is so late that it earns nothing any more.
+    """
+
+    urgent = 0
+    urgent_late = 1
+    in_time = 2
+    late = 3
+    worthless = 4
+
+
+def service_class(step: StepRun, now: float) -> ServiceClass:
+    """Return the class of a waiting step.
+
+    Args:
+        step: the step.
+        now: time of the monotonic clock in seconds.
+    """
+    job = step.job
+    if now > job.since + WORTHLESS_FACTOR * job.objective_s:
+        return ServiceClass.worthless
+    is_late = now + job.remaining_s(step) > job.since + job.objective_s
+    if job.is_urgent:
+        return ServiceClass.urgent_late if is_late else ServiceClass.urgent
+    if is_late and step.gang_started_at is None:
+        return ServiceClass.late
+    return ServiceClass.in_time
+
+
+def service_rank(step: StepRun, now: float) -> ServiceRank:
+    """Return the sort key of a waiting step; the lowest is served first.
+
+    Args:
+        step: the step.
+        now: time of the monotonic clock in seconds.
+    """
+    job: JobRun = step.job
+    return (
+        service_class(step, now),
+        job.submission.policy.priority,
+        job.since + job.objective_s,
+    )
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -1,6 +1,6 @@
 """State of open submissions on the leader: which tasks wait, run or have ended."""
 
-from collections.abc import Container
+from collections.abc import Container, Sequence
 from enum import Enum
 
 import msgspec
@@ -15,9 +15,6 @@
 
 MS_PER_S = 1000
 
-#: Multiple of its objective after which a submission no longer earns anything; three by the rules of the platform.
-WORTHLESS_FACTOR = 3
-
 #: Index under which the failures and the checkpoint of a whole gang are kept.
 GANG_INDEX = 0
 
@@ -220,6 +217,7 @@
         begun: whether any task was started.
         outcome: final outcome, None while there is none.
         steps: steps by occurrence and number.
+        chains_s: estimated time of the longest chain of dependent steps that begins with each step, in s.
         objective_s: time in which it should be complete, in s.
     """
 
@@ -235,7 +233,8 @@
             for number, _ in enumerate(self.submission.steps):
                 stored = job.progress.get((occurrence, number))
                 self.steps[occurrence, number] = StepRun(self, number, occurrence, stored)
-        self.objective_s = objective_s(self.submission)
+        self.chains_s = chains_s(self.submission.steps)
+        self.objective_s = objective_s(self.submission, max(self.chains_s, default=0))
 
     @property
     def id(self) -> SubmissionId:
@@ -259,24 +258,27 @@
             return False
         return all(self.steps[step.occurrence, before].is_done for before in step.step.after)
 
-    def rank(self, now: float) -> tuple[bool, int, float]:
-        """Return the sort key for scheduling; the lowest comes first.
+    def remaining_s(self, step: StepRun) -> float:
+        """Return the estimated time from the start of a step until the submission is complete, in s."""
+        return self.chains_s[step.number]
 
-        Submissions that can no longer earn anything come after all others; apart from that, the order is by priority,
-        then by the time at which a submission should be complete.
-        """
-        worthless = now > self.since + WORTHLESS_FACTOR * self.objective_s
-        return (worthless, self.submission.policy.priority, self.since + self.objective_s)
+
+def chains_s(steps: Sequence[Step]) -> list[float]:
+    """Return the estimated time of the longest chain of dependent steps that begins with each step, in s."""
+    chains = [step.estimate_ms / MS_PER_S for step in steps]
+    for number in reversed(range(len(steps))):
+        for before in steps[number].after:
+            own_s = steps[before].estimate_ms / MS_PER_S
+            chains[before] = max(chains[before], own_s + chains[number])
+    return chains
 
 
-def objective_s(submission: Submission) -> float:
+def objective_s(submission: Submission, longest_chain_s: float) -> float:
     """Return the time in which a submission should be complete, in s.
 
-    It grows with the longest chain of dependent steps, by the rough estimates of their run times.
+    Args:
+        submission: the submission.
+        longest_chain_s: estimated time of its longest chain of dependent steps, in s.
     """
-    chains: list[float] = []
-    for step in submission.steps:
-        before = max((chains[number] for number in step.after if number < len(chains)), default=0)
-        chains.append(before + step.estimate_ms)
     policy = submission.policy
-    return (policy.stretch * max(chains, default=0) + policy.target_ms) / MS_PER_S
+    return policy.stretch * longest_chain_s + policy.target_ms / MS_PER_S
