Ignore renewals of a tenure that another one has followed

A leader that was paused renews when it wakes, and a renewal that got no answer may be stored late; the newest leadership record made its writer the leader, so each pause of a leader caused a second takeover, around which both had led. It was safe by the rising tenure numbers, and cost the takeover. A renewal or release now names the tenure that it belongs to, and all entries ignore one of an earlier tenure; only a claim begins a tenure. A claim that the leader repeats keeps its tenure. Ruled out: reading the log before each late renewal, which delays renewals while the store is slow, and does not help against a renewal that is under way.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -12,7 +12,7 @@
 from marigoldlift.leadership.earlier_leaders import LEADER_LEASE_S, EarlierLeaders
 from marigoldlift.replication.appender import Appender
 from marigoldlift.replication.replica import Replica
-from marigoldlift.submissions.records import Leadership, Record
+from marigoldlift.submissions.records import NEW_TENURE, Leadership, Record
 
 __all__ = ('LEADER_LEASE_S', 'Candidate', 'Election')
 
@@ -80,6 +80,8 @@
     Attributes:
         tenure: offset of the record that made this entry the leader, None while this entry does not lead.
         holder: newest record of the leader, None while there is none.
+        newest_tenure: number of the newest tenure that has begun; renewals of earlier ones have no effect, because their
+            sender was paused, or sent them before it knew of its successor.
         read_s: duration of the last read of the log before a claim, in s.
         seen_at: when the holder's newest record was read, in seconds of the monotonic clock.
         last_direct_at: when the log was last known to be directly reachable.
@@ -112,6 +114,7 @@
         self.jitter_s = random.Random(candidate.life).uniform(0, CLAIM_JITTER_S)
         self.holder: Leadership | None = None
         self.offset = -1
+        self.newest_tenure = NEW_TENURE
         self.tenure: int | None = None
         self.seen_at = clock()
         self.sent_at = clock()
@@ -130,17 +133,31 @@
             return
         self.offset = offset
         mine = record.life == self.candidate.life
-        self.seen_at = self.clock()
-        self.holder = None if record.released else record
         if not mine:
             self.earlier_leaders.note(record)
+        is_claim = record.renews == NEW_TENURE
+        if not is_claim and record.renews < self.newest_tenure:
+            logger.info('renewal of an earlier tenure ignored: node={}', record.node)
+            return
+        if not is_claim:
+            self.newest_tenure = record.renews
+        elif not self.is_held_by(record):
+            self.newest_tenure = offset
+        self.seen_at = self.clock()
+        self.holder = None if record.released else record
         if mine and not record.released and not self.retired:
             self.confirmed_at = record.sent_at
-            if self.tenure is None:
+            if self.tenure is None and is_claim:
                 self.begin_tenure(offset)
         elif self.tenure is not None:
             self.end_tenure(record.node)
 
+    def is_held_by(self, record: Leadership) -> bool:
+        """Return whether a claim comes from the leader itself, which repeats a claim that got no answer."""
+        if record.life == self.candidate.life:
+            return self.tenure is not None
+        return self.holder is not None and self.holder.life == record.life
+
     def begin_tenure(self, offset: int) -> None:
         """Become the leader."""
         self.tenure = offset
@@ -207,7 +224,7 @@
             if self.should_hand_over():
                 await self.hand_over('reaches the log only through another entry')
             elif self.should_renew():
-                await self.write(released=False)
+                await self.write(renews=self.tenure)
             elif self.should_claim():
                 await self.claim()
                 await asyncio.sleep(CLAIM_PAUSE_S)
@@ -223,8 +240,9 @@
 
     async def hand_over(self, reason: str) -> None:
         """Release the leadership, so that another entry claims it at once."""
+        tenure = self.tenure
         self.end_tenure(reason)
-        await self.write(released=True)
+        await self.write(renews=tenure, released=True)
 
     async def claim(self) -> None:
         """Claim the leadership, unless the log holds a newer claim."""
@@ -234,7 +252,7 @@
             logger.info('leadership not claimed because the log is unavailable: {}', fault.reason)
             return
         if self.should_claim():
-            await self.write(released=False)
+            await self.write(renews=None)
             with contextlib.suppress(LogUnavailableError):
                 await self.replica.synchronize()
 
@@ -244,8 +262,13 @@
         await self.replica.synchronize()
         self.read_s = self.clock() - started_at
 
-    async def write(self, *, released: bool) -> None:
-        """Store a leadership record; it takes effect when it is read back."""
+    async def write(self, *, renews: int | None, released: bool = False) -> None:
+        """Store a leadership record; it takes effect when it is read back.
+
+        Args:
+            renews: number of the tenure that it renews or releases, None for a claim.
+            released: whether the leadership is given up.
+        """
         self.sent_at = self.clock()
         record = Leadership(
             node=self.candidate.node,
@@ -254,6 +277,7 @@
             failure_domain=self.candidate.failure_domain,
             address=self.candidate.address,
             released=released,
+            renews=NEW_TENURE if renews is None else renews,
         )
         try:
             await self.appender.append(record, RENEWAL_WAIT_S)
@@ -264,7 +288,7 @@
         """Start a new tenure, whose number is above the offset of any earlier record."""
         self.tenure = None
         self.earlier_leaders.note_end(self.candidate.life)
-        await self.write(released=False)
+        await self.write(renews=None)
 
     async def retire(self) -> None:
         """Release the leadership before the entry stops."""
--- a/marigoldlift/leadership/tests/test_election.py
+++ b/marigoldlift/leadership/tests/test_election.py
@@ -12,7 +12,8 @@
 from marigoldlift.replication.api import Producer
 from marigoldlift.replication.appender import Appender
 from marigoldlift.replication.replica import Replica
-from marigoldlift.submissions.record_codec import decode_record
+from marigoldlift.submissions.record_codec import decode_record, encode_record
+from marigoldlift.submissions.records import Leadership
 from marigoldlift.telemetry.metrics import Metrics
 from marigoldlift.supervision import FaultBoundary
 from standins.cell.log import LogClient, LogFault, MemoryLog
@@ -204,3 +205,46 @@
         assert after.election.tenure is not None
         assert after.election.tenure > tenure
         after.stop()
+
+
+@pytest.mark.parametrize('repeats', [1, 3])
+async def test_repeated_claim_of_the_leader_keeps_its_tenure(log, repeats):
+    """Guards against a leader whose renewals are ignored after a claim that got no answer was stored late."""
+    async with running(log) as members:
+        first = leader(members)
+        tenure = first.election.tenure
+        for _ in range(repeats):
+            await first.election.write(renews=None)
+        await asyncio.sleep(5)
+        assert leader(members) is first
+        assert first.election.tenure == tenure
+        assert first.election.may_act()
+
+
+async def test_restarted_tenure_is_renewed(log):
+    """Guards against ignored renewals after a leader has begun a new tenure because a worker refused its token."""
+    async with running(log) as members:
+        first = leader(members)
+        tenure = first.election.tenure
+        await first.election.restart_tenure()
+        await asyncio.sleep(5)
+        assert leader(members) is first
+        assert first.election.tenure > tenure
+        assert first.election.may_act()
+
+
+async def test_late_renewal_and_release_of_an_earlier_tenure_have_no_effect(log):
+    """Guards against records that were sent before a takeover and are stored after it."""
+    async with running(log) as members:
+        first = leader(members)
+        earlier = first.election.tenure
+        first.log.fault = LogFault.silent
+        await asyncio.sleep(3)
+        second = next(member for member in leaders(members) if member is not first)
+        tenure = second.election.tenure
+        for released in (False, True):
+            record = Leadership('a', 'paused', 0, 'a', 'a', released, earlier)
+            log.store([('l/a', encode_record(record))])
+            await asyncio.sleep(1)
+        assert second.election.tenure == tenure
+        assert second.election.may_act()
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -7,6 +7,7 @@
 from marigoldlift.submissions.model import Submission, SubmissionId
 
 __all__ = (
+    'NEW_TENURE',
     'Accepted',
     'Cancelled',
     'Dropped',
@@ -20,6 +21,10 @@
 )
 
 
+#: Value of `Leadership.renews` in a claim.
+NEW_TENURE = -1
+
+
 class Outcome(Enum):
     """State of a submission."""
 
@@ -82,6 +87,7 @@
         life: identifies one incarnation of the entry's process.
         sent_at: when it was sent, in seconds of the sender's monotonic clock.
         address: address at which other entries reach it.
+        renews: number of the tenure that it renews or releases; `NEW_TENURE` for a claim, which begins one.
     """
 
     node: str
@@ -90,6 +96,7 @@
     failure_domain: str
     address: str
     released: bool = False
+    renews: int = NEW_TENURE
 
 
 class Finished(Record, tag='f'):
