Notice at once that the log answers again, and that it did not

While reads fail, a new one now starts each 0.25 s, and appends are tried again after 0.2 s at most. The stand-in of the log now lets a waiting read of a silent log fail after its whole time-out, as the store does. That showed a second fault: an entry whose read for a claim had failed did not count that as an outage while its own long read was still waiting, and took the leadership from a leader that had had no time to renew. Each failed read counts now.

--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -36,7 +36,7 @@
 
 #: Pauses between two attempts to send a batch, in s; the store's refusals cost as much as its answers.
 INITIAL_BACKOFF_S = 0.05
-MAX_BACKOFF_S = 0.4
+MAX_BACKOFF_S = 0.2
 
 
 class PendingAppend:
--- a/marigoldlift/replication/replica.py
+++ b/marigoldlift/replication/replica.py
@@ -18,10 +18,14 @@
 #: Time without an answer that counts as an outage of the store, in s; a read waits for 1 s at most.
 OUTAGE_S = 1.8
 
-#: Pauses after a failed read, in s.
+#: Pauses after a failed read of a snapshot, in s.
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.4
 
+#: Time between the starts of two reads while reads fail, in s. A read that was sent during an outage of the store may
+#: get no answer at all, so the next one does not wait for its time-out.
+RETRY_INTERVAL_S = 0.25
+
 
 class Replica:
     """Reads a partition and passes each record to `apply`, once and in order.
@@ -31,6 +35,7 @@
         ready: set while the replica holds a completely read snapshot.
         last_response_at: when the last answer of the store arrived, in seconds of the monotonic clock.
         resumed_at: when the first answer after the last failure or outage arrived.
+        interrupted: whether a read has failed since the last answer.
         last_response_s: duration of the last read that did not wait for records, in s.
         read_at: when the last read ended, or when the last read by `refresh` began.
         read_interval_s: shortest pause between two reads, in s, since each read has a cost.
@@ -82,11 +87,26 @@
                 self.note_failure(fault)
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, MAX_BACKOFF_S)
+                if self.ready.is_set():
+                    await self.await_answer()
+                    self.note_success()
             else:
                 self.note_success()
                 pause = INITIAL_BACKOFF_S
                 await asyncio.sleep(self.read_interval_s)
 
+    async def await_answer(self) -> None:
+        """Read every `RETRY_INTERVAL_S` until a read is answered; each one applies its records as it arrives."""
+        attempts: list[asyncio.Task[int]] = []
+        try:
+            while not any(map(is_answered, attempts)):
+                attempts = [attempt for attempt in attempts if not attempt.done()]
+                attempts.append(asyncio.create_task(self.read(0)))
+                await asyncio.sleep(RETRY_INTERVAL_S)
+        finally:
+            for late in attempts:
+                late.cancel()
+
     async def advance(self) -> None:
         """Load the snapshot if there is none, else read the next records."""
         if self.ready.is_set():
@@ -98,7 +118,11 @@
         """Apply the records that follow, and return the end of the partition."""
         start = self.offset
         sent_at = self.clock()
-        page = await self.log.read(start, wait_ms)
+        try:
+            page = await self.log.read(start, wait_ms)
+        except LogUnavailableError:
+            self.interrupted = True
+            raise
         self.note_answer()
         if not wait_ms:
             self.last_response_s = self.last_response_at - sent_at
@@ -189,3 +213,10 @@
         if self.failing:
             self.failing = False
             logger.info('reads succeed again: next={}', self.offset)
+
+
+def is_answered(attempt: asyncio.Task[int]) -> bool:
+    """Return whether the log has answered a read, be it that the next record is no longer kept."""
+    if not attempt.done() or attempt.cancelled():
+        return False
+    return not isinstance(attempt.exception(), LogUnavailableError)
--- a/marigoldlift/replication/tests/test_replica.py
+++ b/marigoldlift/replication/tests/test_replica.py
@@ -6,7 +6,7 @@
 import pytest
 
 from marigoldlift.errors import LogUnavailableError
-from marigoldlift.replication.replica import Replica
+from marigoldlift.replication.replica import RETRY_INTERVAL_S, Replica
 from marigoldlift.supervision import FaultBoundary
 from marigoldlift.telemetry.metrics import Metrics
 from standins.cell.log import LogClient, LogFault, MemoryLog
@@ -71,3 +71,18 @@
     client.fault = LogFault.refuse
     with pytest.raises(LogUnavailableError):
         await replica.synchronize()
+
+
+@pytest.mark.parametrize('fault', [LogFault.silent, LogFault.refuse])
+@pytest.mark.parametrize('outage_s', [2.1, 3.0, 3.7, 4.4])
+async def test_records_are_read_soon_after_an_outage(client, seen, replica, fault, outage_s):
+    """Guards against an entry that waits for the answer to a read that was sent during an outage."""
+    await replica.ready.wait()
+    client.fault = fault
+    await asyncio.sleep(outage_s)
+    client.fault = None
+    client.log.store([('b', b'3')])
+    await asyncio.sleep(RETRY_INTERVAL_S + 2 * client.answer_s)
+    assert seen[-1].content == b'3'
+    await asyncio.sleep(RETRY_INTERVAL_S)
+    assert not replica.failing
--- a/standins/cell/log.py
+++ b/standins/cell/log.py
@@ -135,14 +135,17 @@
         self.answer_s = ANSWER_S
         self.page = PAGE
 
-    async def answer(self) -> None:
+    async def answer(self, wait_s: float = 0) -> None:
         """Wait for the time of a call.
 
+        Args:
+            wait_s: how much longer the client waits for an answer than usual, in s.
+
         Raises:
             LogUnavailableError: the log does not serve this client.
         """
         if self.fault is LogFault.silent:
-            await asyncio.sleep(CALL_TIMEOUT_S)
+            await asyncio.sleep(CALL_TIMEOUT_S + wait_s)
             raise LogUnavailableError('no answer')
         await asyncio.sleep(self.answer_s)
         if self.fault is LogFault.refuse:
@@ -185,7 +188,7 @@
 
     async def read(self, start: int, wait_ms: int) -> LogPage:
         """Return the records from an offset on; wait up to `wait_ms` for the first one."""
-        await self.answer()
+        await self.answer(wait_ms / MS_PER_S)
         if start >= len(self.log.records) and wait_ms:
             arrived = self.log.arrived
             try:
