Divide questions to the advice over idle entries, and name enough workers at once

The advice serves one call for each entry at a time, and most entries were idle.

A question that takes over 0.1 s is now divided into calls of 15 workers or more through idle entries, of which it uses a quarter at most; each answer is used as it comes. It names as many workers as are expected to hold the tasks twice over, by the share of workers that the advice has allowed for the queue so far (scheduling/candidates.py).

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -10,6 +10,7 @@
 
 from marigoldlift.errors import LogUnavailableError, PlatformError
 from marigoldlift.leadership.earlier_leaders import LEADER_LEASE_S, EarlierLeaders
+from marigoldlift.leadership.tenures import TenureOrder
 from marigoldlift.replication.appender import Appender
 from marigoldlift.replication.replica import Replica
 from marigoldlift.submissions.records import NEW_TENURE, Leadership, Record
@@ -80,8 +81,7 @@
     Attributes:
         tenure: offset of the record that made this entry the leader, None while this entry does not lead.
         holder: newest record of the leader, None while there is none.
-        newest_tenure: number of the newest tenure that has begun; renewals of earlier ones have no effect, because their
-            sender was paused, or sent them before it knew of its successor.
+        tenures: decides which leadership records take effect.
         read_s: duration of the last read of the log before a claim, in s.
         seen_at: when the holder's newest record was read, in seconds of the monotonic clock.
         last_direct_at: when the log was last known to be directly reachable.
@@ -113,8 +113,7 @@
         self.replica = replica
         self.jitter_s = random.Random(candidate.life).uniform(0, CLAIM_JITTER_S)
         self.holder: Leadership | None = None
-        self.offset = -1
-        self.newest_tenure = NEW_TENURE
+        self.tenures = TenureOrder()
         self.tenure: int | None = None
         self.seen_at = clock()
         self.sent_at = clock()
@@ -128,35 +127,27 @@
         self.on_change: list[Callable[[], None]] = []
 
     def observe(self, offset: int, record: Record) -> None:
-        """Apply a record of the log; each leadership record replaces the previous one."""
-        if not isinstance(record, Leadership) or offset <= self.offset:
+        """Apply a record of the log; each leadership record that takes effect replaces the previous one."""
+        if not isinstance(record, Leadership):
             return
-        self.offset = offset
         mine = record.life == self.candidate.life
         if not mine:
             self.earlier_leaders.note(record)
-        is_claim = record.renews == NEW_TENURE
-        if not is_claim and record.renews < self.newest_tenure:
-            logger.info('renewal of an earlier tenure ignored: node={}', record.node)
+        if not self.tenures.admit(record, offset, is_held=is_leader(self, record)):
+            logger.info('leadership record without effect: node={} offset={}', record.node, offset)
             return
-        if not is_claim:
-            self.newest_tenure = record.renews
-        elif not self.is_held_by(record):
-            self.newest_tenure = offset
         self.seen_at = self.clock()
         self.holder = None if record.released else record
         if mine and not record.released and not self.retired:
-            self.confirmed_at = record.sent_at
-            if self.tenure is None and is_claim:
-                self.begin_tenure(offset)
+            self.confirm(record, offset)
         elif self.tenure is not None:
             self.end_tenure(record.node)
 
-    def is_held_by(self, record: Leadership) -> bool:
-        """Return whether a claim comes from the leader itself, which repeats a claim that got no answer."""
-        if record.life == self.candidate.life:
-            return self.tenure is not None
-        return self.holder is not None and self.holder.life == record.life
+    def confirm(self, record: Leadership, offset: int) -> None:
+        """Apply a claim or renewal of this entry that was read back; only a claim begins a tenure."""
+        self.confirmed_at = record.sent_at
+        if self.tenure is None and record.renews == NEW_TENURE:
+            self.begin_tenure(offset)
 
     def begin_tenure(self, offset: int) -> None:
         """Become the leader."""
@@ -295,3 +286,10 @@
         self.retired = True
         if self.tenure is not None:
             await self.hand_over('released')
+
+
+def is_leader(election: Election, record: Leadership) -> bool:
+    """Return whether the sender of a record leads already."""
+    if record.life == election.candidate.life:
+        return election.tenure is not None
+    return election.holder is not None and election.holder.life == record.life
--- /dev/null
+++ b/marigoldlift/leadership/tenures.py
@@ -0,0 +1,41 @@
+"""Order of the tenures, in which records of an earlier one have no effect."""
+
+from marigoldlift.submissions.records import NEW_TENURE, Leadership
+
+__all__ = ('TenureOrder',)
+
+
+class TenureOrder:
+    """Decides which leadership records take effect; all entries decide alike, by the order of the log.
+
+    A leader that was paused may renew before it has read the claim of its successor, and a renewal that got no answer may
+    be stored after that claim.
+
+    Attributes:
+        offset: offset of the newest record that was read.
+        newest: number of the newest tenure that has begun.
+    """
+
+    def __init__(self) -> None:
+        """Start without records."""
+        self.offset = -1
+        self.newest = NEW_TENURE
+
+    def admit(self, record: Leadership, offset: int, *, is_held: bool) -> bool:
+        """Return whether a record takes effect, and note the tenure that it begins or renews.
+
+        Args:
+            record: the record.
+            offset: its offset in the log.
+            is_held: whether its sender leads already; a claim of the leader itself begins no new tenure.
+        """
+        if offset <= self.offset:
+            return False
+        self.offset = offset
+        if record.renews == NEW_TENURE:
+            self.newest = self.newest if is_held else offset
+            return True
+        if record.renews < self.newest:
+            return False
+        self.newest = record.renews
+        return True
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -21,7 +21,7 @@
 from marigoldlift.submissions.model import Step, TaskRef
 from marigoldlift.supervision import ItemKind
 
-__all__ = ('RunObserver', 'WorkerSession')
+__all__ = ('SUSPECT_S', 'RunObserver', 'WorkerSession')
 
 #: Low bits of a fencing token, below the tenure number, that count raises within a tenure.
 TOKEN_RAISE_BITS = 16
@@ -128,12 +128,6 @@
         """Return whether the worker has answered recently enough to get new work."""
         return self.synced and self.now() - self.last_answer_at < SUSPECT_S
 
-    def may_get_work(self, now: float) -> bool:
-        """Return whether the worker is ready, answers, and is not paused after a refusal."""
-        if not self.worker.ready or not self.synced or now < self.full_until:
-            return False
-        return now - self.last_answer_at < SUSPECT_S
-
     def is_lost(self) -> bool:
         """Return whether all runs of the worker have certainly ended because their leases expired.
 
--- a/marigoldlift/platform/configuration.py
+++ b/marigoldlift/platform/configuration.py
@@ -48,7 +48,7 @@
         for host, prefix in self.queues:
             lengths.setdefault(host, set()).add(len(prefix))
         self.prefix_lengths = {
-            host: sorted(found, reverse=True) for host, found in lengths.items()
+            name: sorted(found, reverse=True) for name, found in lengths.items()
         }
 
     def queue_of(self, host: str, path: str) -> Queue | None:
--- a/marigoldlift/replication/replica.py
+++ b/marigoldlift/replication/replica.py
@@ -78,22 +78,29 @@
         """Follow the partition until cancelled."""
         pause = INITIAL_BACKOFF_S
         while True:
-            try:
-                await self.advance()
-            except RetentionPassedError as passed:
-                logger.warning('history lost: next={} {}', self.offset, passed.reason)
-                self.ready.clear()
-            except LogUnavailableError as fault:
-                self.note_failure(fault)
+            if await self.try_advance():
+                pause = INITIAL_BACKOFF_S
+                await asyncio.sleep(self.read_interval_s if self.ready.is_set() else 0)
+            elif self.ready.is_set():
+                await self.await_answer()
+                self.note_success()
+            else:
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, MAX_BACKOFF_S)
-                if self.ready.is_set():
-                    await self.await_answer()
-                    self.note_success()
-            else:
-                self.note_success()
-                pause = INITIAL_BACKOFF_S
-                await asyncio.sleep(self.read_interval_s)
+
+    async def try_advance(self) -> bool:
+        """Advance once; return False if the log did not answer."""
+        try:
+            await self.advance()
+        except RetentionPassedError as passed:
+            logger.warning('history lost: next={} {}', self.offset, passed.reason)
+            self.ready.clear()
+            return True
+        except LogUnavailableError as fault:
+            self.note_failure(fault)
+            return False
+        self.note_success()
+        return True
 
     async def await_answer(self) -> None:
         """Read every `RETRY_INTERVAL_S` until a read is answered; each one applies its records as it arrives."""
--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -162,12 +162,17 @@
 
     def may_ask(self, *, urgent: bool) -> bool:
         """Return whether a request may be made now; some entries are reserved for urgent requests."""
+        if urgent:
+            now = self.clock()
+            return min(relay.busy_until for relay in self.usable()) < now + MAX_QUEUE_S
+        return self.spare() > 0
+
+    def spare(self) -> int:
+        """Return the number of entries that are idle and not reserved for urgent requests."""
         now = self.clock()
         usable = self.usable()
-        if urgent:
-            return min(relay.busy_until for relay in usable) < now + MAX_QUEUE_S
         idle = sum(1 for relay in usable if relay.busy_until <= now)
-        return idle > int(len(usable) * URGENT_SHARE)
+        return idle - int(len(usable) * URGENT_SHARE)
 
     def cost_s(self, policy: AdvicePolicy | None, workers: int) -> float:
         """Return how long the advice takes for a call with a number of workers, in s."""
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -1,6 +1,7 @@
 """Sessions with all workers that the registry lists or that may still hold tasks."""
 
 import asyncio
+from collections.abc import Mapping
 
 import msgspec
 from loguru import logger
@@ -9,7 +10,7 @@
 from marigoldlift.orders.api import Worker, WorkerCalls
 from marigoldlift.orders.polling import poll_continuously
 from marigoldlift.orders.runs import HeldTasks
-from marigoldlift.orders.session import RunObserver, WorkerSession
+from marigoldlift.orders.session import SUSPECT_S, RunObserver, WorkerSession
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.worker_health import WorkerHealth
 from marigoldlift.scheduling.registry import Registry
@@ -100,7 +101,8 @@
         """Return the failure record of a worker, which is created on first use."""
         record = self.health_records.get(worker)
         if record is None:
-            record = self.health_records[worker] = WorkerHealth()
+            record = WorkerHealth()
+            self.health_records[worker] = record
         return record
 
     def open_recorded(self, orders_ended_at: float) -> None:
@@ -222,21 +224,15 @@
             include_quarantined: whether to include workers that are quarantined after failures.
         """
         now = self.clock()
-        excluded = set() if include_quarantined else self.quarantined(now)
+        listed = self.registry.workers.keys() & self.records.recorded
+        if not include_quarantined:
+            listed -= quarantined(self.health_records, now)
         return [
             session
             for name, session in self.sessions.items()
-            if session.worker.service == service
-            and session.may_get_work(now)
-            and name in self.registry.workers
-            and name in self.records.recorded
-            and name not in excluded
+            if name in listed and session.worker.service == service and may_get_work(session, now)
         ]
 
-    def quarantined(self, now: float) -> set[str]:
-        """Return the ids of the workers that are quarantined after failures."""
-        return {name for name, record in self.health_records.items() if record.is_quarantined(now)}
-
     def all_synced(self) -> bool:
         """Return whether every worker has answered under its current token."""
         return all(session.synced for session in self.sessions.values())
@@ -300,6 +296,23 @@
             task.cancel()
 
 
+def quarantined(records: Mapping[str, WorkerHealth], now: float) -> set[str]:
+    """Return the ids of the workers that are quarantined after failures.
+
+    Args:
+        records: failures by worker id.
+        now: time of the monotonic clock in seconds.
+    """
+    return {name for name, record in records.items() if record.is_quarantined(now)}
+
+
+def may_get_work(session: WorkerSession, now: float) -> bool:
+    """Return whether a worker is ready, answers, and is not paused after a refusal."""
+    if not session.worker.ready or not session.synced or now < session.full_until:
+        return False
+    return now - session.last_answer_at < SUSPECT_S
+
+
 def is_new_incarnation(before: Worker, after: Worker) -> bool:
     """Return whether a registry entry belongs to a later incarnation of a worker; False if either is not known."""
     return bool(before.born_ms and after.born_ms) and after.born_ms > before.born_ms
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -1,13 +1,20 @@
 """Tickets of the placement advice, which say on which workers a step may run if its queue uses the advice."""
 
+import asyncio
 import math
 from collections.abc import Callable, Container, Sequence
 
+import msgspec
 from loguru import logger
 
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.advice import AdviceBroker, Booking
-from marigoldlift.scheduling.placement import Placer, fitting_tasks
+from marigoldlift.scheduling.candidates import (
+    AllowedShares,
+    choose_candidates,
+    split_evenly,
+)
+from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.pool import Pool
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tasks import PendingReason, StepRun, Ticket
@@ -26,15 +33,35 @@
 #: calls with 30 workers.
 FIRST_CALL_WORKERS = 30
 
-#: Workers to request per worker that the step needs, since only a share of the workers may run it.
-CANDIDATES_PER_WORKER = 5
-
 #: Capacity for which tickets are renewed, as a multiple of the need; some of it is taken before the answer arrives.
 SPARE_CAPACITY_FACTOR = 1.5
 
 #: Maximum number of workers in one advice call.
 MAX_WORKERS_PER_CALL = 100
 
+#: Minimum number of workers in each call of a divided question; each call costs a fixed time besides.
+MIN_WORKERS_PER_CALL = 15
+
+#: Duration of a question up to which it is not divided, in s.
+UNSPLIT_S = 0.1
+
+#: Share of the idle entries that one question may use.
+QUESTION_SHARE = 0.25
+
+
+class PlannedCall(msgspec.Struct, frozen=True):
+    """One call of a question.
+
+    Attributes:
+        workers: ids of the workers that it names.
+        booking: booking of the first attempt.
+        cost_s: how long the advice takes for it, in s.
+    """
+
+    workers: Sequence[str]
+    booking: Booking
+    cost_s: float
+
 
 class TicketManager:
     """Requests tickets before tasks are started, and stores them in the steps."""
@@ -61,6 +88,7 @@
         self.starter = starter
         self.clock = clock
         self.on_answer = on_answer
+        self.shares = AllowedShares()
 
     def permitted_workers(self, step: StepRun, pool: Pool) -> list[WorkerSession]:
         """Return the workers for which the step holds a valid ticket; all eligible ones if its queue needs none."""
@@ -95,8 +123,13 @@
         )
         if asked:
             step.ask_after = math.inf
-            cost_s = self.broker.cost_s(step.job.submission.policy.advice, len(asked))
-            self.starter.spawn(self.ask(step, asked, self.broker.book(cost_s), cost_s))
+            calls = [self.plan_call(step, part) for part in self.split(step, asked)]
+            self.starter.spawn(self.ask(step, calls))
+
+    def plan_call(self, step: StepRun, workers: Sequence[str]) -> PlannedCall:
+        """Book a call that names the workers."""
+        cost_s = self.broker.cost_s(step.job.submission.policy.advice, len(workers))
+        return PlannedCall(workers, self.broker.book(cost_s), cost_s)
 
     def pending_reason(self, step: StepRun) -> PendingReason:
         """Return why a step has no valid ticket."""
@@ -136,14 +169,18 @@
         unasked = [session for session in room if session.worker.id not in step.tickets]
         if placeable >= needed or (has_reservation and not unasked):
             return self.expired(step, approved)
-        unasked.sort(key=room.__getitem__, reverse=True)
-        asked = [session.worker.id for session in unasked[: self.call_size(step, unasked)]]
-        return asked + self.expired(step, approved) if asked else []
+        if not unasked:
+            return []
+        missing = len(step.todo) - placeable if step.step.gang else len(step.todo)
+        at_least = MAX_WORKERS_PER_CALL if step.tickets else FIRST_CALL_WORKERS
+        share = self.shares.share(step.job.submission.policy.queue)
+        asked = choose_candidates(room, unasked, missing, share, at_least)
+        return asked + self.expired(step, approved)
 
     def expired(self, step: StepRun, approved: Sequence[WorkerSession]) -> list[str]:
         """Return workers whose tickets expire before an answer would arrive, as many as the waiting tasks need."""
         answered_at = self.clock() + self.broker.cost_s(
-            step.job.submission.policy.advice, len(approved)
+            step.job.submission.policy.advice, min(len(approved), MIN_WORKERS_PER_CALL)
         )
         placeable = 0
         asked = []
@@ -156,39 +193,44 @@
             placeable += self.placer.placeable_tasks(session, step)
             if not step.holds_ticket(session.worker.id, answered_at):
                 asked.append(session.worker.id)
-        return asked[:MAX_WORKERS_PER_CALL]
+        return asked
 
-    def call_size(self, step: StepRun, unasked: Sequence[WorkerSession]) -> int:
-        """Return how many new workers a request names.
+    def split(self, step: StepRun, asked: Sequence[str]) -> list[Sequence[str]]:
+        """Divide the workers of a question into calls that other entries make at the same time.
 
-        The first request of a step names an estimate of what it needs. If that was not enough, each further one names
-        as many as a call may hold.
+        A question uses at most a part of the idle entries, so that others can be asked as well.
         """
-        if not unasked:
-            return 0
-        if step.tickets:
-            return MAX_WORKERS_PER_CALL
-        tasks_per_worker = max(1, fitting_tasks(unasked[0], step.step))
-        needed = math.ceil(len(step.todo) / tasks_per_worker)
-        return min(MAX_WORKERS_PER_CALL, max(FIRST_CALL_WORKERS, needed * CANDIDATES_PER_WORKER))
-
-    async def ask(
-        self, step: StepRun, asked: Sequence[str], booking: Booking, cost_s: float
-    ) -> None:
-        """Make an advice request and store the tickets, which are valid for all tasks of the step."""
         policy = step.job.submission.policy.advice
-        if policy is None:
-            return
-        allowed = None
+        smallest = math.ceil(len(asked) / MAX_WORKERS_PER_CALL)
+        if self.broker.cost_s(policy, len(asked)) <= UNSPLIT_S:
+            return split_evenly(asked, smallest)
+        useful = math.ceil(len(asked) / MIN_WORKERS_PER_CALL)
+        affordable = int(self.broker.spare() * QUESTION_SHARE)
+        return split_evenly(asked, max(smallest, min(useful, affordable)))
+
+    async def ask(self, step: StepRun, calls: Sequence[PlannedCall]) -> None:
+        """Make the calls of a question at the same time; another question may follow once all have ended."""
+        answered = False
         try:
-            allowed = await self.broker.ask(booking, cost_s, step.name, asked)
+            answers = await asyncio.gather(*(self.make_call(step, call) for call in calls))
+            answered = any(answers)
         finally:
-            step.ask_after = self.clock() + ASK_RETRY_S if allowed is None else 0
-        if allowed is None:
-            return
-        until = self.clock() + policy.valid_ms / MS_PER_S - TICKET_MARGIN_S
-        for worker in asked:
+            step.ask_after = 0 if answered else self.clock() + ASK_RETRY_S
+        self.on_answer()
+
+    async def make_call(self, step: StepRun, call: PlannedCall) -> bool:
+        """Make one call and store the tickets, which are valid for all tasks of the step; return whether it succeeded."""
+        policy = step.job.submission.policy
+        allowed = await self.broker.ask(call.booking, call.cost_s, step.name, call.workers)
+        if allowed is None or policy.advice is None:
+            return False
+        until = self.clock() + policy.advice.valid_ms / MS_PER_S - TICKET_MARGIN_S
+        for worker in call.workers:
             ticket = allowed.get(worker)
             step.tickets[worker] = Ticket(ticket, until) if ticket else None
-        logger.debug('advice: step={} asked={} allowed={}', step.name, len(asked), len(allowed))
+        self.shares.note(policy.queue, len(call.workers), len(allowed))
+        logger.debug(
+            'advice: step={} asked={} allowed={}', step.name, len(call.workers), len(allowed)
+        )
         self.on_answer()
+        return True
--- a/tests/cell/test_crest.py
+++ b/tests/cell/test_crest.py
@@ -66,15 +66,15 @@
 @pytest.mark.parametrize('urgent_every', [0, 10])
 def test_more_callers_are_served_in_time_than_by_deadline(run_scenario, monkeypatch, urgent_every):
     """Guards against an order in which each submission waits until it is late, while urgent ones lose nothing."""
-    results = []
+    outcomes = []
 
     async def scenario(cell):
-        results.append(await play_crest(cell, urgent_every))
+        outcomes.append(await play_crest(cell, urgent_every))
 
     run_scenario(scenario, workers=2)
     monkeypatch.setattr(planner, 'service_rank', by_deadline)
     run_scenario(scenario, workers=2)
-    ordered, plain = results
+    ordered, plain = outcomes
     assert ordered['plain'] > plain['plain']
     assert ordered['urgent'] >= plain['urgent']
     possible = FINISHED_PER_S * (CREST * PAUSE_S + OBJECTIVE_S - TASK_S)
