Let the leader's record say that the log is slow

While the store is slow, a partition takes 25 to 60 ms for each append, and entries pass their records to the leader. The leader appends each 0.2 s; its record now carries how long its last append took.

Test: replication/tests/test_intake.py: 39 entries with one record each on a log of 0.06 s an append: 2.5 s without the leader's word, under 0.24 s with it.

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from marigoldlift.leadership.election import Candidate, Election
+from marigoldlift.leadership.leader_view import LeaderView
 from marigoldlift.orders.api import Worker, WorkerCalls
 from marigoldlift.replication.api import KeyedLog, Producer
 from marigoldlift.replication.appender import Appender
@@ -109,7 +110,7 @@
         self.election = Election(candidate, self.appender, self.replica, clock, parts.is_indirect)
         self.election.on_change.append(self.follow_leadership)
         append_router = AppendRouter(
-            self.appender, self.replica, parts.leader_calls, self.election.leader_address
+            self.appender, self.replica, parts.leader_calls, LeaderView(self.election)
         )
         self.acceptance = Acceptance(self.state, self.appender, append_router, self.replica, clock)
         self.state.observers.append(self.observe)
--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -172,12 +172,6 @@
         """Return whether this entry may send orders now."""
         return self.tenure is not None and self.clock() - self.confirmed_at < LEADER_LEASE_S
 
-    def leader_address(self) -> str:
-        """Return the leader's address, empty if there is none or this entry leads."""
-        if self.tenure is not None or self.is_vacant() or self.holder is None:
-            return ''
-        return self.holder.address
-
     def should_claim(self) -> bool:
         """Return whether the leader has not renewed for so long that this entry claims the leadership."""
         if self.retired or self.tenure is not None:
@@ -269,6 +263,7 @@
             address=self.candidate.address,
             released=released,
             renews=NEW_TENURE if renews is None else renews,
+            response_s=self.appender.last_response_s,
         )
         try:
             await self.appender.append(record, RENEWAL_WAIT_S)
--- a/marigoldlift/replication/append_router.py
+++ b/marigoldlift/replication/append_router.py
@@ -1,6 +1,5 @@
 """Route for storing the records of callers: from this entry, or through the leader while the log is slow."""
 
-from collections.abc import Callable
 from typing import Protocol
 
 from loguru import logger
@@ -35,6 +34,16 @@
         """
 
 
+class LeaderState(Protocol):
+    """What the log says of the leader."""
+
+    def leader_address(self) -> str:
+        """Return the leader's address, empty if there is none or this entry leads."""
+
+    def leader_response_s(self) -> float:
+        """Return how long the leader's last append took according to its newest record, in s; 0 without a leader."""
+
+
 class AppendRouter:
     """Stores callers' records, through the leader while the log is slow, so that few appends carry many records."""
 
@@ -43,7 +52,7 @@
         appender: Appender,
         replica: Replica,
         calls: LeaderCalls,
-        leader_address: Callable[[], str],
+        leader: LeaderState,
     ) -> None:
         """Create a router.
 
@@ -51,16 +60,25 @@
             appender: stores from this entry.
             replica: measures how long a read takes.
             calls: reaches the leader.
-            leader_address: returns the leader's address, empty if there is none or this entry leads.
+            leader: tells where the leader is, and how slow the log is for it.
         """
         self.appender = appender
         self.replica = replica
         self.calls = calls
-        self.leader_address = leader_address
+        self.leader = leader
 
     def is_slow(self) -> bool:
-        """Return whether the last append or the last non-waiting read was slow."""
-        return max(self.appender.last_response_s, self.replica.last_response_s) > SLOW_RESPONSE_S
+        """Return whether the last append or non-waiting read was slow, or the leader's last append.
+
+        The leader appends several times a second. Other entries would notice a slow log only by appends of their own,
+        which all wait for each other.
+        """
+        slowest_s = max(
+            self.appender.last_response_s,
+            self.replica.last_response_s,
+            self.leader.leader_response_s(),
+        )
+        return slowest_s > SLOW_RESPONSE_S
 
     async def append(self, record: Record, wait_s: float) -> None:
         """Store a record.
@@ -74,7 +92,7 @@
             AppendOutcomeUnknownError: the record may be stored, now or later.
         """
         until = self.appender.clock() + wait_s
-        address = self.leader_address() if self.is_slow() else ''
+        address = self.leader.leader_address() if self.is_slow() else ''
         if address and await self.forward_to_leader(address, record, wait_s):
             return
         await self.appender.append(record, max(0, until - self.appender.clock()))
--- a/marigoldlift/replication/tests/test_intake.py
+++ b/marigoldlift/replication/tests/test_intake.py
@@ -1,7 +1,6 @@
 """Routing of callers' records while the log is slow."""
 
 import asyncio
-import functools
 import random
 
 import pytest
@@ -9,7 +8,7 @@
 from marigoldlift.errors import AppendOutcomeUnknownError, AppendRefusedError
 from marigoldlift.replication.api import Producer
 from marigoldlift.replication.appender import Appender
-from marigoldlift.replication.append_router import AppendRouter
+from marigoldlift.replication.append_router import SLOW_RESPONSE_S, AppendRouter
 from marigoldlift.replication.replica import Replica
 from marigoldlift.submissions.records import Cancelled
 from marigoldlift.submissions.record_codec import decode_record
@@ -49,13 +48,13 @@
         self.log = MemoryLog()
         self.turn = asyncio.Lock()
         self.leader_reachable = True
+        self.published_s = 0
         self.appenders = [self.appender(number, clock) for number in range(ENTRIES)]
         self.replica = Replica(
             LogClient(self.log, random.Random(1)), print, clock, 1, FaultBoundary(clock, Metrics())
         )
         self.routers = [
-            AppendRouter(appender, self.replica, self, functools.partial(str, LEADER))
-            for appender in self.appenders[1:]
+            AppendRouter(appender, self.replica, self, self) for appender in self.appenders[1:]
         ]
         self.tasks = [asyncio.create_task(appender.run()) for appender in self.appenders]
 
@@ -64,6 +63,14 @@
         client.turn = self.turn
         return Appender(client, Producer(f'e{number}', 1), clock, Metrics())
 
+    def leader_address(self):
+        """Return the leader's address."""
+        return LEADER
+
+    def leader_response_s(self):
+        """Return the response time in the leader's newest record."""
+        return self.published_s
+
     async def append_at(self, address, content, wait_s):
         """Forward a record to the leader."""
         assert address == LEADER
@@ -97,6 +104,19 @@
     assert await cell.load() == 0
 
 
+async def test_leader_tells_the_others_that_the_log_is_slow():
+    """Guards against a first round in which the appends of all entries wait for each other."""
+    cell = Cell()
+    loop = asyncio.get_running_loop()
+    cell.published_s = 2 * SLOW_RESPONSE_S
+    started_at = loop.time()
+    await asyncio.gather(
+        *(router.append(Cancelled(str(number)), 5) for number, router in enumerate(cell.routers))
+    )
+    assert loop.time() - started_at < 4 * APPEND_S
+    assert len(cell.log.newest) == len(cell.routers)
+
+
 async def test_entry_stores_directly_if_the_leader_is_unreachable():
     """Guards against refusing records because the leader is unreachable."""
     cell = Cell()
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -88,6 +88,7 @@
         sent_at: when it was sent, in seconds of the sender's monotonic clock.
         address: address at which other entries reach it.
         renews: number of the tenure that it renews or releases; `NEW_TENURE` for a claim, which begins one.
+        response_s: how long the sender's last append took, in s.
     """
 
     node: str
@@ -97,6 +98,7 @@
     address: str
     released: bool = False
     renews: int = NEW_TENURE
+    response_s: float = 0
 
 
 class Finished(Record, tag='f'):
