Count the objective of an occurrence from its due time, and never take lasting tasks for late

The order of service counted from the acceptance, so that later occurrences of a submission were taken for late, or worthless, as they became due; with the class for late work this would have cost them their place. Long-running steps have no objective. Found on reading. Test: scheduling/tests/test_service_order.py (occurrences and lasting tasks red on the class as committed before: their objective was counted from the acceptance).

--- a/bench/bench_crest.py
+++ b/bench/bench_crest.py
@@ -39,7 +39,7 @@
 WORKER_CPU_M = 8000
 
 Row = dict[str, str | float]
-Rank = Callable[[StepRun, float], tuple[float, ...]]
+Rank = Callable[[StepRun, float, float], tuple[float, ...]]
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -71,7 +71,7 @@
 )
 
 
-def by_deadline(step: StepRun, now: float) -> tuple[float, ...]:
+def by_deadline(step: StepRun, now: float, wall_ms: float) -> tuple[float, ...]:
     """Return the sort key of the plain order: priority, then deadline."""
     return (step.job.submission.policy.priority, step.job.since + step.job.objective_s)
 
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -120,7 +120,7 @@
                 continue
             with self.faults.contain(ItemKind.submission, step.job.id):
                 if self.may_start(step, wall_ms):
-                    ranked.append((service_rank(step, now), step))
+                    ranked.append((service_rank(step, now, wall_ms), step))
         ranked.sort(key=itemgetter(0))
         return [ready for _, ready in ranked]
 
--- a/marigoldlift/scheduling/service_order.py
+++ b/marigoldlift/scheduling/service_order.py
@@ -7,7 +7,7 @@
 
 from enum import IntEnum
 
-from marigoldlift.scheduling.tasks import JobRun, StepRun
+from marigoldlift.scheduling.tasks import StepRun
 
 __all__ = ('ServiceClass', 'ServiceRank', 'service_class', 'service_rank')
 
@@ -24,7 +24,8 @@
     Attributes:
         urgent: the queue has the highest priority, and the objective can still be met.
         urgent_late: the queue has the highest priority.
-        in_time: the objective can still be met, or the step is a gang whose first members wait for the others.
+        in_time: the objective can still be met, the step runs until it is cancelled, or it is a gang whose first members
+            wait for the others.
         late: the submission is going to be late.
         worthless: the submission is so late that it earns nothing any more.
     """
@@ -36,17 +37,20 @@
     worthless = 4
 
 
-def service_class(step: StepRun, now: float) -> ServiceClass:
+def service_class(step: StepRun, now: float, since: float) -> ServiceClass:
     """Return the class of a waiting step.
 
     Args:
         step: the step.
         now: time of the monotonic clock in seconds.
+        since: time from which its objective is counted, in seconds of the monotonic clock.
     """
     job = step.job
-    if now > job.since + WORTHLESS_FACTOR * job.objective_s:
+    if step.step.long_running:
+        return ServiceClass.urgent if job.is_urgent else ServiceClass.in_time
+    if now > since + WORTHLESS_FACTOR * job.objective_s:
         return ServiceClass.worthless
-    is_late = now + job.remaining_s(step) > job.since + job.objective_s
+    is_late = now + job.remaining_s(step) > since + job.objective_s
     if job.is_urgent:
         return ServiceClass.urgent_late if is_late else ServiceClass.urgent
     if is_late and step.gang_started_at is None:
@@ -54,16 +58,18 @@
     return ServiceClass.in_time
 
 
-def service_rank(step: StepRun, now: float) -> ServiceRank:
+def service_rank(step: StepRun, now: float, wall_ms: float) -> ServiceRank:
     """Return the sort key of a waiting step; the lowest is served first.
 
     Args:
         step: the step.
         now: time of the monotonic clock in seconds.
+        wall_ms: Unix time in ms.
     """
-    job: JobRun = step.job
+    job = step.job
+    since = job.counted_since(step, now, wall_ms)
     return (
-        service_class(step, now),
+        service_class(step, now, since),
         job.submission.policy.priority,
-        job.since + job.objective_s,
+        since + job.objective_s,
     )
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -253,11 +253,29 @@
 
     def is_runnable(self, step: StepRun, wall_ms: float) -> bool:
         """Return whether the occurrence is due and all steps that the step depends on are done."""
-        due_ms = self.submission.first_due_ms + step.occurrence * self.submission.interval_ms
+        due_ms = self.due_ms(step)
         if self.submission.first_due_ms and wall_ms < due_ms:
             return False
         return all(self.steps[step.occurrence, before].is_done for before in step.step.after)
 
+    def due_ms(self, step: StepRun) -> float:
+        """Return the Unix time at which the occurrence of a step is due, in ms."""
+        return self.submission.first_due_ms + step.occurrence * self.submission.interval_ms
+
+    def counted_since(self, step: StepRun, now: float, wall_ms: float) -> float:
+        """Return the time from which the objective of a step counts, in seconds of the monotonic clock.
+
+        This is the acceptance, or the time at which the occurrence is due.
+
+        Args:
+            step: the step.
+            now: time of the monotonic clock in seconds.
+            wall_ms: Unix time in ms.
+        """
+        if not self.submission.first_due_ms:
+            return self.since
+        return max(self.since, now + (self.due_ms(step) - wall_ms) / MS_PER_S)
+
     def remaining_s(self, step: StepRun) -> float:
         """Return the estimated time from the start of a step until the submission is complete, in s."""
         return self.chains_s[step.number]
--- /dev/null
+++ b/marigoldlift/scheduling/tests/test_service_order.py
@@ -0,0 +1,81 @@
+"""Classes of waiting steps, by the time that is left for their submission."""
+
+import pytest
+
+from marigoldlift.scheduling.service_order import ServiceClass, service_class, service_rank
+from marigoldlift.scheduling.tasks import JobRun
+from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
+from marigoldlift.submissions.state import Job
+
+#: Unix time at which the monotonic clock of the tests is 0, in ms.
+WALL_MS = 1_700_000_000_000
+MS_PER_S = 1000
+
+
+def open_job(steps, priority=1, **schedule):
+    """Return an open submission that was accepted at time 0; its objective is twice its longest chain, and 1 s."""
+    policy = Policy('queue', 'service', priority, 3, 2.0, 1000)
+    submission = Submission(SubmissionId('job'), '', tuple(steps), policy, 'e0', **schedule)
+    return JobRun(Job(submission, 0, 0))
+
+
+def class_at(job, now, number=0, occurrence=0):
+    """Return the class of a step at a time of the monotonic clock."""
+    step = job.steps[occurrence, number]
+    since = job.counted_since(step, now, WALL_MS + now * MS_PER_S)
+    return service_class(step, now, since)
+
+
+@pytest.mark.parametrize(
+    ('now', 'expected'),
+    [
+        (0, ServiceClass.in_time),
+        (5.9, ServiceClass.in_time),
+        (6.1, ServiceClass.late),
+        (33.1, ServiceClass.worthless),
+    ],
+)
+def test_class_follows_the_remaining_chain(now, expected):
+    """Guards against steps that keep their place although those that follow cannot be done in time any more."""
+    job = open_job([Step(count=1, estimate_ms=2000), Step(count=1, estimate_ms=3000, after=(0,))])
+    assert job.objective_s == pytest.approx(11)
+    assert class_at(job, now) is expected
+    assert class_at(job, 7.9, number=1) is ServiceClass.in_time
+
+
+def test_urgent_work_comes_first_also_when_late():
+    """Guards against urgent submissions that give way to others."""
+    step = Step(count=1, estimate_ms=1000)
+    urgent = open_job([step], priority=0)
+    plain = open_job([step])
+    assert class_at(urgent, 2.5) is ServiceClass.urgent_late
+    late = service_rank(urgent.steps[0, 0], 2.5, WALL_MS)
+    assert late < service_rank(plain.steps[0, 0], 0, WALL_MS)
+
+
+def test_occurrence_counts_from_the_time_at_which_it_is_due():
+    """Guards against occurrences that are taken for late, or worthless, as they become due."""
+    job = open_job(
+        [Step(count=1, estimate_ms=1000)],
+        occurrences=3,
+        first_due_ms=WALL_MS + 20 * MS_PER_S,
+        interval_ms=30 * MS_PER_S,
+    )
+    assert class_at(job, 20) is ServiceClass.in_time
+    assert class_at(job, 22.5) is ServiceClass.late
+    assert class_at(job, 50, occurrence=1) is ServiceClass.in_time
+    assert class_at(job, 81, occurrence=2) is ServiceClass.in_time
+
+
+def test_task_that_lasts_is_never_late():
+    """Guards against tasks of long-running steps that are not started again while others wait."""
+    job = open_job([Step(count=1, estimate_ms=1000, long_running=True)])
+    assert class_at(job, 1000) is ServiceClass.in_time
+
+
+def test_starting_gang_keeps_its_place():
+    """Guards against a gang whose first members wait in vain because it has become late meanwhile."""
+    job = open_job([Step(count=4, estimate_ms=1000, gang=True)])
+    assert class_at(job, 2.5) is ServiceClass.late
+    job.steps[0, 0].gang_started_at = 2.4
+    assert class_at(job, 2.5) is ServiceClass.in_time
--- a/tests/cell/test_crest.py
+++ b/tests/cell/test_crest.py
@@ -25,7 +25,7 @@
 SETTLED_S = 40
 
 
-def by_deadline(step, now):
+def by_deadline(step, now, wall_ms):
     """Return the sort key of the plain policy: priority, then deadline."""
     return (step.job.submission.policy.priority, step.job.since + step.job.objective_s)
 
