Leave replaced sessions out of the count of held tasks, and old records out of the election

A late answer may still be processed in the table of a session that was replaced; since tasks with a run are counted over all tables, such a run would have kept its task from ever starting. A table is now detached as its session is replaced or closed. Also: RunObserver in a module of its own, one check of port numbers.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -128,7 +128,7 @@
 
     def observe(self, offset: int, record: Record) -> None:
         """Apply a record of the log; each leadership record that takes effect replaces the previous one."""
-        if not isinstance(record, Leadership):
+        if not isinstance(record, Leadership) or offset <= self.tenures.offset:
             return
         mine = record.life == self.candidate.life
         if not mine:
--- a/marigoldlift/leadership/tenures.py
+++ b/marigoldlift/leadership/tenures.py
@@ -26,11 +26,9 @@
 
         Args:
             record: the record.
-            offset: its offset in the log.
+            offset: its offset in the log, above that of all records before.
             is_held: whether its sender leads already; a claim of the leader itself begins no new tenure.
         """
-        if offset <= self.offset:
-            return False
         self.offset = offset
         if record.renews == NEW_TENURE:
             self.newest = self.newest if is_held else offset
--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -149,6 +149,14 @@
         self.mem_mb = worker.mem_mb
         self.gpus = worker.gpus
 
+    def detach(self) -> None:
+        """Count further runs in no other table; a late answer may still be processed after the session was replaced."""
+        for task in self.runs:
+            self.held_tasks.remove(task)
+        self.held_tasks = HeldTasks()
+        for left in self.runs:
+            self.held_tasks.add(left)
+
     def resize(self, worker: Worker) -> None:
         """Add the capacity of a worker of which only the id was known."""
         self.cpu_m += worker.cpu_m
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol
 
 import msgspec
 from loguru import logger
@@ -17,11 +16,12 @@
     WorkerCalls,
 )
 from marigoldlift.orders.clock import WorkerClock
+from marigoldlift.orders.observer import RunObserver
 from marigoldlift.orders.runs import HeldTasks, Phase, Run, RunTable
 from marigoldlift.submissions.model import Step, TaskRef
 from marigoldlift.supervision import ItemKind
 
-__all__ = ('SUSPECT_S', 'RunObserver', 'WorkerSession')
+__all__ = ('SUSPECT_S', 'WorkerSession')
 
 #: Low bits of a fencing token, below the tenure number, that count raises within a tenure.
 TOKEN_RAISE_BITS = 16
@@ -40,37 +40,6 @@
 OTHER_INSTANCE = 'instance'
 
 
-class RunObserver(Protocol):
-    """Receives the events of worker sessions."""
-
-    def run_ended(self, session: 'WorkerSession', ended: EndedRun, known: Run | None) -> None:
-        """Handle an ended run that a worker lists for the first time."""
-
-    def run_found(self, session: 'WorkerSession', held: HeldRun) -> Step | None:
-        """Handle a listed run that this leader did not start; return its step if it may continue."""
-
-    def run_vanished(self, session: 'WorkerSession', run: Run) -> None:
-        """Handle a run that is certainly absent and will never be listed as ended."""
-
-    def fenced(self, session: 'WorkerSession') -> None:
-        """Handle a refusal because another holder has a higher token."""
-
-    def handling_failed(self, kind: ItemKind, name: str, fault: Exception) -> None:
-        """Log and count an exception of the observer itself; the run or end is offered again with the next status."""
-
-    def capacity_changed(self) -> None:
-        """Handle more free capacity on a worker, or its answering again."""
-
-    def run_moved(self, session: 'WorkerSession', successor: 'WorkerSession', run: Run) -> None:
-        """Handle the transfer of a run with uncertain outcome to the session of the worker's next incarnation."""
-
-    def worker_restarted(self, session: 'WorkerSession', born_ms: int) -> None:
-        """Handle a restart of the worker under the same id."""
-
-    def may_act(self) -> bool:
-        """Return whether orders may be sent now."""
-
-
 class WorkerSession:
     """Sends orders to one incarnation of a worker and tracks its free capacity.
 
--- a/marigoldlift/platform/node_settings.py
+++ b/marigoldlift/platform/node_settings.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from marigoldlift.errors import SettingsError
-from marigoldlift.platform.addresses import is_socket_address
+from marigoldlift.platform.addresses import is_port, is_socket_address
 
 __all__ = ('NodeSettings', 'SETTINGS_VARIABLE', 'parse_node_settings')
 
@@ -14,8 +14,6 @@
 
 MS_PER_S = 1000
 
-MAX_PORT = 65535
-
 #: The only value of `orders`, the way in which workers get their orders, that this program supports.
 SUPPORTED_ORDERS = 'call'
 
@@ -103,7 +101,7 @@
     def port(self, path: str) -> int:
         """Return the first port of a required field that lists ports."""
         first = self.text(path).partition(',')[0]
-        if not (first.isascii() and first.isdigit() and 0 < int(first) <= MAX_PORT):
+        if not is_port(first):
             self.errors.append(f'{path}: {first!r} is not a port')
             return 0
         return int(first)
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -8,9 +8,10 @@
 
 from marigoldlift.leadership.election import LEADER_LEASE_S
 from marigoldlift.orders.api import Worker, WorkerCalls
+from marigoldlift.orders.observer import RunObserver
 from marigoldlift.orders.polling import poll_continuously
 from marigoldlift.orders.runs import HeldTasks
-from marigoldlift.orders.session import SUSPECT_S, RunObserver, WorkerSession
+from marigoldlift.orders.session import SUSPECT_S, WorkerSession
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.worker_health import WorkerHealth
 from marigoldlift.scheduling.registry import Registry
@@ -214,6 +215,7 @@
             known.mark_uncertain(successor.token, self.clock())
             successor.run_table.take(known)
             self.observer.run_moved(session, successor, known)
+        session.run_table.detach()
         self.start_polling(successor)
 
     def usable(self, service: str, *, include_quarantined: bool) -> list[WorkerSession]:
@@ -285,7 +287,7 @@
         """Close a session and drop the record of its worker."""
         name = session.worker.id
         logger.info('session closed: worker={}', name)
-        self.sessions.pop(name)
+        self.sessions.pop(name).run_table.detach()
         self.tasks.pop(name).cancel()
         self.records.drop(name)
 
