--- a/review/standins/cellkit.py
+++ b/review/standins/cellkit.py
@@ -515,6 +515,14 @@
             await asyncio.sleep(0.1)
         raise CannotRunError('the entries did not become ready')
 
+    async def add_worker(self, kind, capacity):
+        """Add a worker to the cell and return it."""
+        name = f'i-{self.rng.getrandbits(32):08x}'
+        worker = Worker(self, name, '127.0.0.1', self.zones[0], 'r9-1', kind, capacity)
+        self.workers.append(worker)
+        await worker.start()
+        return worker
+
     def configure(self, version, routes=()):
         names = [('r-73d3zji', '/pufi791/', 2, 2), ('r-9n73hh2', '/pule252/', 0, 2), *routes]
         body = {
