Review case: a submission that was cancelled runs when a frozen entry wakes

Cause: a DELETE of an unknown submission is answered 410 and stores nothing; a later acceptance finds no cancellation.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,41 +1,47 @@
-"""Case: for one worker an entry without `capacity` comes from another writer; the worker's own entries follow."""
+"""Case: an entry that was frozen takes in a submission that was cancelled meanwhile, and it runs to its end."""
 
 import asyncio
-import json
 import pathlib
+import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'standins'))
 from cellkit import CannotRunError, main  # noqa: E402
 
-#: Entries from another writer, one each, for 3 of 24 workers.
-ODD = 3
-SUBMISSIONS = 8
-STEP = {'count': 50, 'cpu': 2000, 'mem_mb': 2000, 'est_ms': 2300}
+#: The site's node_freeze: count 1, 4 s.
+FREEZE_S = 4.0
+STEP = {'count': 2, 'cpu': 2000, 'mem_mb': 2000, 'est_ms': 10000}
+#: Bounds cancel_ms and stop_ms of the site, and an allowance for this script's own delays.
+CANCEL_S, STOP_S, SLACK_S = 3.0, 0.9, 0.2
 
 
 async def scenario(cell, trouble):
+    leader = await cell.leader()
+    frozen, other = [entry for entry in cell.entries if entry is not leader][:2]
+    name = f'{cell.rng.getrandbits(64):016x}'
+    cell.sizes[name] = [STEP]
+    path = '/pufi791/' + name
+    began = time.monotonic()
     if trouble:
-        servers = cell.store.topic('keyed.servers')
-        for worker in cell.rng.sample(cell.workers, ODD):
-            entry = json.loads(servers.records[servers.newest[worker.name]][1])
-            del entry['capacity']
-            servers.add(worker.name, json.dumps(entry).encode())
-            cell.record.note(f'another writer writes servers/{worker.name}: {json.dumps(entry)}')
-    # Each worker has written its own entry three times before the work comes.
-    await asyncio.sleep(5)
-    paths = []
-    for _ in range(SUBMISSIONS):
-        path = await cell.submit([STEP], 'work_ms=2300 ')
-        if path is None:
-            raise CannotRunError('a submission was not accepted')
-        paths.append(path)
-    states = await cell.wait_until_complete(paths, 40)
-    cell.record.note(f'states={sorted(states.values())} starts={len(cell.starts)}')
-    return [
-        f'{task} run={run} brought {name} (born {born}) to cpu={used["cpu"]} mem_mb={used["mem_mb"]} of {room}'
-        for name, born, task, run, used, room in cell.over
-    ]
+        frozen.kill(signal.SIGSTOP)
+    status, _ = await cell.call('POST', frozen, path, {'spec': 'work_ms=10000 ', 'phases': [STEP]})
+    answer, _ = await cell.call('DELETE', other, path)
+    if answer not in (200, 410):
+        raise CannotRunError('the cancel was not acknowledged')
+    cancelled_at = time.monotonic()
+    if trouble:
+        await asyncio.sleep(max(0, began + FREEZE_S - time.monotonic()))
+        frozen.kill(signal.SIGCONT)
+    broken = []
+    while time.monotonic() < cancelled_at + 14:
+        running = [task for worker in cell.workers for task in worker.life.running if task.startswith(name)]
+        late_s = time.monotonic() - cancelled_at
+        if running and late_s > CANCEL_S + STOP_S + SLACK_S:
+            broken = [f'{running} run {late_s:.1f} s after DELETE was answered {answer} (POST: {status})']
+        await asyncio.sleep(0.1)
+    await cell.call('GET', other, path)
+    return broken
 
 
 main(scenario, pathlib.Path(__file__).parent)
