A listed end that cannot be handled no longer makes its run count as absent

What callers saw: a task that was done ran again (TWICE) after the leader's handling of its end had raised an exception.

Cause: `handle_absent` takes a run for vanished that a complete status does not list as running. A run whose end is listed, but was not handled, is on neither side: its end is offered again with each status, while its task was queued and started.

Evidence: the stand-in's checker now also records a start after an end `done` that is acknowledged only later, unless the worker's lease lapsed between the two, as the platform's rules have it. Ruled out: a second listing under another number (numbers and runs in the checker's line are those of the first run).

Change: tasks of listed ends that were not handled count as present. The stand-in lists ends in pages and says whether more follow, as the platform's workers do; `WorkerStatus.more_ends` carries that.

--- a/marigoldlift/orders/api.py
+++ b/marigoldlift/orders/api.py
@@ -72,6 +72,7 @@
     Attributes:
         clock_ms: reading of the worker's own clock.
         whole: whether all its ended runs are listed.
+        more_ends: whether the worker lists only the first of its ended runs.
     """
 
     clock_ms: float
@@ -80,6 +81,7 @@
     ended: list[EndedRun]
     whole: bool
     leaving_ms: float | None = None
+    more_ends: bool = False
 
 
 class StartOrder(msgspec.Struct, frozen=True):
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -258,7 +258,7 @@
         self.clock.note(found.clock_ms, now)
         for ended in found.ended:
             self.note_end(ended)
-        present = set()
+        present = {ended.task for ended in found.ended if ended.number in self.unhandled_ends}
         for held in found.running:
             present.add(held.task)
             self.handle_running(held, now)
--- a/marigoldlift/platform/tests/test_workers.py
+++ b/marigoldlift/platform/tests/test_workers.py
@@ -29,3 +29,11 @@
     status = poll(running, finished)
     assert not status.whole
     assert (len(status.running), len(status.ended)) == (1, 1)
+
+
+def test_full_page_of_ends_is_not_the_last_one():
+    """Guards against TWICE at a takeover: a status with 500 ends counted as a list of all of them."""
+    page = [[number, f'5c0e7a21d94b36f8.0.1.{number}', 1, 'done', ''] for number in range(1, 501)]
+    assert poll([], page).more_ends
+    assert not poll([], page).whole
+    assert not poll([], page[1:]).more_ends
--- a/marigoldlift/platform/workers.py
+++ b/marigoldlift/platform/workers.py
@@ -173,13 +173,15 @@
     running = [held for held in map(parse_held_row, reply.running) if held is not None]
     ended = [end for end in map(parse_ended_row, reply.finished) if end is not None]
     rows = len(reply.running) + len(reply.finished)
+    more_ends = len(reply.finished) >= MAX_ENDED_ROWS
     return WorkerStatus(
         clock_ms=reply.clock_ms,
         born_ms=reply.born,
         running=running,
         ended=ended,
-        whole=len(running) + len(ended) == rows and len(reply.finished) < MAX_ENDED_ROWS,
+        whole=len(running) + len(ended) == rows and not more_ends,
         leaving_ms=reply.remaining_ms,
+        more_ends=more_ends,
     )
 
 
--- a/standins/cell/invariants.py
+++ b/standins/cell/invariants.py
@@ -1,5 +1,7 @@
 """Invariants of the workers, checked at each start and end of a run."""
 
+from collections import Counter
+
 from marigoldlift.submissions.model import Submission, TaskRef
 
 __all__ = ('InvariantChecker',)
@@ -10,11 +12,14 @@
 
     Attributes:
         violations: violated invariants, one line each, which begins with a code: TWICE (a task runs twice at the same
-            time or after an acknowledged end `done`), LIMIT (the worker's capacity is exceeded), UNASKED (the
+            time or after an end `done` that is acknowledged then or later), LIMIT (the worker's capacity is exceeded), UNASKED (the
             submission is unknown), BUDGET (no attempts are left), ORDER (an earlier step is not done).
         submissions: known submissions by id.
+        starts: number of started runs, by task.
         running: workers that run a task, by task.
         ended_done: tasks with an end `done`, acknowledged or not.
+        done_runs: runs that have ended `done`, acknowledged or not, by task.
+        repeated_runs: runs that had ended `done`, without an acknowledgement, when another run was started, by task.
         done: tasks with an acknowledged end `done`.
         failed: number of acknowledged ends `failed`, by task.
         ended_failed: number of ends `failed`, acknowledged or not, by task.
@@ -24,8 +29,11 @@
         """Start without submissions or runs."""
         self.violations: list[str] = []
         self.submissions: dict[str, Submission] = {}
+        self.starts: Counter[TaskRef] = Counter()
         self.running: dict[TaskRef, set[str]] = {}
         self.ended_done: set[TaskRef] = set()
+        self.done_runs: dict[TaskRef, set[int]] = {}
+        self.repeated_runs: dict[TaskRef, set[int]] = {}
         self.done: set[TaskRef] = set()
         self.failed: dict[TaskRef, int] = {}
         self.ended_failed: dict[TaskRef, int] = {}
@@ -38,11 +46,13 @@
 
     def begin(self, task: TaskRef, run: int, worker: str, free_cpu_m: int) -> None:
         """Record the start of a run and check it."""
+        self.starts[task] += 1
         holders = self.running.setdefault(task, set())
         if holders:
             self.record_violation(f'TWICE with {sorted(holders)} run={run}', task, worker)
         if task in self.done:
             self.record_violation(f'TWICE after done run={run}', task, worker)
+        self.repeated_runs.setdefault(task, set()).update(self.done_runs.get(task, ()))
         if free_cpu_m < 0:
             self.record_violation('LIMIT', task, worker)
         submission = self.submissions.get(task.submission)
@@ -69,19 +79,29 @@
                 self.record_violation(f'ORDER before {earlier.name}', task, worker)
                 return
 
-    def end(self, task: TaskRef, worker: str, kind: str) -> None:
+    def end(self, task: TaskRef, worker: str, kind: str, run: int) -> None:
         """Record the end of a run."""
         self.running.get(task, set()).discard(worker)
         if kind == 'done':
             self.ended_done.add(task)
+            self.done_runs.setdefault(task, set()).add(run)
         elif kind == 'failed':
             self.ended_failed[task] = self.ended_failed.get(task, 0) + 1
         elif kind == 'alone':
             self.alone += 1
 
-    def acknowledge(self, task: TaskRef, kind: str) -> None:
-        """Record that the leader has acknowledged an end (`last_seen` of a status poll)."""
+    def acknowledge(self, task: TaskRef, run: int, kind: str, *, is_void: bool) -> None:
+        """Record that the leader has acknowledged an end (`last_seen` of a status poll).
+
+        Args:
+            task: the task.
+            run: number of the run that has ended.
+            kind: how it ended.
+            is_void: whether the worker's lease has lapsed between the end and the acknowledgement.
+        """
         if kind == 'done':
             self.done.add(task)
+            if run in self.repeated_runs.get(task, ()) and not is_void:
+                self.record_violation(f'TWICE after done run={run}, acknowledged later', task, '')
         elif kind == 'failed':
             self.failed[task] = self.failed.get(task, 0) + 1
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -23,6 +23,9 @@
 MEMORY_MB = 1_000_000
 LONGEST_STOP_S = 0.8
 
+#: Largest number of ends in one status.
+ENDS_PAGE = 500
+
 #: Address in the list of workers; calls find a worker by its id.
 WORKER_ADDRESS = '10.0.0.1:80'
 
@@ -39,6 +42,31 @@
         self.stop_at: float | None = None
 
 
+class ListedEnds(msgspec.Struct):
+    """Ends that an incarnation of a worker lists.
+
+    Attributes:
+        entries: the ends that are not acknowledged.
+        last_number: number of the newest end.
+        void: number of the last end before the lease lapsed; the ends up to it count as never acknowledged.
+    """
+
+    entries: list[EndedRun] = []
+    last_number: int = 0
+    void: int = 0
+
+    def add(self, task: TaskRef, run: int, kind: EndKind) -> None:
+        """List an end under the next number."""
+        self.last_number += 1
+        self.entries.append(EndedRun(self.last_number, task, run, kind, ''))
+
+    def acknowledge(self, last_acknowledged: int) -> list[EndedRun]:
+        """Remove and return the acknowledged ends."""
+        acknowledged = [ended for ended in self.entries if ended.number <= last_acknowledged]
+        self.entries = [ended for ended in self.entries if ended.number > last_acknowledged]
+        return acknowledged
+
+
 class CallFaults(msgspec.Struct):
     """Shares of the calls that are affected by each fault, from 0 to 1.
 
@@ -60,6 +88,7 @@
         up: whether it answers calls and runs tasks.
         hangs: whether its tasks make no progress.
         fails: whether its tasks end as failed.
+        ends_page: largest number of ends in one status.
     """
 
     def __init__(
@@ -75,19 +104,19 @@
         self.hangs = False
         self.fails = False
         self.draining = False
+        self.ends_page = ENDS_PAGE
         self.born_ms = 0
         self.begin_incarnation()
 
     def begin_incarnation(self) -> None:
         """Start a new incarnation without any state of the one before; its runs are lost."""
         for task in list(getattr(self, 'held', {})):
-            self.checker.end(task, self.name, 'lost')
+            self.checker.end(task, self.name, 'lost', 0)
         self.born_ms += 1
         self.incarnation_started_at = asyncio.get_running_loop().time()
         self.held: dict[TaskRef, HeldTask] = {}
-        self.ends: list[EndedRun] = []
+        self.ends = ListedEnds()
         self.highest_ended_runs: dict[TaskRef, int] = {}
-        self.last_end_number = 0
         self.token = 0
         self.lease_ms: float = 0
         self.end_event = asyncio.Event()
@@ -96,7 +125,7 @@
         """Go down; all its runs are lost."""
         self.up = False
         for task in self.held:
-            self.checker.end(task, self.name, 'lost')
+            self.checker.end(task, self.name, 'lost', 0)
 
     def describe(self) -> Worker:
         """Return the worker's record in the list of workers."""
@@ -175,19 +204,30 @@
         self.expire()
         self.check_token(token)
         self.extend_lease(until_ms)
-        acknowledged = [ended for ended in self.ends if ended.number <= last_acknowledged]
-        for dropped in acknowledged:
-            self.checker.acknowledge(dropped.task, dropped.kind.value)
-            self.ends.remove(dropped)
+        for dropped in self.ends.acknowledge(last_acknowledged):
+            self.checker.acknowledge(
+                dropped.task,
+                dropped.run,
+                dropped.kind.value,
+                is_void=dropped.number <= self.ends.void,
+            )
 
     def status(self) -> WorkerStatus:
-        """Return the status: runs that are held and ends that are not acknowledged."""
+        """Return the status: runs that are held, and the first page of the ends that are not acknowledged."""
         now = asyncio.get_running_loop().time()
+        more_ends = len(self.ends.entries) >= self.ends_page
         running = [
             HeldRun(task, held.run, '', self.percent(held, now))
             for task, held in self.held.items()
         ]
-        return WorkerStatus(self.clock_ms(), self.born_ms, running, list(self.ends), whole=True)
+        return WorkerStatus(
+            self.clock_ms(),
+            self.born_ms,
+            running,
+            self.ends.entries[: self.ends_page],
+            whole=not more_ends,
+            more_ends=more_ends,
+        )
 
     def percent(self, held: HeldTask, now: float) -> float:
         """Return the progress of a run, in percent."""
@@ -198,18 +238,18 @@
     def finish(self, task: TaskRef, kind: EndKind) -> None:
         """End a run and list its end."""
         held = self.held.pop(task)
-        self.last_end_number += 1
         self.highest_ended_runs[task] = max(self.highest_ended_runs.get(task, 0), held.run)
-        self.ends.append(EndedRun(self.last_end_number, task, held.run, kind, ''))
-        self.checker.end(task, self.name, kind.value)
+        self.ends.add(task, held.run, kind)
+        self.checker.end(task, self.name, kind.value, held.run)
         self.end_event.set()
         self.end_event = asyncio.Event()
 
     def expire(self) -> None:
-        """End all runs when the lease has expired."""
-        if self.held and self.clock_ms() > self.lease_ms:
+        """End all runs when the lease has expired; ends that are not acknowledged by then are void."""
+        if self.clock_ms() > self.lease_ms:
             for task in list(self.held):
                 self.finish(task, EndKind.lapsed)
+            self.ends.void = self.ends.last_number
 
     def work(self) -> None:
         """End the runs that are due."""
@@ -303,7 +343,7 @@
         """
         await self.execute(worker, lambda target: target.poll(token, last_acknowledged, until_ms))
         target = self.workers[worker.id]
-        if wait_ms and not target.ends:
+        if wait_ms and not target.ends.entries:
             end_event = target.end_event
             try:
                 async with asyncio.timeout(wait_ms / MS_PER_S):
--- a/tests/cell/standstill.py
+++ b/tests/cell/standstill.py
@@ -152,7 +152,7 @@
             ended.task == task and ended.kind is EndKind.done
             for worker in self.cell.workers.values()
             if worker.up
-            for ended in worker.ends
+            for ended in worker.ends.entries
         )
 
     def is_known_done(self, task: TaskRef) -> bool:
