A takeover knows what ran on a worker only after the last page of its ends

What callers saw: tasks that were done ran again (TWICE) after the leader had died while a worker had over 500 ends to list.

Hypotheses: (1) the next leader takes the first page of a worker for its whole list; (2) ends are acknowledged before they are stored; (3) the worker counts as unreachable, and its deadline passes.

Cause: a session counted as synchronized after any status under its token, and that released the tasks which an earlier leader had placed there.

Change: `EndList` keeps what a worker has listed and whether more follows. Tasks of earlier leaders stay blocked, and the worker gets no new tasks, until a page was the last one; further pages are asked for at once, each as soon as the ends of the one before are stored. The takeover waits for that within its 0.35 s. A worker that answers keeps its lease, so the deadline for silent workers no longer releases its tasks while a lease of this leader may be valid.

--- a/marigoldlift/orders/clock.py
+++ b/marigoldlift/orders/clock.py
@@ -57,6 +57,10 @@
         left_s = (self.lease_ms - self.estimate(now)) / MS_PER_S
         return self.lease_ms if left_s > lease_s * REUSED_SHARE else self.grant(now, lease_s)
 
+    def may_hold_lease(self, now: float) -> bool:
+        """Return whether a lease was sent that may not have expired yet."""
+        return self.lease_ms > 0 and not self.has_lapsed(now)
+
     def has_lapsed(self, now: float) -> bool:
         """Return whether every lease ever sent has certainly expired on the worker's clock."""
         return (
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -16,6 +16,7 @@
     WorkerCalls,
 )
 from marigoldlift.orders.clock import WorkerClock
+from marigoldlift.orders.ends import EndList
 from marigoldlift.orders.observer import RunObserver
 from marigoldlift.orders.runs import HeldTasks, Phase, Run, RunTable
 from marigoldlift.submissions.model import Step, TaskRef
@@ -45,12 +46,11 @@
 
     Attributes:
         run_table: runs on the worker and its free resources; a run whose start was not answered counts too.
-        last_acknowledged: highest number up to which all ended runs are stored, so that the worker may forget them.
         full_until: no new work before this time, since the worker has refused some; in seconds of the monotonic clock.
         synced: whether the worker has answered under the current token.
+        ends: ended runs that the worker has listed.
         last_answer_at: when the last answer arrived, in seconds of the monotonic clock.
         poll_failed: whether the last status poll got no answer.
-        unhandled_ends: numbers of the listed ends over which the observer has raised.
     """
 
     def __init__(
@@ -82,10 +82,7 @@
         self.lease_s = lease_s
         self.clock = WorkerClock()
         self.run_table = RunTable(worker, HeldTasks() if held_tasks is None else held_tasks)
-        self.last_listed = 0
-        self.last_acknowledged = 0
-        self.unstored: set[int] = set()
-        self.unhandled_ends: set[int] = set()
+        self.ends = EndList()
         self.synced = False
         self.last_answer_at = clock()
         self.poll_requested = asyncio.Event()
@@ -97,6 +94,10 @@
         """Return whether the worker has answered recently enough to get new work."""
         return self.synced and self.now() - self.last_answer_at < SUSPECT_S
 
+    def knows_earlier_runs(self) -> bool:
+        """Return whether every run of earlier leaders is known, as running or with its end."""
+        return self.synced and self.ends.is_read
+
     def is_lost(self) -> bool:
         """Return whether all runs of the worker have certainly ended because their leases expired.
 
@@ -211,7 +212,7 @@
         until_ms = self.renewal(sent_at)
         try:
             found = await self.calls.poll(
-                self.worker, token, self.last_acknowledged, until_ms, wait_ms
+                self.worker, token, self.ends.last_acknowledged, until_ms, wait_ms
             )
         except WorkerRefusedError as refusal:
             if refusal.worker_code == FENCED:
@@ -229,12 +230,14 @@
         return True
 
     def renewal(self, now: float) -> int | None:
-        """Return the lease deadline that a poll carries, None while the worker does not answer.
+        """Return the lease deadline that a poll carries, None while the worker does not answer or list its ends.
 
         The lease of a lost worker so ends as early as its last answered poll allows.
         """
         if self.poll_failed or now - self.last_answer_at >= SUSPECT_S:
             return None
+        if self.ends.is_stalled(now):
+            return None
         return self.clock.grant(now, self.lease_s)
 
     def is_same_incarnation(self, found: WorkerStatus) -> bool:
@@ -256,9 +259,8 @@
         was_answering = self.answers()
         self.last_answer_at = now
         self.clock.note(found.clock_ms, now)
-        for ended in found.ended:
-            self.note_end(ended)
-        present = {ended.task for ended in found.ended if ended.number in self.unhandled_ends}
+        self.process_ends(found, now)
+        present = {ended.task for ended in found.ended if ended.number in self.ends.unhandled}
         for held in found.running:
             present.add(held.task)
             self.handle_running(held, now)
@@ -271,15 +273,24 @@
         if self.answers() and not was_answering:
             self.observer.capacity_changed()
 
+    def process_ends(self, found: WorkerStatus, now: float) -> None:
+        """Report the ended runs of a status, and record whether the worker holds more of them."""
+        listed_before = self.ends.last_listed
+        was_incomplete = self.ends.more
+        for ended in found.ended:
+            self.note_end(ended)
+        self.ends.note_page(self.ends.last_listed - listed_before, now, more=found.more_ends)
+        if self.ends.more != was_incomplete or self.ends.more and self.ends.grew:
+            log_page(self)
+
     def note_end(self, ended: EndedRun) -> None:
         """Report a newly listed ended run; if the observer raises, the next listing reports it again.
 
-        An end that was not handled is never acknowledged, and does not hold up those that follow.
+        An end that was not handled is not acknowledged, and does not hold up those that follow.
         """
-        if ended.number <= self.last_listed and ended.number not in self.unhandled_ends:
+        if not self.ends.is_new(ended.number):
             return
-        self.last_listed = max(self.last_listed, ended.number)
-        self.unstored.add(ended.number)
+        self.ends.note(ended.number)
         self.run_table.note_end(ended.task, ended.run)
         known = self.run_table.runs.get(ended.task)
         if known is not None and known.run != ended.run:
@@ -287,30 +298,24 @@
         try:
             self.observer.run_ended(self, ended, known)
         except Exception as fault:
-            self.unhandled_ends.add(ended.number)
+            self.ends.unhandled.add(ended.number)
             self.observer.handling_failed(ItemKind.end, ended.task.name, fault)
             return
-        self.unhandled_ends.discard(ended.number)
+        self.ends.unhandled.discard(ended.number)
         if known is not None:
             self.release(ended.task)
 
     def handle_running(self, held: HeldRun, now: float) -> None:
-        """Update a run that the worker lists as running; an unknown one is offered to the observer."""
-        known = self.run_table.runs.get(held.task)
-        if known is None:
-            self.offer(held, now)
-        elif known.run == held.run:
-            known.confirm(held, now)
+        """Update a run that the worker lists as running; an unknown one is offered to the observer.
 
-    def offer(self, held: HeldRun, now: float) -> None:
-        """Adopt a run started by an earlier leader; skip one that has ended, which a late answer may still list."""
-        if (held.task, held.run) in self.run_table.ended:
-            return
-        step = find_demand(self, held)
-        if step is not None:
-            adopted = Run(held.task, held.run, step, Phase.held, now)
-            adopted.confirm(held, now)
-            self.run_table.take(adopted)
+        A run that has ended is skipped, since a late answer may still list it.
+        """
+        known = self.run_table.runs.get(held.task)
+        if known is not None:
+            if known.run == held.run:
+                known.confirm(held, now)
+        elif (held.task, held.run) not in self.run_table.ended:
+            adopt_run(self, held, now)
 
     def handle_absent(self, present: set[TaskRef], sent_at: float, token: int) -> None:
         """Report runs that are listed neither as running nor as ended.
@@ -322,10 +327,27 @@
                 self.run_table.pop(task)
                 self.observer.run_vanished(self, known)
 
-    def store_confirmed(self, number: int) -> None:
-        """Record that an ended run is stored; the worker may forget all those before the first unstored one."""
-        self.unstored.discard(number)
-        self.last_acknowledged = min(self.unstored) - 1 if self.unstored else self.last_listed
+
+def log_page(session: WorkerSession) -> None:
+    """Log how far the ended runs of a worker are read."""
+    ends = session.ends
+    logger.info(
+        'ended runs listed: worker={} last={} acknowledged={} runs={} more={}',
+        session.worker.id,
+        ends.last_listed,
+        ends.last_acknowledged,
+        len(session.run_table.runs),
+        ends.more,
+    )
+
+
+def adopt_run(session: WorkerSession, held: HeldRun, now: float) -> None:
+    """Adopt a run that an earlier leader has started, unless the observer stops it."""
+    step = find_demand(session, held)
+    if step is not None:
+        adopted = Run(held.task, held.run, step, Phase.held, now)
+        adopted.confirm(held, now)
+        session.run_table.take(adopted)
 
 
 def find_demand(session: WorkerSession, held: HeldRun) -> Step | None:
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -30,7 +30,8 @@
 #: earlier tenures.
 LEADER = 'leader'
 
-#: How long a takeover waits for the workers to answer, in s; workers that have not answered by then are unreachable.
+#: How long a takeover waits for the workers to list their runs and ends, in s; those that have not by then are
+#: unreachable.
 TAKEOVER_WAIT_S = 0.35
 
 #: Shortest pause between two passes, and longest wait for a change after it, in s.
@@ -152,7 +153,7 @@
             self.open_submissions.open(submission)
         self.session_manager.open_recorded(self.parts.election.earlier_leaders.ended_at())
         deadline = self.clock() + TAKEOVER_WAIT_S
-        while self.clock() < deadline and not self.session_manager.all_synced():
+        while self.clock() < deadline and not self.session_manager.all_runs_known():
             await asyncio.sleep(MIN_PASS_PAUSE_S)
         self.events.ready = True
         self.session_manager.check()
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -83,13 +83,13 @@
         self.metrics.add(Metric.task_ends, outcome=ended.kind.value)
         step = self.open_submissions.step_of(ended.task)
         if step is None:
-            session.store_confirmed(ended.number)
+            session.ends.store_confirmed(ended.number)
             return
         self.session_manager.health(session.worker.id).record_end(ended.kind, self.clock())
         step.save(ended.task.index, ended.checkpoint)
         step.last_run = max(step.last_run, ended.run)
         self.open_submissions.progress.note(
-            step.job, partial(session.store_confirmed, ended.number)
+            step.job, partial(session.ends.store_confirmed, ended.number)
         )
         self.process_end(step, session, ended)
 
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -137,7 +137,7 @@
     def may_start(self, step: StepRun, wall_ms: float) -> bool:
         """Return whether a step is due and has a task that cannot be running already.
 
-        Tasks that an earlier leader placed on a worker that is still unreachable may be running there.
+        Tasks that an earlier leader placed on a worker that is still unreachable may be running there or have ended.
         """
         if not step.job.is_runnable(step, wall_ms):
             return False
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -62,8 +62,8 @@
         health_records: failures by worker id.
         records: records of the workers in the log.
         leave_at: earliest time at which a draining worker leaves, by id, in seconds of the monotonic clock.
-        unreachable: workers that have not answered since the takeover, with the times after which everything that they
-            may hold has certainly ended.
+        unreachable: workers that have not listed all their runs and ends since the takeover, with the times after which
+            everything that they may hold has certainly ended.
         tasks: polling tasks by worker id.
         faults: sets aside workers whose handling raises.
     """
@@ -235,9 +235,9 @@
             if name in listed and session.worker.service == service and may_get_work(session, now)
         ]
 
-    def all_synced(self) -> bool:
-        """Return whether every worker has answered under its current token."""
-        return all(session.synced for session in self.sessions.values())
+    def all_runs_known(self) -> bool:
+        """Return whether every worker has listed all runs of earlier leaders and all their ends."""
+        return all(session.knows_earlier_runs() for session in self.sessions.values())
 
     def check(self) -> None:
         """Give up runs whose lease has lapsed, and close sessions that are no longer needed."""
@@ -255,19 +255,24 @@
                 len(session.run_table.runs),
             )
             session.give_up_runs()
-        if session.synced or self.unreachable_deadline_passed(session.worker.id, now):
+        if session.ends.is_stalled(now) and session.is_lost():
+            give_up_list(session)
+            self.health(session.worker.id).record_failure(now)
+        if session.knows_earlier_runs() or self.unreachable_deadline_passed(session, now):
             self.unreachable.pop(session.worker.id, None)
         if self.is_removable(session, now):
             self.close(session)
 
-    def unreachable_deadline_passed(self, name: str, now: float) -> bool:
+    def unreachable_deadline_passed(self, session: WorkerSession, now: float) -> bool:
         """Return whether everything that an unreachable worker may hold has certainly ended.
 
         A worker that is still listed is running and may execute a late order in an incarnation that this leader does
-        not know yet, so its deadline is later.
+        not know yet, so its deadline is later. While a worker has a lease of this session, it may still list the end of
+        an earlier run.
         """
+        name = session.worker.id
         deadlines = self.unreachable.get(name)
-        if deadlines is None:
+        if deadlines is None or session.clock.may_hold_lease(now):
             return False
         if name in self.registry.workers:
             return now > deadlines.listed
@@ -298,6 +303,19 @@
             task.cancel()
 
 
+def give_up_list(session: WorkerSession) -> None:
+    """Give up the ends that a worker does not list, once its lease has lapsed and all its runs have ended."""
+    logger.warning(
+        'list of ended runs given up: worker={} last={} acknowledged={} unhandled={}',
+        session.worker.id,
+        session.ends.last_listed,
+        session.ends.last_acknowledged,
+        len(session.ends.unhandled),
+    )
+    session.give_up_runs()
+    session.ends.give_up()
+
+
 def quarantined(records: Mapping[str, WorkerHealth], now: float) -> set[str]:
     """Return the ids of the workers that are quarantined after failures.
 
@@ -309,8 +327,10 @@
 
 
 def may_get_work(session: WorkerSession, now: float) -> bool:
-    """Return whether a worker is ready, answers, and is not paused after a refusal."""
-    if not session.worker.ready or not session.synced or now < session.full_until:
+    """Return whether a worker is ready, answers, has listed all its ends, and is not paused after a refusal."""
+    if not session.worker.ready or not session.knows_earlier_runs() or now < session.full_until:
+        return False
+    if session.ends.is_stalled(now):
         return False
     return now - session.last_answer_at < SUSPECT_S
 
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -24,7 +24,7 @@
 
     Attributes:
         not_planned: the pass did not reach the step.
-        unreachable: its tasks may still run on a worker that has not answered since the takeover.
+        unreachable: its tasks may run, or have ended, on a worker that has not listed all its ends since the takeover.
         headroom: the free CPU is reserved for urgent submissions.
         reserved: the workers that it may use are reserved for a gang.
         room: the workers that it may use lack free capacity.
@@ -137,12 +137,12 @@
         return max(self.runs.get(index, 0), self.first_run) + 1
 
     def startable(self, unreachable: Container[str]) -> list[int]:
-        """Return the waiting tasks that cannot be running already.
+        """Return the waiting tasks that can neither be running already nor have ended.
 
-        A gang has none while any of its tasks may still run on an unreachable worker.
+        A gang has none while any of its tasks may still run, or have ended, on an unreachable worker.
 
         Args:
-            unreachable: ids of the workers that have not answered since the takeover.
+            unreachable: ids of the workers that have not listed all their runs and ends since the takeover.
         """
         blocked = {index for index, worker in self.old_places.items() if worker in unreachable}
         if self.step.gang and blocked:
