The cancellation of an unknown submission is stored before it is reported as gone

What callers saw: a submission whose DELETE was answered 410 ran to its end (UNASKED), because the entry that had its POST was frozen and stored it afterwards.

Hypotheses: (1) the cancellation is not stored; (2) it is stored, and the acceptance that follows undoes it; (3) the leader learns of it too late.

Change: DELETE of a submission that the log doesn't hold stores its cancellation, and answers 410 only then; 503 or 504 where that failed. The order in the log decides: an acceptance that follows is cancelled as it is applied, at each entry, after any restart, and wherever the append was on its way (paused entry, paused leader, late append). No clock is involved.

Bounds: the leader drops a cancellation without an acceptance after 240 s, as it does with outcomes; one record for each id, 5,000 in all, then 503; 50 bytes each in the log. Without an acceptance all answers about the id stay 410. Known submissions are cancelled as before, with one append and no read.

--- a/marigoldlift/scheduling/retention.py
+++ b/marigoldlift/scheduling/retention.py
@@ -1,4 +1,4 @@
-"""Reduces the records of ended submissions to their outcome, and drops that when its retention period is over."""
+"""Reduces the records of ended submissions to their outcome, and drops what is no longer needed of any submission."""
 
 import asyncio
 from collections.abc import Iterator, Sequence
@@ -24,13 +24,13 @@
 #: How long the records of a round wait for the store, in s.
 WAIT_S = 5
 
-#: Maximum number of ended and of expired submissions per round, with 4 records each, so that a round does not delay
-#: other records for long.
+#: Maximum number of ended and of expired submissions, and of early cancellations, per round, with up to 4 records each,
+#: so that a round does not delay other records for long.
 MAX_SUBMISSIONS_PER_ROUND = 150
 
 
 class Retention:
-    """Reduces ended submissions to their outcome, and drops the outcome after the retention period.
+    """Reduces ended submissions to their outcome, and drops outcomes and early cancellations after the retention period.
 
     Attributes:
         round_at: start of the last round, in seconds of the monotonic clock.
@@ -73,7 +73,8 @@
         """Return the records of one round, grouped by submission."""
         ended = map(records_of_ended, self.ended()[:MAX_SUBMISSIONS_PER_ROUND])
         expired = map(records_of_expired, self.expired()[:MAX_SUBMISSIONS_PER_ROUND])
-        return [*ended, *expired]
+        forgotten = self.expired_cancellations()[:MAX_SUBMISSIONS_PER_ROUND]
+        return [*ended, *expired, *((Dropped(f'c/{name}'),) for name in forgotten)]
 
     async def store(self, groups: Sequence[Sequence[Record]]) -> None:
         """Store all records of a submission or none; without its outcome, a dropped acceptance would be lost."""
@@ -107,6 +108,11 @@
         latest = self.state.clock() - self.kept_s
         return [name for name, job in self.state.finished.items() if job.seen_at < latest]
 
+    def expired_cancellations(self) -> list[SubmissionId]:
+        """Return the cancellations that no acceptance has followed within the retention period."""
+        latest = self.state.clock() - self.kept_s
+        return [name for name, at in self.state.early_cancellations.items() if at < latest]
+
 
 def has_ended(job: Job, latest: float | None) -> bool:
     """Return whether a submission has a final outcome.
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -31,6 +31,10 @@
 #: ends; the end is stored and read 0.02 s later, 0.1 s if many submissions end at once. They ask again after 0.26 s.
 STATE_WAIT_S = 0.15
 
+#: Stored cancellations of unknown submissions above which no further ones are taken, until some have expired. Each takes
+#: 50 bytes of the log and 200 bytes of an entry's memory.
+MAX_EARLY_CANCELLATIONS = 5000
+
 
 class AcceptanceResult(Enum):
     """Result of a request to submit or cancel."""
@@ -166,19 +170,39 @@
         return self.state.state_of(submission)
 
     async def cancel(self, submission: SubmissionId, timeout_s: float) -> AcceptanceResult:
-        """Store the cancellation of a submission."""
+        """Store the cancellation of a submission.
+
+        That of an unknown one is stored too before it is reported as gone: its acceptance may still be stored, by an
+        entry that was paused or whose append gets through late.
+        """
         try:
-            if not await self.is_known(submission):
-                return AcceptanceResult.gone
-            if self.state.state_of(submission) not in FINAL_OUTCOMES:
+            known = await self.is_known(submission)
+            if self.needs_cancellation(submission):
                 await self.append_router.append(
                     Cancelled(submission), self.store_timeout_s(timeout_s)
                 )
-        except AppendRefusedError:
+        except AppendRefusedError as refusal:
+            logger.info('cancellation refused: submission={} {}', submission, refusal.reason)
             return AcceptanceResult.refused
         except LogUnavailableError:
             return AcceptanceResult.unknown
-        return AcceptanceResult.done
+        return AcceptanceResult.done if known else AcceptanceResult.gone
+
+    def needs_cancellation(self, submission: SubmissionId) -> bool:
+        """Return whether the cancellation of a submission has to be stored.
+
+        Raises:
+            AppendRefusedError: the submission is unknown, and too many cancellations of unknown ones are stored.
+        """
+        outcome = self.state.state_of(submission)
+        if outcome is not None:
+            return outcome not in FINAL_OUTCOMES
+        early = self.state.early_cancellations
+        if submission in early:
+            return False
+        if len(early) >= MAX_EARLY_CANCELLATIONS:
+            raise AppendRefusedError('too many cancellations of unknown submissions are stored')
+        return True
 
     def pending(self, queue: str) -> int:
         """Return the number of accepted submissions of the queue of which no task has started.
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -116,7 +116,9 @@
     Attributes:
         jobs: submissions that have not ended, or that have ended but have no `Finished` record yet.
         finished: submissions that have ended and have no runs left.
-        early_records: records read before the submission that they belong to.
+        early_progress: progress read before the submission that it belongs to, since a snapshot page lists it first.
+        early_cancellations: cancelled submissions of which no acceptance was read, with the time at which the cancellation
+            was read, in seconds of the monotonic clock; an acceptance that follows is cancelled.
         observers: called with the offset and content of each record after it was applied.
     """
 
@@ -129,7 +131,8 @@
         self.clock = clock
         self.jobs: dict[SubmissionId, Job] = {}
         self.finished: dict[SubmissionId, FinishedJob] = {}
-        self.early_records: dict[SubmissionId, list[Cancelled | Progress]] = {}
+        self.early_progress: dict[SubmissionId, list[Progress]] = {}
+        self.early_cancellations: dict[SubmissionId, float] = {}
         self.workers: dict[str, KnownWorker] = {}
         self.observers: list[Observer] = []
 
@@ -160,61 +163,80 @@
         match record:
             case Accepted():
                 self.accept(offset, record.submission)
-            case Cancelled() | Progress():
-                self.update_job(record)
+            case Cancelled():
+                self.cancel(record.submission)
+            case Progress():
+                self.progress(record)
             case Finished():
                 self.finish(record)
             case KnownWorker():
                 self.workers[record.worker] = record
 
     def accept(self, offset: int, submission: Submission) -> None:
-        """Add a submission, and apply its early records; a known one stays unchanged."""
+        """Add a submission, and apply what was read of it before; a known one stays unchanged."""
         if submission.id in self.jobs or submission.id in self.finished:
             return
-        self.jobs[submission.id] = Job(submission, offset, self.clock())
-        for record in self.early_records.pop(submission.id, ()):
-            self.update_job(record)
+        job = Job(submission, offset, self.clock())
+        self.jobs[submission.id] = job
+        for record in self.early_progress.pop(submission.id, ()):
+            job.merge(record)
+        if self.early_cancellations.pop(submission.id, None) is not None:
+            logger.info('submission accepted after its cancellation: submission={}', submission.id)
+            job.cancelled = True
+        self.note_outcome(job)
+
+    def cancel(self, submission: SubmissionId) -> None:
+        """Cancel a submission; without an acceptance, keep the cancellation for one that is stored later."""
+        job = self.jobs.get(submission)
+        if job is not None:
+            job.cancelled = True
+            self.note_outcome(job)
+        elif submission not in self.finished:
+            self.early_cancellations.setdefault(submission, self.clock())
 
-    def update_job(self, record: Cancelled | Progress) -> None:
+    def progress(self, record: Progress) -> None:
         """Update a submission; keep the record for later if a snapshot page lists it before the submission."""
-        if record.submission in self.finished:
-            return
         job = self.jobs.get(record.submission)
-        if job is None:
-            self.early_records.setdefault(record.submission, []).append(record)
-            return
-        if isinstance(record, Cancelled):
-            job.cancelled = True
-        else:
+        if job is not None:
             job.merge(record)
+            self.note_outcome(job)
+        elif record.submission not in self.finished:
+            self.early_progress.setdefault(record.submission, []).append(record)
+
+    def note_outcome(self, job: Job) -> None:
+        """Record when the outcome of a submission was read."""
         if job.state in FINAL_OUTCOMES and job.final_at is None:
             job.final_at = self.clock()
 
     def finish(self, record: Finished) -> None:
         """Keep only the outcome of a submission."""
         self.jobs.pop(record.submission, None)
-        self.early_records.pop(record.submission, None)
+        self.early_progress.pop(record.submission, None)
+        self.early_cancellations.pop(record.submission, None)
         self.finished[record.submission] = FinishedJob(record.outcome, self.clock())
 
     def retain(self, keys: Collection[str]) -> None:
-        """Remove the submissions, outcomes and workers whose keys a snapshot does not contain.
+        """Remove the submissions, outcomes, cancellations and workers whose keys a snapshot does not contain.
 
         Their keys were dropped while this entry could not read the log.
         """
         known = [f's/{name}' for name in self.jobs]
         known.extend(f'f/{name}' for name in self.finished)
+        known.extend(f'c/{name}' for name in self.early_cancellations)
         known.extend(f'w/{name}' for name in self.workers)
         for key in known:
             if key not in keys:
                 self.drop(key)
 
     def drop(self, key: str) -> None:
-        """Remove the submission, outcome or worker of a dropped key."""
+        """Remove the submission, outcome, early cancellation or worker of a dropped key."""
         kind, _, name = key.partition('/')
         if kind == 's':
             self.jobs.pop(SubmissionId(name), None)
-            self.early_records.pop(SubmissionId(name), None)
+            self.early_progress.pop(SubmissionId(name), None)
         elif kind == 'f':
             self.finished.pop(SubmissionId(name), None)
+        elif kind == 'c':
+            self.early_cancellations.pop(SubmissionId(name), None)
         elif kind == 'w':
             self.workers.pop(name, None)
--- a/tests/cell/test_known.py
+++ b/tests/cell/test_known.py
@@ -168,10 +168,10 @@
         await asyncio.sleep(ELECTION_S)
         entry = cell.entries[0]
         assert (await query(entry, 'never'))[0] is None
+        offset = entry.node.replica.offset
         assert (
             await entry.node.acceptance.cancel('never', SHORT_DEADLINE_S) is AcceptanceResult.gone
         )
-        offset = entry.node.replica.offset
         assert entry.node.parts.metrics.number(Metric.submissions_gone) == 2
         gone = [line for line in lines if line.startswith('submission gone')]
         assert gone[0] == f'submission gone: submission=never offset={offset} read_age_s=0.000\n'
