No acceptance is stored long after its caller has left

What callers could see: a stored cancellation of an unknown submission is dropped after 240 s. An acceptance that comes later than that would run (UNASKED), as would one that repeats a submission whose outcome was forgotten.

Cause, found while looking for what bounds the delay of an acceptance: nothing did. (1) A request that waits in the sockets of a paused process is read on waking, however old it is; so is a record or a relayed append of another entry. (2) A record that was collected before a pause is sent after it, though its caller's time is over. (3) A batch without an answer is resent until the log answers, for as long as an outage lasts.

Change: (1) an entry that had no answer of the log for over 30 s, by a clock that counts pauses, refuses submissions, records and relayed appends until 1 s after the next answer. (2) Expired records that were never sent are refused, not sent. (3) An entry abandons a batch 30 s after its last caller has left and continues under a higher epoch of its producer, so that the log refuses late copies. The leader's records are resent as before: the epoch of their producer is the tenure.

Bound: 30 s, 30 s and the 12 s that the store may execute a call late, together below the 240 s. No wall clock is involved.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -66,7 +66,9 @@
         self.metrics = Metrics()
         self.advice = PlatformAdvice(self.calls, settings.advice_address, own_address)
         self.node = self.build_node()
-        self.peer_server = PeerRequestHandler(self.route, self.advice, self.node.appender)
+        self.peer_server = PeerRequestHandler(
+            self.route, self.advice, self.node.appender, self.node.replica.was_away
+        )
         self.node.peer_observers.append(self.route.add_peer)
         for seed in settings.seeds:
             self.node.broker.note_relay(seed)
--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -96,7 +96,11 @@
         self.state = CellState(clock)
         self.faults = FaultBoundary(clock, parts.metrics)
         self.appender = Appender(
-            parts.log, Producer(candidate.life, FIRST_EPOCH), clock, parts.metrics
+            parts.log,
+            Producer(candidate.life, FIRST_EPOCH),
+            clock,
+            parts.metrics,
+            may_abandon=True,
         )
         self.replica = Replica(
             parts.log, self.state.apply, clock, FOLLOWER_READ_INTERVAL_S, self.faults
--- a/marigoldlift/platform/servers.py
+++ b/marigoldlift/platform/servers.py
@@ -105,13 +105,21 @@
         route: route to the store.
         advice: client for the placement advice.
         appender: appends records to the log in batches.
+        was_away: returns whether requests may have waited in this entry's sockets while it was paused.
         leaving: whether the entry is about to stop; answers then close their connection so that other entries
             do not use it again.
     """
 
-    def __init__(self, route: StoreRoute, advice: PlatformAdvice, appender: Appender) -> None:
+    def __init__(
+        self,
+        route: StoreRoute,
+        advice: PlatformAdvice,
+        appender: Appender,
+        was_away: Callable[[], bool],
+    ) -> None:
         """Use this entry's own route to the store, its advice client and its appender."""
         self.route = route
+        self.was_away = was_away
         self.advice = advice
         self.appender = appender
         self.leaving = False
@@ -124,8 +132,10 @@
         return response
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Dispatch a request by its path."""
+        """Dispatch a request by its path; refuse records that may have waited while this entry was paused."""
         body = await request.read()
+        if request.method == 'POST' and request.path != ADVISE_PATH and self.was_away():
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         if request.path.startswith(RELAY_PREFIX):
             path = request.path_qs.removeprefix(RELAY_PREFIX)
             relayed = await self.route.relay_call(request.method, path, body, STORE_WAIT_S)
--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -38,6 +38,9 @@
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.2
 
+#: How long an unanswered batch is resent after its last caller has left, in s, if the appender abandons batches at all.
+RESEND_S = 30
+
 
 class PendingAppend:
     """Records of one caller that are to be stored together.
@@ -87,6 +90,8 @@
         outcome_unknown: the batch may already be stored.
         idle: set while no call is in progress.
         fenced: the log accepts no more records of this producer's epoch.
+        may_abandon: whether a batch without an answer is abandoned `RESEND_S` after its last caller has left, so that no
+            record is stored long after its caller was told that the outcome is unknown.
         latency_s: smoothed duration of successful appends, in s.
         last_response_s: duration of the last append call, answered or not, in s.
         failing_since: when the first of the current consecutive failures occurred, in seconds of the monotonic clock.
@@ -99,6 +104,8 @@
         producer: Producer,
         clock: Callable[[], float],
         metrics: Metrics,
+        *,
+        may_abandon: bool = False,
     ) -> None:
         """Create an appender without pending records.
 
@@ -107,6 +114,7 @@
             producer: name and epoch that no other incarnation of an entry uses.
             clock: monotonic time in seconds.
             metrics: counts appends.
+            may_abandon: whether to abandon unanswered batches; the epochs of the producer must have no other meaning.
         """
         self.log = log
         self.metrics = metrics
@@ -124,6 +132,7 @@
         self.last_response_s: float = 0
         self.fenced = False
         self.outcome_unknown = False
+        self.may_abandon = may_abandon
 
     async def fence(self) -> bool:
         """Make the log refuse earlier epochs of the producer; return False if the append was refused or unanswered.
@@ -188,6 +197,8 @@
             await self.arrived.wait()
             await asyncio.sleep(LINGER_S)
             self.batch = self.take_batch()
+            self.outcome_unknown = False
+            self.drop_expired()
             await self.store()
             if not self.waiting:
                 self.arrived.clear()
@@ -211,12 +222,13 @@
         While each attempt is refused, records whose callers have timed out are removed.
         """
         pause = INITIAL_BACKOFF_S
-        self.outcome_unknown = False
         while self.batch and not self.fenced:
             if await self.try_batch():
                 return
             if not self.outcome_unknown:
                 self.drop_expired()
+            elif self.should_abandon():
+                self.abandon_batch()
             await asyncio.sleep(pause)
             pause = min(pause * 2, MAX_BACKOFF_S)
         for entry in self.batch:
@@ -279,13 +291,31 @@
             self.failing_since = self.clock()
             logger.warning('appends fail: code={} reason={}', getattr(fault, 'code', ''), fault)
 
+    def should_abandon(self) -> bool:
+        """Return whether all callers of the unanswered batch have left long ago."""
+        last_deadline = max(entry.deadline for entry in self.batch)
+        return self.may_abandon and self.clock() - last_deadline > RESEND_S
+
+    def abandon_batch(self) -> None:
+        """Resend the batch no more, and continue under a higher epoch: the log then refuses late copies of the batch."""
+        logger.warning('append abandoned: sent={} producer={}', self.sequence, self.producer)
+        for entry in self.batch:
+            entry.settle(
+                AppendOutcomeUnknownError(
+                    'the log gave no answer until long after the caller left'
+                )
+            )
+        self.batch = []
+        self.producer = Producer(self.producer.name, self.producer.epoch + 1)
+        self.sequence = 0
+
     def drop_expired(self) -> None:
-        """Remove the records whose callers have timed out; each call with this batch was refused, so none is stored."""
+        """Remove the records whose callers have timed out; no call with this batch had an effect, so none is stored."""
         now = self.clock()
         expired = [entry for entry in self.batch if entry.deadline <= now]
         for dropped in expired:
             self.batch.remove(dropped)
-            dropped.settle(AppendRefusedError('the log refused the record until the caller left'))
+            dropped.settle(AppendRefusedError('the record was not stored before its caller left'))
 
     def confirm(self, batch: list[PendingAppend], offset: int) -> None:
         """Set the offsets for all callers of a stored batch."""
--- a/marigoldlift/replication/replica.py
+++ b/marigoldlift/replication/replica.py
@@ -18,6 +18,13 @@
 #: Time without an answer that counts as an outage of the store, in s; a read waits for 1 s at most.
 OUTAGE_S = 1.8
 
+#: Time without an answer after which the requests that an entry reads may be older than any caller waits, in s: they
+#: were waiting in its sockets while it was paused.
+AWAY_S = 30
+
+#: How long after such a time requests count as old, in s; those that were waiting are read at once.
+RETURN_S = 1.0
+
 #: Pauses after a failed read of a snapshot, in s.
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.4
@@ -35,6 +42,7 @@
         ready: set while the replica holds a completely read snapshot.
         last_response_at: when the last answer of the store arrived, in seconds of the monotonic clock.
         resumed_at: when the first answer after the last failure or outage arrived.
+        returned_at: when the first answer after the last time of at least `AWAY_S` without one arrived.
         interrupted: whether a read has failed since the last answer.
         last_response_s: duration of the last read that did not wait for records, in s.
         read_at: when the last read ended, or when the last read by `refresh` began.
@@ -68,6 +76,7 @@
         self.ready = asyncio.Event()
         self.last_response_at = clock()
         self.resumed_at = self.last_response_at
+        self.returned_at = float('-inf')
         self.read_at = self.last_response_at
         self.last_response_s: float = 0
         self.failing = False
@@ -200,9 +209,16 @@
         with self.faults.contain(ItemKind.record, stored.key):
             self.apply(stored)
 
+    def was_away(self) -> bool:
+        """Return whether this entry was paused or without the log so long that requests may have waited as long."""
+        now = self.clock()
+        return now - self.last_response_at > AWAY_S or now - self.returned_at < RETURN_S
+
     def note_answer(self) -> None:
         """Record an answer of the store, and whether it ends an outage."""
         now = self.clock()
+        if now - self.last_response_at > AWAY_S:
+            self.returned_at = now
         if self.interrupted or now - self.last_response_at > OUTAGE_S:
             self.resumed_at = now
             self.interrupted = False
--- a/marigoldlift/replication/tests/test_appender.py
+++ b/marigoldlift/replication/tests/test_appender.py
@@ -5,9 +5,13 @@
 
 import pytest
 
-from marigoldlift.errors import AppendOutcomeUnknownError, AppendRefusedError
+from marigoldlift.errors import (
+    AppendOutcomeUnknownError,
+    AppendRefusedError,
+    SequenceMismatchError,
+)
 from marigoldlift.replication.api import Producer
-from marigoldlift.replication.appender import Appender
+from marigoldlift.replication.appender import RESEND_S, Appender
 from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.records import Cancelled
 from marigoldlift.telemetry.metrics import Metrics
@@ -102,3 +106,47 @@
     await later.append(cancelled(3), 1)
     for task in running:
         task.cancel()
+
+
+async def test_unanswered_batch_is_abandoned_after_its_callers_have_left(client):
+    """Guards against a record that is stored minutes after its caller was told that the outcome is unknown."""
+    loop = asyncio.get_running_loop()
+    entry = Appender(client, Producer('e', 1), loop.time, Metrics(), may_abandon=True)
+    running = asyncio.create_task(entry.run())
+    client.fault = LogFault.silent
+    with pytest.raises(AppendOutcomeUnknownError):
+        await entry.append(cancelled(1), 1)
+    await asyncio.sleep(RESEND_S + 5)
+    client.fault = None
+    await entry.append(cancelled(2), 1)
+    with pytest.raises(SequenceMismatchError):
+        client.log.produce([('c/job1', b'late')], Producer('e', 1), 0)
+    assert [stored.key for stored in client.log.records] == ['c/job2']
+    running.cancel()
+
+
+async def test_batch_is_resent_while_a_caller_may_come_back(client):
+    """Guards against giving up a batch during a short outage, or records of a leader, whose epoch has a meaning."""
+    loop = asyncio.get_running_loop()
+    appenders = [
+        Appender(client, Producer(name, 1), loop.time, Metrics(), may_abandon=name == 'e')
+        for name in ('e', 'leader')
+    ]
+    running = [asyncio.create_task(made.run()) for made in appenders]
+    client.fault = LogFault.silent
+    for number, made in enumerate(appenders):
+        with pytest.raises(AppendOutcomeUnknownError):
+            await made.append(cancelled(number), 1)
+    await asyncio.sleep(RESEND_S / 2)
+    client.fault = None
+    await asyncio.sleep(2)
+    assert sorted(stored.key for stored in client.log.records) == ['c/job0', 'c/job1']
+    client.fault = LogFault.silent
+    with pytest.raises(AppendOutcomeUnknownError):
+        await appenders[1].append(cancelled(2), 1)
+    await asyncio.sleep(2 * RESEND_S)
+    client.fault = None
+    await asyncio.sleep(2)
+    assert client.log.records[-1].key == 'c/job2'
+    for task in running:
+        task.cancel()
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -87,6 +87,9 @@
         """
         if self.state.state_of(submission.id) is not None:
             return AcceptanceResult.done
+        if self.replica.was_away():
+            logger.info('submission refused: submission={} the entry was away', submission.id)
+            return AcceptanceResult.refused
         if self.store_fails() and submission.id not in self.uncertain_submissions:
             logger.info('submission refused: submission={} the log fails', submission.id)
             return AcceptanceResult.refused
