Ends of a closed submission are acknowledged once its outcome is stored

What callers could see: a done task runs again after a takeover (TWICE).

A submission that has just failed is closed before its outcome is stored; if the leader dies first, the next one opens it again, and the worker has forgotten the end.

Ruled out: cancelled submissions (the cancellation is in the log) and complete ones (no end is left).

Change: until the outcome is stored, the end is acknowledged with it.

--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -78,19 +78,19 @@
     def run_ended(self, session: WorkerSession, ended: EndedRun, known: Run | None) -> None:
         """Handle the end of a run.
 
-        The worker keeps the end until the session acknowledges it, which happens once it is stored.
+        The worker keeps the end until the session acknowledges it, which happens once it is stored, or the outcome of its
+        submission.
         """
         self.metrics.add(Metric.task_ends, outcome=ended.kind.value)
         step = self.open_submissions.step_of(ended.task)
+        stored = partial(session.ends.store_confirmed, ended.number)
         if step is None:
-            session.ends.store_confirmed(ended.number)
+            self.open_submissions.after_outcome(ended.task.submission, stored)
             return
         self.session_manager.health(session.worker.id).record_end(ended.kind, self.clock())
         step.save(ended.task.index, ended.checkpoint)
         step.last_run = max(step.last_run, ended.run)
-        self.open_submissions.progress.note(
-            step.job, partial(session.ends.store_confirmed, ended.number)
-        )
+        self.open_submissions.progress.note(step.job, stored)
         self.process_end(step, session, ended)
 
     def process_end(self, step: StepRun, session: WorkerSession, ended: EndedRun) -> None:
--- a/marigoldlift/scheduling/open_submissions.py
+++ b/marigoldlift/scheduling/open_submissions.py
@@ -22,7 +22,7 @@
 
     Attributes:
         jobs: open submissions by id.
-        closed: ids of submissions whose outcome is decided but may not be stored yet.
+        closed: submissions whose outcome is decided but may not be stored yet.
     """
 
     def __init__(
@@ -42,7 +42,7 @@
         self.clock = clock
         self.faults = faults
         self.jobs: dict[SubmissionId, JobRun] = {}
-        self.closed: set[SubmissionId] = set()
+        self.closed: dict[SubmissionId, JobRun] = {}
 
     def open(self, submission: SubmissionId) -> None:
         """Queue the steps of a submission, unless it is open or closed already."""
@@ -73,7 +73,7 @@
         """Set the outcome of a submission, stop its remaining runs and store its progress."""
         job.outcome = outcome
         self.jobs.pop(job.id, None)
-        self.closed.add(job.id)
+        self.closed[job.id] = job
         for step in job.steps.values():
             self.starter.stop_step(step)
         self.progress.note(job)
@@ -89,9 +89,20 @@
         """Return whether a submission has no outcome, or one that may not be stored yet."""
         return submission in self.jobs or submission in self.closed
 
+    def after_outcome(self, submission: SubmissionId, stored: Callable[[], None]) -> None:
+        """Call `stored` once the outcome of a submission that is not open is stored, at once if it is.
+
+        Until then a later leader would open the submission again.
+        """
+        closed = self.closed.get(submission)
+        if closed is None:
+            stored()
+        else:
+            self.progress.note(closed, stored)
+
     def forget(self, submission: SubmissionId) -> None:
         """Remove a closed submission once its outcome is stored."""
-        self.closed.discard(submission)
+        self.closed.pop(submission, None)
 
     def step_of(self, task: TaskRef) -> StepRun | None:
         """Return the step of a task, None if its submission is not open or has no such task."""
