An end that was not handled keeps earlier runs unknown at a takeover

What callers could see: a done task runs again after a takeover (TWICE).

The end is offered again with the next status, but its task was free meanwhile.

Change: the list counts as incomplete until each of its ends was handled once. Once a list was read, a further end that cannot be handled holds up nothing else, as before. An end that can never be handled is bounded like a list that never becomes short.

Tests, red before: orders/tests/test_ends.py::test_end_that_was_not_handled_is_not_taken_for_read and tests/cell/test_unlisted_ends.py::test_end_whose_handling_raises_at_a_takeover_is_not_started_again.

--- a/marigoldlift/orders/ends.py
+++ b/marigoldlift/orders/ends.py
@@ -20,12 +20,13 @@
         last_acknowledged: highest number up to which all ends are stored, so that the worker may forget them.
         unstored: numbers of the listed ends that are not stored yet.
         unhandled: numbers of the listed ends over which the observer has raised.
-        is_read: whether a page was the last one, so that the outcome of each earlier run is known.
-        more: whether the newest page was not the last one.
+        is_read: whether a page was the last one, and each end up to it was handled, so that the outcome of each earlier
+            run is known.
+        incomplete: whether the newest page was not the last one, or an end is not handled before `is_read` is set.
         grew: whether the newest page held new ends.
-        backlog: new ends in consecutive pages that were not the last one.
-        stuck_since: when consecutive pages began to hold nothing new although all listed ends are stored, in seconds of
-            the monotonic clock; None while there is progress.
+        backlog: new ends in consecutive incomplete pages.
+        stuck_since: when consecutive incomplete pages began to hold nothing new although all ends that were handled are
+            stored, in seconds of the monotonic clock; None while there is progress.
     """
 
     def __init__(self) -> None:
@@ -35,7 +36,7 @@
         self.unstored: set[int] = set()
         self.unhandled: set[int] = set()
         self.is_read = False
-        self.more = False
+        self.incomplete = False
         self.grew = False
         self.backlog = 0
         self.stuck_since: float | None = None
@@ -57,9 +58,9 @@
             now: time of the monotonic clock in seconds.
             more: whether it is not the last page.
         """
-        self.more = more
+        self.incomplete = more or (bool(self.unhandled) and not self.is_read)
         self.grew = bool(new_ends)
-        if not more:
+        if not self.incomplete:
             self.finish()
             return
         self.backlog += new_ends
--- a/marigoldlift/orders/polling.py
+++ b/marigoldlift/orders/polling.py
@@ -34,9 +34,9 @@
 
 async def poll(session: WorkerSession) -> bool:
     """Poll once, and pause before the next poll; further pages of ended runs are requested without waiting."""
-    waits = session.synced and not session.poll_failed and not session.ends.more
+    waits = session.synced and not session.poll_failed and not session.ends.incomplete
     answered = await session.poll(POLL_WAIT_MS if waits else 0)
-    is_stuck = session.ends.more and not session.ends.grew
+    is_stuck = session.ends.incomplete and not session.ends.grew
     await asyncio.sleep(POLL_PAUSE_S if answered and not is_stuck else RETRY_PAUSE_S)
     return answered
 
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -276,11 +276,11 @@
     def process_ends(self, found: WorkerStatus, now: float) -> None:
         """Report the ended runs of a status, and record whether the worker holds more of them."""
         listed_before = self.ends.last_listed
-        was_incomplete = self.ends.more
+        was_incomplete = self.ends.incomplete
         for ended in found.ended:
             self.note_end(ended)
         self.ends.note_page(self.ends.last_listed - listed_before, now, more=found.more_ends)
-        if self.ends.more != was_incomplete or self.ends.more and self.ends.grew:
+        if self.ends.incomplete != was_incomplete or self.ends.incomplete and self.ends.grew:
             log_page(self)
 
     def note_end(self, ended: EndedRun) -> None:
@@ -332,12 +332,12 @@
     """Log how far the ended runs of a worker are read."""
     ends = session.ends
     logger.info(
-        'ended runs listed: worker={} last={} acknowledged={} runs={} more={}',
+        'ended runs listed: worker={} last={} acknowledged={} runs={} incomplete={}',
         session.worker.id,
         ends.last_listed,
         ends.last_acknowledged,
         len(session.run_table.runs),
-        ends.more,
+        ends.incomplete,
     )
 
 
--- a/marigoldlift/orders/tests/test_ends.py
+++ b/marigoldlift/orders/tests/test_ends.py
@@ -90,6 +90,31 @@
     assert observer.ended == [1, 2, 3, 4, 5]
 
 
+async def test_end_that_was_not_handled_is_not_taken_for_read():
+    """Guards against TWICE at a takeover: a task counted as absent because the handling of its end had raised."""
+    session, observer = build(ends=1)
+    observer.failing = {1}
+    await session.poll(0)
+    await session.poll(0)
+    assert not session.knows_earlier_runs()
+    observer.failing.clear()
+    await session.poll(0)
+    assert session.knows_earlier_runs()
+
+
+async def test_end_that_is_not_handled_later_stalls_nothing():
+    """Guards against runs that lose their lease because one end, of a worker whose ends were read, is not handled."""
+    session, observer = build(ends=0)
+    await session.poll(0)
+    session.calls.ends = 1
+    observer.failing = {1}
+    for _ in range(2):
+        await session.poll(0)
+        await asyncio.sleep(STALL_S)
+    assert session.knows_earlier_runs()
+    assert not session.ends.is_stalled(asyncio.get_running_loop().time())
+
+
 async def test_full_last_page_is_followed_by_another_poll():
     """Guards against a list whose last page is exactly full and is taken for the last one."""
     session, _ = build(ends=PAGE)
@@ -124,7 +149,7 @@
     session.calls.ends += 2 * PAGE
     session.raise_token()
     await session.poll(0)
-    assert session.ends.more
+    assert session.ends.incomplete
     assert session.knows_earlier_runs()
 
 
--- a/tests/cell/test_unlisted_ends.py
+++ b/tests/cell/test_unlisted_ends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marigoldlift.orders.ends import STALL_S
+from marigoldlift.scheduling.events import RunEvents
 from marigoldlift.submissions.model import Step
 from marigoldlift.submissions.records import Outcome
 from tests.cell.idle import set_task_duration
@@ -193,3 +194,27 @@
         assert_started_once(cell)
 
     run_scenario(scenario, workers=1)
+
+
+def test_end_whose_handling_raises_at_a_takeover_is_not_started_again(run_scenario):
+    """Guards against a task that starts again because its end was listed at a takeover, but its handling raised."""
+
+    async def scenario(cell):
+        await submit_all(cell, SINGLE)
+        leader = cell.leader()
+        leader.kill()
+        handled = set()
+        handle = RunEvents.run_ended
+
+        def raise_once(events, session, ended, known):
+            if ended.task not in handled:
+                handled.add(ended.task)
+                raise RuntimeError('fault put in by the test')
+            handle(events, session, ended, known)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(RunEvents, 'run_ended', raise_once)
+            await cell.wait_for_outcomes(JOBS, SETTLED_S)
+        assert_started_once(cell)
+
+    run_scenario(scenario)
