Gauge of the stored cancellations of submissions that were not accepted

Checked in tests/cell/test_early_cancellations.py::test_cancellations_of_unknown_submissions_are_limited.

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -191,6 +191,7 @@
         if self.dispatcher is not None:
             metrics.set(Metric.log_age, now - self.listing.last_response_at, stream='workers')
         metrics.set(Metric.members, len(self.broker.relays), state='alive')
+        metrics.set(Metric.early_cancellations, len(self.state.early_cancellations))
         states = [job.state for job in self.state.jobs.values()]
         states.extend(job.outcome for job in self.state.finished.values())
         for state in Outcome:
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -74,6 +74,9 @@
     submissions_gone = MetricSpec(
         COUNTER, '', (), 'Callers told that there is no such submission.'
     )
+    early_cancellations = MetricSpec(
+        GAUGE, '', (), 'Stored cancellations of submissions that were not accepted.'
+    )
     faults_contained = MetricSpec(
         COUNTER, '', ('kind',), 'Unexpected exceptions, by kind of the item that was set aside.'
     )
--- a/tests/cell/test_early_cancellations.py
+++ b/tests/cell/test_early_cancellations.py
@@ -7,6 +7,7 @@
 from marigoldlift.submissions.acceptance import AcceptanceResult
 from marigoldlift.submissions.model import Step, Submission, SubmissionId
 from marigoldlift.submissions.records import Outcome
+from marigoldlift.telemetry.metric_table import Metric
 from standins.cell.log import LogFault
 from tests.cell.model import policy
 
@@ -218,6 +219,8 @@
             assert await cancel_at(entry, f'unknown{number}') is AcceptanceResult.gone
         await asyncio.sleep(1)
         assert await cancel_at(entry, 'one-more') is AcceptanceResult.refused
+        entry.node.set_gauges()
+        assert entry.node.parts.metrics.number(Metric.early_cancellations) == MAX_STORED
         assert await cancel_at(entry, 'unknown0') is AcceptanceResult.gone
         assert await cancel_at(entry, 'known') is AcceptanceResult.done
         await asyncio.sleep(DROPPED_S)
