--- a/tests/cell/test_early_cancellations.py
+++ b/tests/cell/test_early_cancellations.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldlift.replication.replica import AWAY_S, RETURN_S
 from marigoldlift.submissions.acceptance import AcceptanceResult
 from marigoldlift.submissions.model import Step, Submission, SubmissionId
 from marigoldlift.submissions.records import Outcome
@@ -99,15 +100,18 @@
     run_scenario(scenario, seed=seed)
 
 
-def test_acceptance_through_a_paused_leader_stays_cancelled(run_scenario):
+@pytest.mark.parametrize('is_forwarded', [False, True])
+def test_acceptance_through_a_paused_leader_stays_cancelled(run_scenario, is_forwarded):
     """Guards against a submission that runs after its cancellation, because the leader stored it on waking."""
 
     async def scenario(cell):
         await asyncio.sleep(ELECTION_S)
         leader = cell.leader()
-        other = two_followers(cell)[0]
+        other, forwarding = two_followers(cell)
+        forwarding.node.appender.last_response_s = 1
+        submit_at(cell, forwarding if is_forwarded else leader)
+        await asyncio.sleep(0.002)
         leader.gate.pause()
-        submit_at(cell, leader)
         assert await cancel_at(other) is AcceptanceResult.gone
         await asyncio.sleep(PAUSE_S)
         leader.gate.resume()
@@ -117,6 +121,27 @@
     run_scenario(scenario)
 
 
+def test_retry_of_an_accepted_submission_at_an_entry_that_was_away(run_scenario):
+    """Guards against losing, or running twice, a submission whose retry waited through a long pause of an entry."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        away, other = two_followers(cell)
+        away.gate.pause()
+        assert await submit_at(cell, other) is AcceptanceResult.done
+        retry = submit_at(cell, away)
+        await asyncio.sleep(2 * AWAY_S)
+        away.gate.resume()
+        assert await retry in {AcceptanceResult.done, AcceptanceResult.refused}
+        await asyncio.sleep(RETURN_S)
+        assert await submit_at(cell, away) is AcceptanceResult.done
+        await cell.wait_for_outcomes([JOB], SETTLED_S)
+        assert cell.outcome(JOB) is Outcome.complete
+        assert set(cell.checker.starts.values()) == {1}
+
+    run_scenario(scenario)
+
+
 def test_cancellation_survives_its_entry_and_the_leader(run_scenario):
     """Guards against a cancellation that is lost with the entry that answered it and with the leader."""
 
--- a/tests/cell/test_unlisted_ends.py
+++ b/tests/cell/test_unlisted_ends.py
@@ -5,9 +5,12 @@
 import pytest
 
 from marigoldlift.orders.ends import STALL_S
+from marigoldlift.scheduling.dispatcher import TAKEOVER_WAIT_S
 from marigoldlift.scheduling.events import RunEvents
+from marigoldlift.scheduling.session_manager import may_get_work
 from marigoldlift.submissions.model import Step
 from marigoldlift.submissions.records import Outcome
+from standins.cell.log import LogFault
 from tests.cell.idle import set_task_duration
 from tests.cell.model import LEASE_S
 
@@ -25,6 +28,9 @@
 #: How long a leader is paused, in s: longer than an election, shorter than the leases of its workers.
 PAUSE_S = 3.5
 
+#: Longest time in which a worker's few pages are read while the log answers, in s: the wait of a takeover.
+READING_S = TAKEOVER_WAIT_S
+
 SINGLE = (Step(count=4, cpu_m=200, spread_limit=1),)
 GANG = (Step(count=3, cpu_m=200, gang=True),)
 CHAIN = (Step(count=3, cpu_m=200), Step(count=2, cpu_m=200, after=(0,)))
@@ -126,6 +132,44 @@
     run_scenario(scenario)
 
 
+def test_cut_off_leader_returns_while_pages_are_read(run_scenario):
+    """Guards against a task that starts again because a leader without the log went on polling the workers."""
+
+    async def scenario(cell):
+        await submit_all(cell, SINGLE)
+        cut_off = cell.leader()
+        cut_off.log.fault = LogFault.silent
+        async with asyncio.timeout(SETTLED_S):
+            while cut_off.node.dispatcher is cell.leader().node.dispatcher:
+                await asyncio.sleep(0.01)
+        await leader_that_reads(cell)
+        cut_off.log.fault = None
+        await cell.wait_for_outcomes(JOBS, SETTLED_S)
+        assert_started_once(cell)
+
+    run_scenario(scenario)
+
+
+def test_worker_gets_new_tasks_once_its_pages_are_read(run_scenario):
+    """Guards against new tasks on a worker whose ends are not read, and against a worker that stands idle after that."""
+
+    async def scenario(cell):
+        await submit_all(cell, SINGLE)
+        cell.leader().kill()
+        await leader_that_reads(cell)
+        began_at = cell.loop.time()
+        reading = dict.fromkeys(sessions_of(cell.leader()))
+        while not all(session.knows_earlier_runs() for session in reading):
+            for session in reading:
+                assert session.knows_earlier_runs() or not may_get_work(session, cell.loop.time())
+            await asyncio.sleep(0.005)
+        assert cell.loop.time() - began_at < READING_S
+        assert all(may_get_work(session, cell.loop.time()) for session in reading)
+        await cell.wait_for_outcomes(JOBS, SETTLED_S)
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize('seed', range(4))
 def test_runs_that_end_while_pages_are_read(run_scenario, seed):
     """Guards against a task that starts again because it ended between the pages of one takeover."""
