Records that precede an acceptance are applied in their order

Ruled out: entries that follow the log, which apply each record as it comes.

Change: both are kept in one list in their order again, and the early cancellations only counted beside it. A dropped cancellation leaves the progress, a dropped acceptance the cancellation.

--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -116,7 +116,7 @@
     Attributes:
         jobs: submissions that have not ended, or that have ended but have no `Finished` record yet.
         finished: submissions that have ended and have no runs left.
-        early_progress: progress read before the submission that it belongs to, since a snapshot page lists it first.
+        early_records: records read before the submission that they belong to, in order.
         early_cancellations: cancelled submissions of which no acceptance was read, with the time at which the cancellation
             was read, in seconds of the monotonic clock; an acceptance that follows is cancelled.
         observers: called with the offset and content of each record after it was applied.
@@ -131,7 +131,7 @@
         self.clock = clock
         self.jobs: dict[SubmissionId, Job] = {}
         self.finished: dict[SubmissionId, FinishedJob] = {}
-        self.early_progress: dict[SubmissionId, list[Progress]] = {}
+        self.early_records: dict[SubmissionId, list[Cancelled | Progress]] = {}
         self.early_cancellations: dict[SubmissionId, float] = {}
         self.workers: dict[str, KnownWorker] = {}
         self.observers: list[Observer] = []
@@ -163,45 +163,44 @@
         match record:
             case Accepted():
                 self.accept(offset, record.submission)
-            case Cancelled():
-                self.cancel(record.submission)
-            case Progress():
-                self.progress(record)
+            case Cancelled() | Progress():
+                self.update_job(record)
             case Finished():
                 self.finish(record)
             case KnownWorker():
                 self.workers[record.worker] = record
 
     def accept(self, offset: int, submission: Submission) -> None:
-        """Add a submission, and apply what was read of it before; a known one stays unchanged."""
+        """Add a submission, and apply its early records; a known one stays unchanged."""
         if submission.id in self.jobs or submission.id in self.finished:
             return
-        job = Job(submission, offset, self.clock())
-        self.jobs[submission.id] = job
-        for record in self.early_progress.pop(submission.id, ()):
-            job.merge(record)
+        self.jobs[submission.id] = Job(submission, offset, self.clock())
         if self.early_cancellations.pop(submission.id, None) is not None:
             logger.info('submission accepted after its cancellation: submission={}', submission.id)
-            job.cancelled = True
-        self.note_outcome(job)
+        for record in self.early_records.pop(submission.id, ()):
+            self.update_job(record)
 
-    def cancel(self, submission: SubmissionId) -> None:
-        """Cancel a submission; without an acceptance, keep the cancellation for one that is stored later."""
-        job = self.jobs.get(submission)
-        if job is not None:
-            job.cancelled = True
-            self.note_outcome(job)
-        elif submission not in self.finished:
-            self.early_cancellations.setdefault(submission, self.clock())
-
-    def progress(self, record: Progress) -> None:
-        """Update a submission; keep the record for later if a snapshot page lists it before the submission."""
+    def update_job(self, record: Cancelled | Progress) -> None:
+        """Update a submission; keep the record for later if its acceptance is not read yet."""
+        if record.submission in self.finished:
+            return
         job = self.jobs.get(record.submission)
-        if job is not None:
+        if job is None:
+            self.keep_early(record)
+            return
+        if isinstance(record, Cancelled):
+            job.cancelled = True
+        else:
             job.merge(record)
-            self.note_outcome(job)
-        elif record.submission not in self.finished:
-            self.early_progress.setdefault(record.submission, []).append(record)
+        self.note_outcome(job)
+
+    def keep_early(self, record: Cancelled | Progress) -> None:
+        """Keep a record for an acceptance that is read later; a repeated cancellation is kept once."""
+        if isinstance(record, Cancelled):
+            if record.submission in self.early_cancellations:
+                return
+            self.early_cancellations[record.submission] = self.clock()
+        self.early_records.setdefault(record.submission, []).append(record)
 
     def note_outcome(self, job: Job) -> None:
         """Record when the outcome of a submission was read."""
@@ -211,7 +210,7 @@
     def finish(self, record: Finished) -> None:
         """Keep only the outcome of a submission."""
         self.jobs.pop(record.submission, None)
-        self.early_progress.pop(record.submission, None)
+        self.early_records.pop(record.submission, None)
         self.early_cancellations.pop(record.submission, None)
         self.finished[record.submission] = FinishedJob(record.outcome, self.clock())
 
@@ -231,12 +230,25 @@
     def drop(self, key: str) -> None:
         """Remove the submission, outcome, early cancellation or worker of a dropped key."""
         kind, _, name = key.partition('/')
+        submission = SubmissionId(name)
         if kind == 's':
-            self.jobs.pop(SubmissionId(name), None)
-            self.early_progress.pop(SubmissionId(name), None)
+            self.jobs.pop(submission, None)
+            if submission not in self.early_cancellations:
+                self.early_records.pop(submission, None)
         elif kind == 'f':
-            self.finished.pop(SubmissionId(name), None)
+            self.finished.pop(submission, None)
         elif kind == 'c':
-            self.early_cancellations.pop(SubmissionId(name), None)
+            self.drop_cancellation(submission)
         elif kind == 'w':
             self.workers.pop(name, None)
+
+    def drop_cancellation(self, submission: SubmissionId) -> None:
+        """Remove an early cancellation."""
+        if self.early_cancellations.pop(submission, None) is None:
+            return
+        early = self.early_records.pop(submission)
+        kept: list[Cancelled | Progress] = [
+            record for record in early if isinstance(record, Progress)
+        ]
+        if kept:
+            self.early_records[submission] = kept
