--- a/tests/cell/test_early_cancellations.py
+++ b/tests/cell/test_early_cancellations.py
@@ -238,7 +238,6 @@
     async def scenario(cell):
         await asyncio.sleep(ELECTION_S)
         entry = cell.entries[0]
-        cell.durations.clear()
         await cell.submit(entry, 'known', (Step(count=1, cpu_m=500, long_running=True),))
         for number in range(MAX_STORED):
             assert await cancel_at(entry, f'unknown{number}') is AcceptanceResult.gone
