--- /dev/null
+++ b/tests/cell/test_capacity.py
@@ -0,0 +1,107 @@
+"""Capacity of workers whose entries lack it, or that restart with another one."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
+from tests.cell.model import registry_entry
+
+ELECTION_S = 1.5
+TASK_S = 3
+SETTLED_S = 40
+
+
+def set_task_duration(cell, duration_s):
+    """Set the run time of all tasks, in s."""
+    cell.duration_of = lambda task: duration_s
+    for entry in cell.entries:
+        entry.calls.duration_of = cell.duration_of
+
+
+def entry_with(worker, **fields):
+    """Return a worker's registry entry with fields replaced, or left out if they are None."""
+    entry = msgspec.json.decode(registry_entry(worker.describe())) | fields
+    return msgspec.json.encode({name: found for name, found in entry.items() if found is not None})
+
+
+@pytest.mark.parametrize('capacity', [None, {}, {'cpu': 8000}, {'mem_mb': 1}, 'much', [8000, 1]])
+def test_entry_without_capacity_leads_to_no_overallocation(run_scenario, capacity):
+    """Guards against a worker whose capacity is counted twice after one entry without it."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        names = []
+        for number in range(4):
+            for worker in cell.workers.values():
+                cell.workers_log.store([(worker.name, entry_with(worker, capacity=capacity))])
+            await asyncio.sleep(0.3)
+            cell.list_workers()
+            names.append(f'job{number}')
+            await cell.submit(cell.leader(), names[-1], (Step(count=8, cpu_m=2000),))
+            await asyncio.sleep(0.3)
+        await cell.wait_for_outcomes(names, SETTLED_S)
+
+    run_scenario(scenario, workers=2)
+
+
+def test_worker_that_restarts_as_a_smaller_kind_is_not_overallocated(run_scenario):
+    """Guards against filling a new incarnation to the capacity of the one before."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        cell.is_listing = False
+        for worker in cell.workers.values():
+            worker.cpu_m = 3000
+            worker.begin_incarnation()
+        await asyncio.sleep(1)
+        await cell.submit(cell.leader(), 'job', (Step(count=8, cpu_m=2000),))
+        await asyncio.sleep(2)
+        cell.is_listing = True
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario, workers=2)
+
+
+def test_worker_that_restarts_as_a_larger_kind_gets_what_only_it_can_hold(run_scenario):
+    """Guards against a task that is never run because a worker counts with the capacity of its earlier incarnation."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        cell.is_listing = False
+        worker = cell.workers['w0']
+        worker.cpu_m = 16000
+        worker.begin_incarnation()
+        await asyncio.sleep(2)
+        cell.is_listing = True
+        await cell.submit(cell.leader(), 'job', (Step(count=1, cpu_m=12000),))
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario, workers=2)
+
+
+def test_run_of_unknown_demand_occupies_a_worker_whose_capacity_is_learnt_later(run_scenario):
+    """Guards against overallocation by a run that was found before the worker's capacity was known."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        session = cell.leader().node.dispatcher.session_manager.sessions['w0']
+        unknown = cell.leader().node.dispatcher.open_submissions
+        task = Step(count=1, cpu_m=1)
+        entry = session.worker
+        session.run_table.resize(msgspec.structs.replace(entry, cpu_m=0, mem_mb=0, gpus=0))
+        demand = unknown.demand_of(task_ref('unknown'), session.worker)
+        session.run_table.count(demand, 1)
+        session.run_table.resize(entry)
+        assert session.run_table.cpu_m < task.cpu_m
+
+    run_scenario(scenario, workers=1)
+
+
+def task_ref(submission):
+    """Return the reference to the first task of a submission."""
+    return TaskRef(SubmissionId(submission), 0, 0, 0)
--- /dev/null
+++ b/tests/cell/test_late_orders.py
@@ -0,0 +1,129 @@
+"""Orders without an answer that a later incarnation of their worker executes."""
+
+import asyncio
+
+import pytest
+
+from marigoldlift.errors import WorkerUnavailableError
+from marigoldlift.submissions.model import Step
+from standins.cell.workers import CALL_TIMEOUT_S, execute_late
+
+ELECTION_S = 1.5
+TASK_S = 4
+SETTLED_S = 40
+
+
+def set_task_duration(cell, duration_s):
+    """Set the run time of all tasks, in s."""
+    cell.duration_of = lambda task: duration_s
+    for entry in cell.entries:
+        entry.calls.duration_of = cell.duration_of
+
+
+def delay_next_start(cell, delay_s):
+    """Let the next start get no answer and be executed after a delay; return the names of the workers it was sent to."""
+    calls = cell.leader().calls
+    send = calls.start
+    sent_to = []
+
+    async def start(worker, token, order):
+        calls.start = send
+        sent_to.append(worker.id)
+        target = cell.workers[worker.id]
+        step = cell.checker.submissions[order.task.submission].steps[order.task.step]
+        duration_s = cell.duration_of(order.task)
+        asyncio.get_running_loop().call_later(
+            delay_s,
+            execute_late,
+            target,
+            lambda worker: worker.start(token, order, step, duration_s),
+        )
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        raise WorkerUnavailableError('no answer', may_have_run=True)
+
+    calls.start = start
+    return sent_to
+
+
+def cut_off(cell, name):
+    """Let no entry reach a worker."""
+    for entry in cell.entries:
+        entry.calls.unreachable.add(name)
+
+
+def reconnect(cell):
+    """Let all entries reach all workers."""
+    for entry in cell.entries:
+        entry.calls.unreachable.clear()
+
+
+def restart_unseen(cell, name):
+    """Restart a worker under its id; it is listed at once, but no entry reaches it."""
+    cut_off(cell, name)
+    cell.workers[name].begin_incarnation()
+    cell.list_workers()
+
+
+async def submit(cell, name='job'):
+    """Submit one task at the leader."""
+    await cell.submit(cell.leader(), name, (Step(count=1, cpu_m=1000),))
+
+
+def test_start_in_doubt_is_not_repeated_while_a_restarted_worker_may_execute_it(run_scenario):
+    """Guards against a task that runs on two workers, after one of them restarted with its start under way."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        sent_to = delay_next_start(cell, 5)
+        await submit(cell)
+        await asyncio.sleep(3.2)
+        restart_unseen(cell, sent_to[0])
+        await asyncio.sleep(2.5)
+        reconnect(cell)
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario, workers=2)
+
+
+def test_start_in_doubt_is_not_repeated_after_it_was_given_up_with_the_lease(run_scenario):
+    """Guards against a task that runs twice: its worker was silent beyond its lease, restarted, and executed the start."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        sent_to = delay_next_start(cell, 8)
+        await submit(cell)
+        await asyncio.sleep(0.1)
+        cut_off(cell, sent_to[0])
+        await asyncio.sleep(5)
+        cell.is_listing = False
+        cell.workers[sent_to[0]].begin_incarnation()
+        await asyncio.sleep(6)
+        reconnect(cell)
+        cell.is_listing = True
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario, workers=2)
+
+
+@pytest.mark.parametrize('restarted_after_s', [0.5, 3])
+def test_start_of_an_earlier_leader_is_not_repeated_while_it_may_be_executed(
+    run_scenario, restarted_after_s
+):
+    """Guards against the same after a takeover: the next leader does not know which starts had no answer."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        sent_to = delay_next_start(cell, 6)
+        await submit(cell)
+        await asyncio.sleep(0.1)
+        cell.leader().kill()
+        await asyncio.sleep(restarted_after_s)
+        restart_unseen(cell, sent_to[0])
+        await asyncio.sleep(7 - restarted_after_s)
+        reconnect(cell)
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario, workers=2)
