A registry entry without capacity names no worker

Callers saw LIMIT: a worker was filled to twice its capacity. Cause: an entry of another writer that lacks `capacity` counted as the worker's own, with no capacity, and the next complete entry added the whole capacity to what was free. Now the entry is skipped like other malformed ones: the worker gets no new tasks until its next entry, and its runs go on.

--- a/marigoldlift/platform/wire.py
+++ b/marigoldlift/platform/wire.py
@@ -48,8 +48,8 @@
 class CapacityBody(msgspec.Struct):
     """Capacity of a worker: processor in thousandths of a core, memory in MB, and GPUs."""
 
-    cpu: CpuThousandths = 0
-    mem_mb: Megabytes = 0
+    cpu: CpuThousandths
+    mem_mb: Megabytes
     gpu: GpuCount = 0
 
 
@@ -68,7 +68,7 @@
     addr: str
     zone: str
     state: str
-    capacity: CapacityBody = msgspec.field(default_factory=CapacityBody)
+    capacity: CapacityBody
     labels: list[str] = []
     born: UnixMs = 0
     clock_ms: ClockMs = 0
