Free capacity is derived from the newest entry and the runs

Cause: free capacity was counted up and down from the capacity at the opening of a session, which one branch added to when it had been zero; any other change of the entry was lost, and a run of unknown demand, which has to occupy the whole worker, occupied nothing while the capacity was unknown. The run table now keeps what the runs occupy and derives what is free from the newest entry; an unknown demand is larger than any worker. Red before: test_worker_that_restarts_as_a_larger_kind_gets_what_only_it_can_hold (no result in 40 s), test_run_of_unknown_demand_occupies_a_worker_whose_capacity_is_learnt_later.

--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -1,15 +1,19 @@
 """Runs on one worker and the resources that they occupy."""
 
+import sys
 from enum import Enum
 
 from marigoldlift.orders.api import HeldRun, Worker
 from marigoldlift.submissions.model import Step, TaskRef
 
-__all__ = ('HeldTasks', 'Phase', 'Run', 'RunTable')
+__all__ = ('UNKNOWN_DEMAND', 'HeldTasks', 'Phase', 'Run', 'RunTable')
 
 #: Ended runs remembered for each worker; a worker lists 500 at a time.
 ENDED_KEPT = 2000
 
+#: Demand of a run whose step is unknown: more than any worker has, so that nothing else is placed beside it.
+UNKNOWN_DEMAND = Step(count=1, cpu_m=sys.maxsize, mem_mb=sys.maxsize, gpus=sys.maxsize)
+
 
 class Phase(Enum):
     """State of a run on its worker."""
@@ -130,7 +134,11 @@
     Attributes:
         runs: the runs by task.
         ended: tasks and numbers of recently ended runs; answers that arrive out of order may still list them.
-        cpu_m: free processor time, in thousandths of a core.
+        used_cpu_m: processor time that the runs occupy, in thousandths of a core.
+        used_mem_mb: memory that the runs occupy, in MB.
+        used_gpus: accelerators that the runs occupy.
+        cpu_m: free processor time, in thousandths of a core; like all free amounts negative if the runs occupy more than
+            the worker has.
         mem_mb: free memory, in MB.
         gpus: free accelerators.
     """
@@ -139,15 +147,16 @@
         """Create an empty table with all resources of the worker free.
 
         Args:
-            worker: the worker.
+            worker: newest entry of the worker.
             held_tasks: counts the runs in the tables of all workers.
         """
         self.held_tasks = held_tasks
         self.runs: dict[TaskRef, Run] = {}
         self.ended: dict[tuple[TaskRef, int], None] = {}
-        self.cpu_m = worker.cpu_m
-        self.mem_mb = worker.mem_mb
-        self.gpus = worker.gpus
+        self.used_cpu_m = 0
+        self.used_mem_mb = 0
+        self.used_gpus = 0
+        self.resize(worker)
 
     def detach(self) -> None:
         """Count further runs in no other table; a late answer may still be processed after the session was replaced."""
@@ -158,10 +167,15 @@
             self.held_tasks.add(left)
 
     def resize(self, worker: Worker) -> None:
-        """Add the capacity of a worker of which only the id was known."""
-        self.cpu_m += worker.cpu_m
-        self.mem_mb += worker.mem_mb
-        self.gpus += worker.gpus
+        """Use the capacity that the worker's newest entry states."""
+        self.worker = worker
+        self.update_free()
+
+    def update_free(self) -> None:
+        """Derive the free resources from the worker's capacity and the runs."""
+        self.cpu_m = self.worker.cpu_m - self.used_cpu_m
+        self.mem_mb = self.worker.mem_mb - self.used_mem_mb
+        self.gpus = self.worker.gpus - self.used_gpus
 
     def take(self, run: Run) -> None:
         """Reserve the resources of a run, replacing any other run of the same task."""
@@ -179,10 +193,11 @@
         return run
 
     def count(self, step: Step, sign: int) -> None:
-        """Subtract (sign 1) or add back (sign -1) the demand of one task."""
-        self.cpu_m -= 0 if step.fills else sign * step.cpu_m
-        self.mem_mb -= sign * step.mem_mb
-        self.gpus -= sign * step.gpus
+        """Add (sign 1) or subtract (sign -1) the demand of one task."""
+        self.used_cpu_m += 0 if step.fills else sign * step.cpu_m
+        self.used_mem_mb += sign * step.mem_mb
+        self.used_gpus += sign * step.gpus
+        self.update_free()
 
     def note_end(self, task: TaskRef, run: int) -> None:
         """Remember an ended run; the oldest is forgotten beyond `ENDED_KEPT`."""
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -18,7 +18,7 @@
 from marigoldlift.orders.clock import WorkerClock
 from marigoldlift.orders.ends import EndList
 from marigoldlift.orders.observer import RunObserver
-from marigoldlift.orders.runs import HeldTasks, Phase, Run, RunTable
+from marigoldlift.orders.runs import UNKNOWN_DEMAND, HeldTasks, Phase, Run, RunTable
 from marigoldlift.submissions.model import Step, TaskRef
 from marigoldlift.supervision import ItemKind
 
@@ -351,10 +351,9 @@
 
 
 def find_demand(session: WorkerSession, held: HeldRun) -> Step | None:
-    """Return the demand of a run of an earlier leader; one that the observer fails over takes the whole worker."""
+    """Return the demand of a run of an earlier leader; unknown if the observer fails over it."""
     try:
         return session.observer.run_found(session, held)
     except Exception as fault:
         session.observer.handling_failed(ItemKind.run, held.task.name, fault)
-    worker = session.worker
-    return Step(count=1, cpu_m=worker.cpu_m, mem_mb=worker.mem_mb, gpus=worker.gpus)
+    return UNKNOWN_DEMAND
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -142,7 +142,7 @@
         step = self.open_submissions.step_of(held.task)
         index = held.task.index
         if step is None:
-            return self.open_submissions.demand_of(held.task, session.worker)
+            return self.open_submissions.demand_of(held.task)
         if index in step.done or index in step.active:
             return step.step
         step.begin(index, session, held.run)
--- a/marigoldlift/scheduling/open_submissions.py
+++ b/marigoldlift/scheduling/open_submissions.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from marigoldlift.orders.api import Worker
+from marigoldlift.orders.runs import UNKNOWN_DEMAND
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.starter import Starter
@@ -112,13 +112,13 @@
             return None
         return step
 
-    def demand_of(self, task: TaskRef, worker: Worker) -> Step:
+    def demand_of(self, task: TaskRef) -> Step:
         """Return the resource demand of a task whose submission is not open.
 
-        If the submission is unknown, the demand is unknown too, and the whole worker counts as occupied.
+        If the submission is unknown, the demand is unknown too, and nothing else is placed on the worker.
         """
         job = self.state.jobs.get(task.submission)
         if job is None or not 0 <= task.step < len(job.submission.steps):
             logger.warning('run of an unknown submission: task={}', task.name)
-            return Step(count=1, cpu_m=worker.cpu_m, mem_mb=worker.mem_mb, gpus=worker.gpus)
+            return UNKNOWN_DEMAND
         return job.submission.steps[task.step]
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -188,9 +188,8 @@
         """Apply a newer registry entry of the same incarnation."""
         if session.worker.ready and not worker.ready:
             logger.info('worker drains: worker={} remaining_ms={}', worker.id, worker.leaving_ms)
-        if not session.worker.cpu_m and worker.cpu_m:
-            session.run_table.resize(worker)
         session.worker = worker
+        session.run_table.resize(worker)
         if worker.leaving_ms is not None:
             self.leave_at[worker.id] = self.clock() + worker.leaving_ms / MS_PER_S
         self.observer.capacity_changed()
--- a/tests/cell/test_capacity.py
+++ b/tests/cell/test_capacity.py
@@ -5,6 +5,9 @@
 import msgspec
 import pytest
 
+from marigoldlift.orders.api import HeldRun
+from marigoldlift.orders.session import adopt_run
+from marigoldlift.scheduling.placement import fitting_tasks
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 from tests.cell.model import registry_entry
 
@@ -89,15 +92,16 @@
 
     async def scenario(cell):
         await asyncio.sleep(ELECTION_S)
-        session = cell.leader().node.dispatcher.session_manager.sessions['w0']
-        unknown = cell.leader().node.dispatcher.open_submissions
-        task = Step(count=1, cpu_m=1)
+        dispatcher = cell.leader().node.dispatcher
+        session = dispatcher.session_manager.sessions['w0']
         entry = session.worker
-        session.run_table.resize(msgspec.structs.replace(entry, cpu_m=0, mem_mb=0, gpus=0))
-        demand = unknown.demand_of(task_ref('unknown'), session.worker)
-        session.run_table.count(demand, 1)
-        session.run_table.resize(entry)
-        assert session.run_table.cpu_m < task.cpu_m
+        dispatcher.session_manager.update(
+            session, msgspec.structs.replace(entry, cpu_m=0, mem_mb=0, gpus=0)
+        )
+        adopt_run(session, HeldRun(task_ref('unknown'), 1, '', 0), 0)
+        dispatcher.session_manager.update(session, entry)
+        assert not fitting_tasks(session, Step(count=1, cpu_m=1))
+        assert not fitting_tasks(session, Step(count=1, mem_mb=1))
 
     run_scenario(scenario, workers=1)
 
