A new incarnation gets no work before its own entry is known

Callers saw LIMIT: a worker that restarted as a smaller kind was filled to the capacity of its earlier incarnation, from the status that reported the restart until the next reading of the list. Cause: the session of the new incarnation kept capacity, labels and service of the old one. They are now unknown until the entry of that incarnation is read; the time at which the old one was to leave goes too. Red before: test_worker_that_restarts_as_a_smaller_kind_is_not_overallocated.

--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -203,6 +203,7 @@
         """
         logger.info('worker restarted: worker={} born_ms={}', worker.id, worker.born_ms)
         self.health_records.pop(worker.id, None)
+        self.leave_at.pop(worker.id, None)
         successor = self.new_session(worker, self.tenure)
         successor.token = session.token + 1
         self.sessions[worker.id] = successor
@@ -341,20 +342,28 @@
 
 def unlisted_worker(known: KnownWorker) -> Worker:
     """Return a worker of which only the record in the log is known; it gets no new tasks."""
+    return unknown_kind(known.worker, known.address, known.failure_domain, born_ms=0)
+
+
+def restarted_worker(worker: Worker, born_ms: int) -> Worker:
+    """Return a new incarnation that the registry doesn't list yet; it gets no new tasks.
+
+    It may be of another kind, so that its capacity, its labels and its service are unknown.
+    """
+    return unknown_kind(worker.id, worker.address, worker.failure_domain, born_ms)
+
+
+def unknown_kind(name: str, address: str, failure_domain: str, born_ms: int) -> Worker:
+    """Return a worker without capacity, which is not ready."""
     return Worker(
-        id=known.worker,
-        address=known.address,
-        failure_domain=known.failure_domain,
+        id=name,
+        address=address,
+        failure_domain=failure_domain,
         service='',
         ready=False,
-        born_ms=0,
+        born_ms=born_ms,
         cpu_m=0,
         mem_mb=0,
         gpus=0,
         labels=(),
     )
-
-
-def restarted_worker(worker: Worker, born_ms: int) -> Worker:
-    """Return a worker's entry with the start time of an incarnation that the registry doesn't list yet."""
-    return msgspec.structs.replace(worker, born_ms=born_ms)
