Ends of a new incarnation are not acknowledged unseen

Callers saw TWICE: a task that was done ran again. Cause: a status poll carries the number of the last stored end; a worker that had restarted under its id, unknown to the leader, forgot its own ends up to that number, so the leader took their runs for lost. Evidence: test_ends_of_a_restarted_worker_are_not_acknowledged_unseen, red before (run 2 starts after run 1 was done and acknowledged). A worker that has left an order unanswered gets polls that acknowledge nothing until its next status, which tells its incarnation.

--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -51,6 +51,7 @@
         ends: ended runs that the worker has listed.
         last_answer_at: when the last answer arrived, in seconds of the monotonic clock.
         poll_failed: whether the last status poll got no answer.
+        may_have_restarted: whether the worker has left an order unanswered since its last status.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         self.full_until: float = 0
         self.opened_at = clock()
         self.poll_failed = False
+        self.may_have_restarted = False
 
     def answers(self) -> bool:
         """Return whether the worker has answered recently enough to get new work."""
@@ -132,6 +134,7 @@
         try:
             clock_ms = await self.calls.start(self.worker, token, order)
         except WorkerUnavailableError as fault:
+            self.may_have_restarted = True
             if fault.may_have_run:
                 self.mark_uncertain(known, fault)
                 return True
@@ -210,10 +213,10 @@
         token = self.token
         sent_at = self.now()
         until_ms = self.renewal(sent_at)
+        # A new incarnation counts its ends anew, and must not forget any before it has told that it is one.
+        acknowledged = 0 if self.may_have_restarted else self.ends.last_acknowledged
         try:
-            found = await self.calls.poll(
-                self.worker, token, self.ends.last_acknowledged, until_ms, wait_ms
-            )
+            found = await self.calls.poll(self.worker, token, acknowledged, until_ms, wait_ms)
         except WorkerRefusedError as refusal:
             if refusal.worker_code == FENCED:
                 self.handle_fencing_refusal(token)
@@ -222,6 +225,7 @@
             return False
         except WorkerUnavailableError:
             self.poll_failed = True
+            self.may_have_restarted = True
             return False
         self.poll_failed = False
         if not self.is_same_incarnation(found):
@@ -258,6 +262,7 @@
         now = self.now()
         was_answering = self.answers()
         self.last_answer_at = now
+        self.may_have_restarted = False
         self.clock.note(found.clock_ms, now)
         self.process_ends(found, now)
         present = {ended.task for ended in found.ended if ended.number in self.ends.unhandled}
--- a/tests/cell/test_late_orders.py
+++ b/tests/cell/test_late_orders.py
@@ -127,3 +127,31 @@
         await cell.wait_for_outcomes(['job'], SETTLED_S)
 
     run_scenario(scenario, workers=2)
+
+
+def test_ends_of_a_restarted_worker_are_not_acknowledged_unseen(run_scenario):
+    """Guards against a done task that runs again: a status poll acknowledged its end by a number of the incarnation before."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 0.2)
+        await cell.submit(cell.leader(), 'first', (Step(count=3, cpu_m=1000),))
+        await cell.wait_for_outcomes(['first'], SETTLED_S)
+        await asyncio.sleep(1)
+        sent_to = delay_next_start(cell, 3)
+        await submit(cell)
+        await asyncio.sleep(0.1)
+        cell.is_listing = False
+        cut_off(cell, sent_to[0])
+        worker = cell.workers[sent_to[0]]
+        worker.crash()
+        await asyncio.sleep(2)
+        worker.begin_incarnation()
+        worker.up = True
+        await asyncio.sleep(2)
+        reconnect(cell)
+        await asyncio.sleep(1)
+        cell.is_listing = True
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario, workers=1)
