A start without an answer holds its task until no incarnation of its worker can execute it

Callers saw TWICE: a task ran on two workers, or again after it was done. Cause: a status under a raised token that does not list a run was taken as proof that the order has no effect. That holds for one incarnation of the worker: the next one under the same id has seen no token, its clock starts anew, and it executes the order up to 12 s late, while the task runs elsewhere. The same with the end of the lease: it says nothing about an order that is executed later.

Now the run stays in the table of its worker, and its room with it, until a status that was sent after the last possible copy omits it, or 20 s for a worker that stays silent; a run that is listed or answered has no copy left. A start with a ticket of the placement advice is exempt: a ticket holds for one incarnation, so the next one refuses the copy. A start that was not sent yet when its worker restarts is placed anew.

Weighed: the same run again at the same worker (a copy may still be executed after that run is done, which is TWICE, and the end may not be withheld for 12 s); raising the token faster (narrows it). Price: a task without a ticket waits up to 12.4 s after a start in doubt.

--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -6,11 +6,26 @@
 from marigoldlift.orders.api import HeldRun, Worker
 from marigoldlift.submissions.model import Step, TaskRef
 
-__all__ = ('UNKNOWN_DEMAND', 'HeldTasks', 'Phase', 'Run', 'RunTable')
+__all__ = (
+    'LATE_ORDER_S',
+    'UNKNOWN_DEMAND',
+    'UNLEASED_EXPIRY_S',
+    'HeldTasks',
+    'Phase',
+    'Run',
+    'RunTable',
+)
 
 #: Ended runs remembered for each worker; a worker lists 500 at a time.
 ENDED_KEPT = 2000
 
+#: Longest time after which a worker may still execute an order that was not answered, in s.
+LATE_ORDER_S = 12
+
+#: Time after which no run of an order that was not answered can be active, in s: an order may be executed 12 s late and
+#: grant a lease of 6 s.
+UNLEASED_EXPIRY_S = 20
+
 #: Demand of a run whose step is unknown: more than any worker has, so that nothing else is placed beside it.
 UNKNOWN_DEMAND = Step(count=1, cpu_m=sys.maxsize, mem_mb=sys.maxsize, gpus=sys.maxsize)
 
@@ -32,12 +47,19 @@
         unanswered: its start has not been answered yet, and no status poll has listed it.
         listed: a status poll of the session's own incarnation of the worker has listed it.
         fence: lowest fencing token that, once the worker has seen it, makes it reject the unanswered start; None if
-            none was raised after the start.
+            none was raised after the start. A later incarnation of the worker has not seen it.
+        is_ordered: whether its start was sent.
+        is_ticketed: whether the start carries a ticket, which no later incarnation of the worker accepts.
+        doubted_at: when the start became one that a later incarnation of the worker may execute, in seconds of the
+            monotonic clock; None if there is no such start.
     """
 
     __slots__ = (
         'checkpoint',
+        'doubted_at',
         'fence',
+        'is_ordered',
+        'is_ticketed',
         'listed',
         'moved_at',
         'percent',
@@ -63,19 +85,32 @@
         self.stop_sent_at: float | None = None
         self.unanswered = phase is Phase.sent
         self.fence: int | None = None
+        self.is_ordered = False
+        self.is_ticketed = False
+        self.doubted_at: float | None = None
         self.listed = False
         self.percent: float = 0
         self.checkpoint = ''
 
+    def order(self, ticket: str) -> None:
+        """Record that the start is sent with a ticket, which is empty if the queue uses none."""
+        self.is_ordered = True
+        self.is_ticketed = bool(ticket)
+
     def confirm(self, held: HeldRun, now: float) -> None:
         """Record that the worker lists the run as present."""
         if held.percent > self.percent:
             self.percent = held.percent
             self.moved_at = now
         self.checkpoint = held.checkpoint or self.checkpoint
+        self.listed = True
+        self.note_executed(now)
+
+    def note_executed(self, now: float) -> None:
+        """Record that the worker has executed the start, so that no copy of it is left."""
         self.since = now
         self.unanswered = False
-        self.listed = True
+        self.doubted_at = None
         if self.phase is Phase.sent:
             self.phase = Phase.held
 
@@ -86,6 +121,8 @@
 
     def mark_uncertain(self, token: int, now: float) -> None:
         """Mark the start as unanswered until a status poll under at least this token shows its outcome."""
+        if self.is_ordered and self.unanswered and self.fence is None and not self.is_ticketed:
+            self.doubted_at = now
         self.unanswered = True
         self.fence = token
         self.since = now
@@ -93,14 +130,29 @@
     def is_surely_absent(self, sent_at: float, token: int) -> bool:
         """Return whether a status poll that omits the run proves that it neither runs nor will start.
 
+        While a later incarnation of the worker may execute the start, no poll proves it.
+
         Args:
             sent_at: when the poll was sent, in seconds of the monotonic clock.
             token: fencing token of the poll.
         """
         if self.since >= sent_at:
             return False
+        if self.doubted_at is not None and sent_at < self.doubted_at + LATE_ORDER_S:
+            return False
         return not self.unanswered or (self.fence is not None and token >= self.fence)
 
+    def may_outlive_lease(self, now: float) -> bool:
+        """Return whether the run may be active, or may start, although the lease of its worker has expired.
+
+        A worker that restarts may execute the start late and grant a lease that counts from then.
+        """
+        return self.doubted_at is not None and not self.has_expired(now)
+
+    def has_expired(self, now: float) -> bool:
+        """Return whether no late copy of the start can be active any more, unless its lease was renewed."""
+        return self.doubted_at is not None and now > self.doubted_at + UNLEASED_EXPIRY_S
+
 
 class HeldTasks:
     """Number of workers that hold a run of each task, kept for all run tables of one tenure.
@@ -205,6 +257,11 @@
         if len(self.ended) > ENDED_KEPT:
             self.ended.pop(next(iter(self.ended)))
 
+    def is_unanswered(self, task: TaskRef) -> bool:
+        """Return whether the start of a task has no answer yet and the worker has not listed it."""
+        run = self.runs.get(task)
+        return run is not None and run.unanswered
+
     def tasks_of(self, task: TaskRef) -> int:
         """Return how many tasks of the same step occurrence as `task` the worker holds."""
         step = (task.submission, task.occurrence, task.step)
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -1,7 +1,8 @@
 """Session of this leader with one worker: lease, fencing token and runs."""
 
 import asyncio
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Sequence
 
 import msgspec
 from loguru import logger
@@ -18,11 +19,19 @@
 from marigoldlift.orders.clock import WorkerClock
 from marigoldlift.orders.ends import EndList
 from marigoldlift.orders.observer import RunObserver
-from marigoldlift.orders.runs import UNKNOWN_DEMAND, HeldTasks, Phase, Run, RunTable
+from marigoldlift.orders.runs import (
+    LATE_ORDER_S,
+    UNKNOWN_DEMAND,
+    UNLEASED_EXPIRY_S,
+    HeldTasks,
+    Phase,
+    Run,
+    RunTable,
+)
 from marigoldlift.submissions.model import Step, TaskRef
 from marigoldlift.supervision import ItemKind
 
-__all__ = ('SUSPECT_S', 'WorkerSession')
+__all__ = ('SUSPECT_S', 'WorkerSession', 'give_up_late_starts')
 
 #: Low bits of a fencing token, below the tenure number, that count raises within a tenure.
 TOKEN_RAISE_BITS = 16
@@ -30,10 +39,6 @@
 #: Time without an answer after which a worker gets no new work, in s; a waiting poll takes 0.7 s.
 SUSPECT_S = 1.3
 
-#: Age of a session that has sent no lease after which no earlier run can still be active on the worker, in s: orders
-#: may be executed 12 s late and grant a lease of 6 s.
-UNLEASED_EXPIRY_S = 20
-
 #: Refusal of an order whose fencing token is too low.
 FENCED = 'fence'
 
@@ -50,6 +55,7 @@
         synced: whether the worker has answered under the current token.
         ends: ended runs that the worker has listed.
         last_answer_at: when the last answer arrived, in seconds of the monotonic clock.
+        answered_poll_at: when the newest answered status poll was sent, in seconds of the monotonic clock.
         poll_failed: whether the last status poll got no answer.
         may_have_restarted: whether the worker has left an order unanswered since its last status.
     """
@@ -91,6 +97,7 @@
         self.opened_at = clock()
         self.poll_failed = False
         self.may_have_restarted = False
+        self.answered_poll_at: float = -math.inf
 
     def answers(self) -> bool:
         """Return whether the worker has answered recently enough to get new work."""
@@ -128,6 +135,7 @@
         Raises:
             WorkerRefusedError: the worker has refused it; the error holds the reason.
         """
+        known.order(ticket)
         until_ms = self.clock.start_lease(self.now(), self.lease_s)
         order = StartOrder(known.task, known.run, content, until_ms or 0, known.checkpoint, ticket)
         token = self.token
@@ -147,17 +155,14 @@
             raise
         self.last_answer_at = self.now()
         self.clock.note(clock_ms, self.last_answer_at)
-        known.since = self.last_answer_at
-        known.unanswered = False
-        if known.phase is Phase.sent:
-            known.phase = Phase.held
+        known.note_executed(self.last_answer_at)
         return True
 
-    def give_up_runs(self) -> None:
-        """Give up all runs because the worker's incarnation has ended or its lease has expired."""
-        for known in list(self.run_table.runs.values()):
-            self.release(known.task)
-            self.observer.run_vanished(self, known)
+    def give_up_runs(self) -> int:
+        """Give up the runs that have ended with the worker's incarnation or its lease, and return their number."""
+        now = self.now()
+        runs = self.run_table.runs.values()
+        return give_up(self, [run for run in runs if not run.may_outlive_lease(now)])
 
     def drop(self, known: Run) -> None:
         """Free the capacity of a run that is certainly absent."""
@@ -171,15 +176,18 @@
         already marked it as uncertain under its own token.
         """
         logger.info(
-            'start in doubt: task={} run={} worker={} {}',
+            'start in doubt: task={} run={} worker={} ticketed={} {}',
             known.task.name,
             known.run,
             self.worker.id,
+            known.is_ticketed,
             fault,
         )
         if self.run_table.runs.get(known.task) is known:
             self.raise_token()
             known.mark_uncertain(self.token, self.now())
+            if known.doubted_at is not None:
+                asyncio.get_running_loop().call_later(LATE_ORDER_S, self.poll_requested.set)
 
     def raise_token(self) -> None:
         """Use a higher fencing token from now on, and poll at once."""
@@ -262,6 +270,7 @@
         now = self.now()
         was_answering = self.answers()
         self.last_answer_at = now
+        self.answered_poll_at = max(self.answered_poll_at, sent_at)
         self.may_have_restarted = False
         self.clock.note(found.clock_ms, now)
         self.process_ends(found, now)
@@ -333,6 +342,26 @@
                 self.observer.run_vanished(self, known)
 
 
+def give_up_late_starts(session: WorkerSession) -> int:
+    """Give up the late starts of which nothing can be active any more, and return their number.
+
+    This holds while the session has sent no lease that such a run may have received.
+    """
+    if session.clock.lease_ms:
+        return 0
+    now = session.now()
+    runs = session.run_table.runs.values()
+    return give_up(session, [run for run in runs if run.has_expired(now)])
+
+
+def give_up(session: WorkerSession, ended: Sequence[Run]) -> int:
+    """Give up runs that have certainly ended, and return their number."""
+    for known in ended:
+        session.release(known.task)
+        session.observer.run_vanished(session, known)
+    return len(ended)
+
+
 def log_page(session: WorkerSession) -> None:
     """Log how far the ended runs of a worker are read."""
     ends = session.ends
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -11,7 +11,7 @@
 from marigoldlift.orders.observer import RunObserver
 from marigoldlift.orders.polling import poll_continuously
 from marigoldlift.orders.runs import HeldTasks
-from marigoldlift.orders.session import SUSPECT_S, WorkerSession
+from marigoldlift.orders.session import SUSPECT_S, WorkerSession, give_up_late_starts
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.worker_health import WorkerHealth
 from marigoldlift.scheduling.registry import Registry
@@ -197,9 +197,9 @@
     def replace(self, session: WorkerSession, worker: Worker) -> None:
         """Open a new session with a worker that has restarted under the same id.
 
-        Runs that the old incarnation has listed ended with it. The start order of any other run, whether answered or
-        not, may have reached the new incarnation, so its outcome is unknown until the worker answers under a higher
-        token.
+        Runs that the old incarnation has listed ended with it, and those whose start was not sent yet are placed anew. The
+        start order of any other run, whether answered or not, may have reached the new incarnation, so its outcome is
+        unknown until the worker answers under a higher token.
         """
         logger.info('worker restarted: worker={} born_ms={}', worker.id, worker.born_ms)
         self.health_records.pop(worker.id, None)
@@ -209,7 +209,7 @@
         self.sessions[worker.id] = successor
         for known in tuple(session.run_table.runs.values()):
             session.run_table.pop(known.task)
-            if known.listed:
+            if known.listed or not known.is_ordered:
                 self.observer.run_vanished(session, known)
                 continue
             known.mark_uncertain(successor.token, self.clock())
@@ -249,12 +249,10 @@
     def check_session(self, session: WorkerSession, now: float) -> None:
         """Give up the runs of a session whose lease has lapsed, and close it if it is no longer needed."""
         if session.run_table.runs and session.is_lost():
-            logger.warning(
-                'lease lapsed: worker={} runs={}',
-                session.worker.id,
-                len(session.run_table.runs),
-            )
-            session.give_up_runs()
+            given_up = session.give_up_runs()
+            if given_up:
+                logger.warning('lease lapsed: worker={} runs={}', session.worker.id, given_up)
+        give_up_late_starts(session)
         if session.ends.is_stalled(now) and session.is_lost():
             give_up_list(session)
             self.health(session.worker.id).record_failure(now)
--- a/standins/cell/invariants.py
+++ b/standins/cell/invariants.py
@@ -23,6 +23,8 @@
         done: tasks with an acknowledged end `done`.
         failed: number of acknowledged ends `failed`, by task.
         ended_failed: number of ends `failed`, acknowledged or not, by task.
+        unanswered: loop time at which the newest start was sent that has no answer and that no status has listed, by task,
+            in s.
     """
 
     def __init__(self) -> None:
@@ -37,6 +39,7 @@
         self.done: set[TaskRef] = set()
         self.failed: dict[TaskRef, int] = {}
         self.ended_failed: dict[TaskRef, int] = {}
+        self.unanswered: dict[TaskRef, float] = {}
         self.cancelled: set[str] = set()
         self.alone: int = 0
 
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -332,9 +332,15 @@
         checker = self.workers[worker.id].checker
         step = checker.submissions[order.task.submission].steps[order.task.step]
         duration_s = self.duration_of(order.task)
-        answer = await self.execute(
-            worker, lambda target: target.start(token, order, step, duration_s)
-        )
+        checker.unanswered[order.task] = asyncio.get_running_loop().time()
+        try:
+            answer = await self.execute(
+                worker, lambda target: target.start(token, order, step, duration_s)
+            )
+        except WorkerRefusedError:
+            checker.unanswered.pop(order.task, None)
+            raise
+        checker.unanswered.pop(order.task, None)
         return float(str(answer))
 
     async def stop(self, worker: Worker, token: int, task: TaskRef, run: int) -> None:
@@ -375,7 +381,10 @@
     """Return the status, unless the worker has gone down meanwhile."""
     if not target.up:
         raise WorkerUnavailableError('no answer', may_have_run=True)
-    return target.status()
+    status = target.status()
+    for listed in (*status.running, *status.ended):
+        target.checker.unanswered.pop(listed.task, None)
+    return status
 
 
 def execute_late(target: MemoryWorker, command: Callable[[MemoryWorker], object]) -> None:
--- a/tests/cell/test_late_orders.py
+++ b/tests/cell/test_late_orders.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marigoldlift.errors import WorkerUnavailableError
-from marigoldlift.submissions.model import Step
+from marigoldlift.submissions.model import AdvicePolicy, Step
 from standins.cell.workers import CALL_TIMEOUT_S, execute_late
 
 ELECTION_S = 1.5
@@ -155,3 +155,63 @@
         await cell.wait_for_outcomes(['job'], SETTLED_S)
 
     run_scenario(scenario, workers=1)
+
+
+def test_start_in_doubt_keeps_its_capacity_over_a_restart(run_scenario):
+    """Guards against a worker that is filled up before it executes a start of its earlier incarnation."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        sent_to = delay_next_start(cell, 5)
+        await submit(cell)
+        await asyncio.sleep(3)
+        cell.workers[sent_to[0]].begin_incarnation()
+        cell.list_workers()
+        await asyncio.sleep(1)
+        session = cell.leader().node.dispatcher.session_manager.sessions[sent_to[0]]
+        assert session.run_table.cpu_m == session.worker.cpu_m - 1000
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario, workers=1)
+
+
+def test_start_with_a_ticket_is_repeated_without_waiting_for_late_copies(run_scenario):
+    """Guards against waiting for a copy that no later incarnation of the worker accepts."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 1)
+        cell.advice.policy = AdvicePolicy(10, 1, 1500)
+        delay_next_start(cell, 3)
+        await cell.submit(
+            cell.leader(), 'job', (Step(count=1, cpu_m=1000),), advice=cell.advice.policy
+        )
+        await cell.wait_for_outcomes(['job'], 4)
+
+    run_scenario(scenario, workers=2)
+
+
+def test_task_whose_start_was_not_sent_is_placed_again_at_a_restart(run_scenario):
+    """Guards against waiting for copies of a start that the leader was about to send as the worker restarted."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 1)
+        starter = cell.leader().node.dispatcher.starter
+        store = starter.progress.store_now
+
+        async def store_slowly(job):
+            await asyncio.sleep(1)
+            await store(job)
+
+        starter.progress.store_now = store_slowly
+        await submit(cell)
+        await asyncio.sleep(0.5)
+        for worker in cell.workers.values():
+            worker.begin_incarnation()
+        cell.list_workers()
+        starter.progress.store_now = store
+        await cell.wait_for_outcomes(['job'], 5)
+
+    run_scenario(scenario, workers=2)
--- a/tests/cell/test_standstill.py
+++ b/tests/cell/test_standstill.py
@@ -1,10 +1,11 @@
 """No startable task stands still longer than its worker's lease."""
 
 import asyncio
+from functools import partial
 
 import pytest
 
-from marigoldlift.submissions.model import Step, TaskRef
+from marigoldlift.submissions.model import AdvicePolicy, Step, TaskRef
 from standins.cell.workers import HeldTask
 from tests.cell.standstill import StandstillChecker
 from tests.cell.sequential_faults import change_leaders, inject_all_faults
@@ -13,6 +14,8 @@
 QUICK_SEEDS = range(12)
 LONG_SEEDS = range(12, 400)
 
+FAST_ADVICE = AdvicePolicy(10, 1, 1500)
+
 
 @pytest.mark.parametrize('seed', QUICK_SEEDS)
 def test_no_task_stands_still(run_scenario, seed):
@@ -26,6 +29,13 @@
     run_scenario(change_leaders, seed=seed, workers=6)
 
 
+@pytest.mark.parametrize('seed', QUICK_SEEDS)
+@pytest.mark.parametrize('scenario', [inject_all_faults, change_leaders])
+def test_no_task_with_tickets_stands_still(run_scenario, scenario, seed):
+    """Guards against tasks that wait for late copies of a start although its ticket excludes them."""
+    run_scenario(partial(scenario, advice=FAST_ADVICE), seed=seed, workers=6)
+
+
 @pytest.mark.fuzz
 @pytest.mark.parametrize('seed', LONG_SEEDS)
 @pytest.mark.parametrize('scenario', [inject_all_faults, change_leaders])
