A new leader waits for late copies of starts that earlier leaders left without an answer

Callers saw TWICE over a change of the leader: the start order of the leader before was executed by the next incarnation of its worker while the task ran elsewhere. Cause: a new leader does not know which starts had no answer; a status that omits a task freed it.

Progress records of tasks without tickets now name the starts that have no answer, with the tenure that ordered them, and are stored again once they have one. The bound belongs to the tenure that ordered the start, so that further changes of the leader do not extend it. What is known of earlier orders moves from the session manager to a module of its own.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -132,7 +132,7 @@
             return
         mine = record.life == self.candidate.life
         if not mine:
-            self.earlier_leaders.note(record)
+            self.earlier_leaders.note(record, tenure_of(record, offset))
         if not self.tenures.admit(record, offset, is_held=is_leader(self, record)):
             logger.info('leadership record without effect: node={} offset={}', record.node, offset)
             return
@@ -159,10 +159,15 @@
     def end_tenure(self, successor: str) -> None:
         """Stop being the leader."""
         logger.info('leadership ends: tenure={} successor={}', self.tenure, successor)
-        self.tenure = None
-        self.earlier_leaders.note_end(self.candidate.life)
+        self.forget_tenure()
         self.notify_observers()
 
+    def forget_tenure(self) -> None:
+        """Send no more orders in the present tenure, if there is one."""
+        if self.tenure is not None:
+            self.earlier_leaders.note_end(self.candidate.life, self.tenure)
+        self.tenure = None
+
     def notify_observers(self) -> None:
         """Call all observers of the leadership."""
         for observer in self.on_change:
@@ -272,8 +277,7 @@
 
     async def restart_tenure(self) -> None:
         """Start a new tenure, whose number is above the offset of any earlier record."""
-        self.tenure = None
-        self.earlier_leaders.note_end(self.candidate.life)
+        self.forget_tenure()
         await self.write(renews=None)
 
     async def retire(self) -> None:
@@ -283,6 +287,11 @@
             await self.hand_over('released')
 
 
+def tenure_of(record: Leadership, offset: int) -> int:
+    """Return the number of the tenure that a record at an offset begins, renews or releases."""
+    return offset if record.renews == NEW_TENURE else record.renews
+
+
 def is_leader(election: Election, record: Leadership) -> bool:
     """Return whether the sender of a record leads already."""
     if record.life == election.candidate.life:
--- a/marigoldlift/leadership/tests/test_earlier.py
+++ b/marigoldlift/leadership/tests/test_earlier.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from marigoldlift.leadership.earlier_leaders import LEADER_LEASE_S, EarlierLeaders
+from marigoldlift.leadership.earlier_leaders import (
+    LEADER_LEASE_S,
+    TENURES_KEPT,
+    EarlierLeaders,
+)
 from marigoldlift.submissions.records import Leadership
 
 pytestmark = pytest.mark.looptime
@@ -19,14 +23,34 @@
     """Guards against ignoring orders of a paused leader, and against waiting for one that is known to have ended."""
     clock = asyncio.get_running_loop().time
     earlier = EarlierLeaders('c', clock)
-    earlier.note(record('a1'))
+    earlier.note(record('a1'), 1)
     await asyncio.sleep(1)
-    earlier.note(record('b1'))
-    earlier.note(record('c1'))
+    earlier.note(record('b1'), 2)
+    earlier.note(record('c1'), 3)
     await asyncio.sleep(1)
-    earlier.note(record('b1', released=True))
-    earlier.note_end('c2')
+    earlier.note(record('b1', released=True), 2)
+    earlier.note_end('c2', 4)
     assert earlier.active_until == {'a1': LEADER_LEASE_S, 'b1': 2, 'c2': 2, 'c1': 1}
     assert earlier.ended_at() == LEADER_LEASE_S
-    earlier.note(record('a1', released=True))
+    earlier.note(record('a1', released=True), 1)
     assert earlier.ended_at() == 2
+
+
+async def test_orders_of_a_tenure_end_with_its_own_records():
+    """Guards against starts without an answer that each later leader holds back for as long as the first one did."""
+    clock = asyncio.get_running_loop().time
+    earlier = EarlierLeaders('c', clock)
+    earlier.note(record('a1'), 1)
+    await asyncio.sleep(10)
+    earlier.note(record('b1'), 2)
+    assert earlier.ended_by(1) == LEADER_LEASE_S
+    assert earlier.ended_by(2) == 10 + LEADER_LEASE_S
+    assert earlier.ended_by(0) == earlier.ended_at()
+
+
+async def test_number_of_kept_tenures_is_bounded():
+    """Guards against memory that grows with each change of the leader."""
+    earlier = EarlierLeaders('c', asyncio.get_running_loop().time)
+    for tenure in range(2 * TENURES_KEPT):
+        earlier.note_end('c1', tenure)
+    assert len(earlier.tenures) == TENURES_KEPT
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -151,7 +151,7 @@
         self.log_is_read = True
         for submission in tuple(self.parts.state.jobs):
             self.open_submissions.open(submission)
-        self.session_manager.open_recorded(self.parts.election.earlier_leaders.ended_at())
+        self.session_manager.open_recorded(self.parts.election.earlier_leaders)
         deadline = self.clock() + TAKEOVER_WAIT_S
         while self.clock() < deadline and not self.session_manager.all_runs_known():
             await asyncio.sleep(MIN_PASS_PAUSE_S)
@@ -162,7 +162,7 @@
             self.tenure,
             len(self.open_submissions.jobs),
             len(self.session_manager.sessions),
-            sorted(self.session_manager.unreachable),
+            sorted(self.session_manager.earlier_orders.unreachable),
         )
 
     async def fence_log(self) -> bool:
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -163,6 +163,8 @@
         self.metrics.add(Metric.starts, outcome=reason)
         if reason == STARTED:
             self.note_begun(step)
+            if not step.uses_tickets:
+                self.open_submissions.progress.note(step.job)
             policy = step.job.submission.policy
             self.metrics.observe(
                 Metric.task_wait, self.clock() - step.job.since, kind=policy.queue
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -109,6 +109,8 @@
 
     def record_of(self, job: JobRun) -> Progress:
         """Return the record with the current progress of a submission."""
-        steps = [step.progress() for step in job.steps.values() if step.last_run or step.done]
+        steps = [
+            step.progress(self.tenure) for step in job.steps.values() if step.last_run or step.done
+        ]
         outcome = job.outcome or OPEN_OUTCOMES[job.begun]
         return Progress(job.id, self.tenure, outcome, steps)
--- a/marigoldlift/scheduling/retention.py
+++ b/marigoldlift/scheduling/retention.py
@@ -91,8 +91,8 @@
             for task in session.run_table.runs
         }
         ended_before = (
-            self.state.clock() - self.session_manager.orders_expiry_s
-            if self.session_manager.unreachable
+            self.state.clock() - self.session_manager.earlier_orders.expiry_s
+            if self.session_manager.earlier_orders.unreachable
             else None
         )
         return [
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -3,16 +3,16 @@
 import asyncio
 from collections.abc import Mapping
 
-import msgspec
 from loguru import logger
 
-from marigoldlift.leadership.election import LEADER_LEASE_S
+from marigoldlift.leadership.earlier_leaders import EarlierLeaders
 from marigoldlift.orders.api import Worker, WorkerCalls
 from marigoldlift.orders.observer import RunObserver
 from marigoldlift.orders.polling import poll_continuously
 from marigoldlift.orders.runs import HeldTasks
 from marigoldlift.orders.session import SUSPECT_S, WorkerSession, give_up_late_starts
 from marigoldlift.replication.appender import Appender
+from marigoldlift.scheduling.earlier_orders import EarlierOrders
 from marigoldlift.scheduling.worker_health import WorkerHealth
 from marigoldlift.scheduling.registry import Registry
 from marigoldlift.scheduling.worker_records import WorkerRecords
@@ -35,35 +35,17 @@
 POLL_RETRY_S = 0.2
 
 
-class UnreachableDeadlines(msgspec.Struct, frozen=True):
-    """Times after which everything that an unreachable worker may hold has certainly ended.
-
-    Both are in seconds of the monotonic clock.
-
-    Attributes:
-        listed: applies while the registry lists the worker; counted from the takeover.
-        gone: applies once the registry no longer lists it; counted from the last possible order of an earlier leader.
-    """
-
-    listed: float
-    gone: float
-
-
 class SessionManager:
     """Opens, renews and closes the sessions of one tenure.
 
     Attributes:
         lease_s: length of the leases that sessions give, in s.
-        lease_expiry_s: time after which a lease has certainly lapsed, in s.
-        orders_expiry_s: time from a takeover after which all leases of earlier leaders have certainly lapsed, in s: the
-            lease of a leader and that of a worker.
         sessions: sessions by worker id.
         held_tasks: tasks of which any worker holds a run.
         health_records: failures by worker id.
         records: records of the workers in the log.
         leave_at: earliest time at which a draining worker leaves, by id, in seconds of the monotonic clock.
-        unreachable: workers that have not listed all their runs and ends since the takeover, with the times after which
-            everything that they may hold has certainly ended.
+        earlier_orders: what may remain of the orders of earlier leaders.
         tasks: polling tasks by worker id.
         faults: sets aside workers whose handling raises.
     """
@@ -88,14 +70,17 @@
         self.faults = faults
         self.clock = state.clock
         self.lease_s = longest_lease_s - LEASE_MARGIN_S
-        self.lease_expiry_s = longest_lease_s * SLOW_CLOCK_FACTOR + TIMER_SLACK_S
-        self.orders_expiry_s = LEADER_LEASE_S + self.lease_expiry_s
         self.sessions: dict[str, WorkerSession] = {}
         self.held_tasks = HeldTasks()
         self.health_records: dict[str, WorkerHealth] = {}
         self.records = WorkerRecords(appender)
         self.leave_at: dict[str, float] = {}
-        self.unreachable: dict[str, UnreachableDeadlines] = {}
+        self.earlier_orders = EarlierOrders(
+            registry.workers,
+            self.sessions,
+            self.clock,
+            longest_lease_s * SLOW_CLOCK_FACTOR + TIMER_SLACK_S,
+        )
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
     def health(self, worker: str) -> WorkerHealth:
@@ -106,22 +91,14 @@
             self.health_records[worker] = record
         return record
 
-    def open_recorded(self, orders_ended_at: float) -> None:
-        """Open sessions with all listed workers, and with all others that an earlier leader has recorded.
-
-        Args:
-            orders_ended_at: last time at which an earlier leader can have sent orders, in seconds of the monotonic
-                clock.
-        """
-        deadlines = UnreachableDeadlines(
-            self.clock() + self.orders_expiry_s, orders_ended_at + self.lease_expiry_s
-        )
+    def open_recorded(self, leaders: EarlierLeaders) -> None:
+        """Open sessions with all listed workers, and with all others that an earlier leader has recorded."""
         self.refresh()
         for known in self.state.workers.values():
             self.records.recorded.add(known.worker)
             if known.worker not in self.sessions:
                 self.open(unlisted_worker(known), self.tenure)
-            self.unreachable[known.worker] = deadlines
+        self.earlier_orders.begin(self.state.workers, leaders)
 
     def refresh(self) -> None:
         """Open or update sessions according to the registry."""
@@ -256,35 +233,19 @@
         if session.ends.is_stalled(now) and session.is_lost():
             give_up_list(session)
             self.health(session.worker.id).record_failure(now)
-        if session.knows_earlier_runs() or self.unreachable_deadline_passed(session, now):
-            self.unreachable.pop(session.worker.id, None)
+        self.earlier_orders.settle(session, now)
         if self.is_removable(session, now):
             self.close(session)
 
-    def unreachable_deadline_passed(self, session: WorkerSession, now: float) -> bool:
-        """Return whether everything that an unreachable worker may hold has certainly ended.
-
-        A worker that is still listed is running and may execute a late order in an incarnation that this leader does
-        not know yet, so its deadline is later. While a worker has a lease of this session, it may still list the end of
-        an earlier run.
-        """
-        name = session.worker.id
-        deadlines = self.unreachable.get(name)
-        if deadlines is None or session.clock.may_hold_lease(now):
-            return False
-        if name in self.registry.workers:
-            return now > deadlines.listed
-        return now > deadlines.gone
-
     def is_removable(self, session: WorkerSession, now: float) -> bool:
         """Return whether a worker is no longer listed and cannot hold any run."""
         if (
             session.worker.id in self.registry.workers
             or session.run_table.runs
-            or session.worker.id in self.unreachable
+            or session.worker.id in self.earlier_orders.unreachable
         ):
             return False
-        return now - session.last_answer_at > self.orders_expiry_s
+        return now - session.last_answer_at > self.earlier_orders.expiry_s
 
     def close(self, session: WorkerSession) -> None:
         """Close a session and drop the record of its worker."""
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -1,7 +1,8 @@
 """State of open submissions on the leader: which tasks wait, run or have ended."""
 
-from collections.abc import Container, Sequence
+from collections.abc import Sequence
 from enum import Enum
+from typing import Protocol
 
 import msgspec
 
@@ -11,7 +12,7 @@
 from marigoldlift.submissions.records import Outcome, StepProgress
 from marigoldlift.submissions.state import Job
 
-__all__ = ('JobRun', 'PendingReason', 'StepRun', 'Ticket')
+__all__ = ('EarlierPlace', 'EarlierTasks', 'JobRun', 'PendingReason', 'StepRun', 'Ticket')
 
 MS_PER_S = 1000
 
@@ -24,7 +25,8 @@
 
     Attributes:
         not_planned: the pass did not reach the step.
-        unreachable: its tasks may run, or have ended, on a worker that has not listed all its ends since the takeover.
+        unreachable: its tasks may run, or have ended, on a worker that has not listed all its ends since the takeover, or
+            a worker may still execute the order of an earlier leader to start them.
         headroom: the free CPU is reserved for urgent submissions.
         reserved: the workers that it may use are reserved for a gang.
         room: the workers that it may use lack free capacity.
@@ -57,6 +59,26 @@
     until: float
 
 
+class EarlierPlace(msgspec.Struct, frozen=True):
+    """Placement of a task by an earlier leader.
+
+    Attributes:
+        worker: id of the worker.
+        unanswered_in: tenure of the leader whose start order had no answer and may still be executed, None if there is no
+            such order.
+    """
+
+    worker: str
+    unanswered_in: int | None
+
+
+class EarlierTasks(Protocol):
+    """What is known of the tasks that earlier leaders have placed."""
+
+    def may_hold(self, place: EarlierPlace) -> bool:
+        """Return whether the worker may run, or may have run, or may start late a task that was placed there."""
+
+
 class StepRun:
     """Tasks of one step in one occurrence of a submission.
 
@@ -76,7 +98,7 @@
         gang_started_at: when the first members of the gang's current run were started, in seconds of the monotonic
             clock; None while none runs.
         gang_broken: whether a member of the current run has ended, so that all must end before the next run.
-        old_places: workers on which an earlier leader has placed tasks that have not been found yet, by index.
+        old_places: where earlier leaders have placed the tasks that have not been found yet, by index.
     """
 
     def __init__(
@@ -101,7 +123,10 @@
         self.ask_after: float = 0
         self.gang_started_at: float | None = None
         self.gang_broken = False
-        self.old_places = dict(stored.placed)
+        self.old_places = {
+            index: EarlierPlace(worker, stored.unanswered.get(index))
+            for index, worker in stored.placed.items()
+        }
 
     @property
     def is_done(self) -> bool:
@@ -136,15 +161,20 @@
             return self.last_run + int(is_new_run)
         return max(self.runs.get(index, 0), self.first_run) + 1
 
-    def startable(self, unreachable: Container[str]) -> list[int]:
-        """Return the waiting tasks that can neither be running already nor have ended.
+    @property
+    def uses_tickets(self) -> bool:
+        """Return whether starts carry a ticket, which holds for one incarnation of a worker only."""
+        return self.job.submission.policy.advice is not None
+
+    def startable(self, earlier: 'EarlierTasks') -> list[int]:
+        """Return the waiting tasks that can neither be running already, nor have ended, nor be started late.
 
-        A gang has none while any of its tasks may still run, or have ended, on an unreachable worker.
+        A gang has none while that is unknown of any of its tasks.
 
         Args:
-            unreachable: ids of the workers that have not listed all their runs and ends since the takeover.
+            earlier: tells which workers may hold tasks that an earlier leader has placed there.
         """
-        blocked = {index for index, worker in self.old_places.items() if worker in unreachable}
+        blocked = {index for index, place in self.old_places.items() if earlier.may_hold(place)}
         if self.step.gang and blocked:
             return []
         return sorted(self.todo - blocked)
@@ -198,16 +228,37 @@
         failed.add(run)
         return len(failed)
 
-    def progress(self) -> StepProgress:
-        """Return the progress of the step as it is stored."""
+    def progress(self, tenure: int) -> StepProgress:
+        """Return the progress of the step as the leader of a tenure stores it."""
         failures = {index: sorted(runs) for index, runs in self.failures.items()}
-        placed = self.old_places | {
-            index: session.worker.id for index, session in self.active.items()
-        }
+        placed = {index: place.worker for index, place in self.old_places.items()}
+        placed |= {index: session.worker.id for index, session in self.active.items()}
         return StepProgress(
-            self.occurrence, self.number, self.last_run, sorted(self.done), failures, placed
+            self.occurrence,
+            self.number,
+            self.last_run,
+            sorted(self.done),
+            failures,
+            placed,
+            self.unanswered(tenure),
         )
 
+    def unanswered(self, tenure: int) -> dict[int, int]:
+        """Return who has ordered the starts without an answer; none if no late copy of them has an effect."""
+        if self.uses_tickets:
+            return {}
+        earlier = {
+            index: place.unanswered_in
+            for index, place in self.old_places.items()
+            if place.unanswered_in is not None
+        }
+        own = {
+            index: tenure
+            for index, session in self.active.items()
+            if session.run_table.is_unanswered(self.task(index))
+        }
+        return earlier | own
+
 
 class JobRun:
     """One open submission.
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -42,6 +42,8 @@
         last_run: highest run number with which any task of the step was started.
         placed: workers on which tasks that have not ended were started, by index of the task.
         failures: numbers of the failed runs, by index of the task; those of a gang are under index 0.
+        unanswered: tenures of the leaders that have ordered the starts without an answer, which may still be executed, by
+            index of the task.
     """
 
     occurrence: int
@@ -50,6 +52,7 @@
     done: list[int] = []
     failures: dict[int, list[int]] = {}
     placed: dict[int, str] = {}
+    unanswered: dict[int, int] = {}
 
 
 class Record(msgspec.Struct, array_like=True, tag=True):
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -96,6 +96,7 @@
         done=sorted({*known.done, *added.done}),
         failures=failures,
         placed=added.placed,
+        unanswered=added.unanswered,
     )
 
 
--- a/tests/cell/standstill.py
+++ b/tests/cell/standstill.py
@@ -235,7 +235,10 @@
         if step is None:
             return ''
         session = step.active.get(task.index)
-        return session.worker.id if session else step.old_places.get(task.index, '')
+        if session is not None:
+            return session.worker.id
+        old_place = step.old_places.get(task.index)
+        return old_place.worker if old_place else ''
 
     def leader_view(self, task: TaskRef) -> str:
         """Describe the leader's state of a task for a violation."""
