Serve advice calls of the model outside of the caller's process

A process that was killed while its call was served held up all later calls of its relay, so that no submission on a queue with advice ended.

--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -29,7 +29,7 @@
 from standins.cell.invariants import InvariantChecker
 from standins.cell.log import LogClient, MemoryLog
 from standins.cell.workers import MemoryWorker, MemoryWorkers, ticket_text
-from tests.model.clock import Gate, ModelLoop
+from tests.model.clock import Gate, ModelLoop, spawn_outside
 
 __all__ = ('ModelCell', 'ModelEntry', 'policy')
 
@@ -85,8 +85,15 @@
     async def advise(
         self, relay: str, step: str, workers: Sequence[str], wait_s: float
     ) -> dict[str, str]:
-        """Return tickets for the allowed workers among those asked for, after the time of a call."""
+        """Return tickets for the allowed workers among those asked for, after the time of a call.
+
+        The call is served outside of the caller's process, whose end must not hold up the calls that follow.
+        """
         self.asked[step] += 1
+        return await spawn_outside(self.serve(relay, step, workers))
+
+    async def serve(self, relay: str, step: str, workers: Sequence[str]) -> dict[str, str]:
+        """Serve a call after those of the same relay that came before."""
         async with self.locks.setdefault(relay, asyncio.Lock()):
             await asyncio.sleep(
                 (self.policy.decide_ms + self.policy.worker_ms * len(workers)) / MS_PER_S
