--- a/standins/cell/invariants.py
+++ b/standins/cell/invariants.py
@@ -19,7 +19,7 @@
         submissions: known submissions by id.
         starts: number of started runs, by task.
         running: workers that run a task, by task.
-        ended_done: tasks with an end `done`, acknowledged or not.
+        ended_done: tasks with an end `done`, acknowledged or not; the end of a member of a gang counts for all.
         done_runs: runs that have ended `done`, acknowledged or not, by task.
         repeated_runs: runs that had ended `done`, without an acknowledgement, when another run was started, by task.
         done: tasks with an acknowledged end `done`.
@@ -113,7 +113,7 @@
         """Record the end of a run."""
         self.running.get(task, set()).discard(worker)
         if kind == 'done':
-            self.ended_done.add(task)
+            self.ended_done.update(self.represented(task))
             self.done_runs.setdefault(task, set()).add(run)
         elif kind == 'failed':
             self.ended_failed[task] = self.ended_failed.get(task, 0) + 1
--- a/tests/cell/worker_load.py
+++ b/tests/cell/worker_load.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 
 from marigoldlift.submissions.model import Step, SubmissionId
 from marigoldlift.submissions.records import Outcome
@@ -111,13 +112,9 @@
         Raises:
             AssertionError: one has not.
         """
-        complete = [name for name in self.stored() if self.cell.outcome(name) is Outcome.complete]
         checker = self.cell.checker
-        for name in complete:
-            for number, step in enumerate(checker.submissions[name].steps):
-                ended = {
-                    task.index
-                    for task in checker.ended_done
-                    if task.submission == name and task.step == number
-                }
-                assert len(ended) == step.count or (step.gang and ended), f'MIXED: {name}'
+        ended = Counter(task.submission for task in checker.ended_done)
+        for name in self.stored():
+            if self.cell.outcome(name) is Outcome.complete:
+                tasks = sum(step.count for step in checker.submissions[name].steps)
+                assert ended[name] == tasks, f'MIXED: {name}'
