A ticket allows a worker only while it has the label that the step requires

Callers would see ROUTE: a worker that restarted under its id as another kind got a task whose label it lacks. Cause: labels were checked when a ticket was requested, not when a task was placed; a ticket requested after an unseen restart is valid for the new incarnation. Changes of a cell that tests share move to one module.

--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -91,15 +91,19 @@
         self.shares = AllowedShares()
 
     def permitted_workers(self, step: StepRun, pool: Pool) -> list[WorkerSession]:
-        """Return the workers for which the step holds a valid ticket; all eligible ones if its queue needs none."""
+        """Return the eligible workers for which the step holds a valid ticket; all of them if its queue needs none.
+
+        A worker may have restarted with other labels since its ticket was requested.
+        """
         if step.job.submission.policy.advice is None:
             return list(pool.eligible(step.step))
         now = self.clock()
-        return [
+        ticketed = [
             pool.sessions[worker]
             for worker in step.tickets
             if worker in pool.sessions and step.holds_ticket(worker, now)
         ]
+        return [session for session in ticketed if step.may_use(session.worker)]
 
     def ask_if_needed(
         self, step: StepRun, pool: Pool, *, overdue: bool, has_reservation: bool
--- a/tests/cell/test_capacity.py
+++ b/tests/cell/test_capacity.py
@@ -8,7 +8,8 @@
 from marigoldlift.orders.api import HeldRun
 from marigoldlift.orders.session import adopt_run
 from marigoldlift.scheduling.placement import fitting_tasks
-from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
+from marigoldlift.submissions.model import AdvicePolicy, Step, SubmissionId, TaskRef
+from tests.cell.actions import cut_off, reconnect, set_task_duration
 from tests.cell.model import registry_entry
 
 ELECTION_S = 1.5
@@ -16,13 +17,6 @@
 SETTLED_S = 40
 
 
-def set_task_duration(cell, duration_s):
-    """Set the run time of all tasks, in s."""
-    cell.duration_of = lambda task: duration_s
-    for entry in cell.entries:
-        entry.calls.duration_of = cell.duration_of
-
-
 def entry_with(worker, **fields):
     """Return a worker's registry entry with fields replaced, or left out if they are None."""
     entry = msgspec.json.decode(registry_entry(worker.describe())) | fields
@@ -87,6 +81,31 @@
     run_scenario(scenario, workers=2)
 
 
+def test_worker_that_restarts_with_other_labels_gets_no_task_that_requires_the_old_ones(
+    run_scenario,
+):
+    """Guards against ROUTE: a ticket was requested while the worker counted with the labels of its earlier incarnation."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        cell.advice.policy = AdvicePolicy(1000, 1, 4000)
+        worker = cell.workers['w0']
+        worker.kind = msgspec.structs.replace(worker.kind, labels=('large',))
+        cell.list_workers()
+        await asyncio.sleep(0.5)
+        cut_off(cell, worker.name)
+        worker.change_kind(msgspec.structs.replace(worker.kind, labels=('small',)))
+        steps = (Step(count=1, cpu_m=1000, requires='large'),)
+        await cell.submit(cell.leader(), 'job', steps, advice=cell.advice.policy)
+        reconnect(cell)
+        await asyncio.sleep(3)
+        worker.change_kind(msgspec.structs.replace(worker.kind, labels=('large',)))
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario, workers=1)
+
+
 def test_run_of_unknown_demand_occupies_a_worker_whose_capacity_is_learnt_later(run_scenario):
     """Guards against overallocation by a run that was found before the worker's capacity was known."""
 
--- a/tests/cell/test_late_orders.py
+++ b/tests/cell/test_late_orders.py
@@ -7,19 +7,13 @@
 from marigoldlift.errors import WorkerUnavailableError
 from marigoldlift.submissions.model import AdvicePolicy, Step
 from standins.cell.workers import CALL_TIMEOUT_S, execute_late
+from tests.cell.actions import cut_off, reconnect, set_task_duration
 
 ELECTION_S = 1.5
 TASK_S = 4
 SETTLED_S = 40
 
 
-def set_task_duration(cell, duration_s):
-    """Set the run time of all tasks, in s."""
-    cell.duration_of = lambda task: duration_s
-    for entry in cell.entries:
-        entry.calls.duration_of = cell.duration_of
-
-
 def delay_next_start(cell, delay_s):
     """Let the next start get no answer and be executed after a delay; return the names of the workers it was sent to."""
     calls = cell.leader().calls
@@ -45,18 +39,6 @@
     return sent_to
 
 
-def cut_off(cell, name):
-    """Let no entry reach a worker."""
-    for entry in cell.entries:
-        entry.calls.unreachable.add(name)
-
-
-def reconnect(cell):
-    """Let all entries reach all workers."""
-    for entry in cell.entries:
-        entry.calls.unreachable.clear()
-
-
 def restart_unseen(cell, name):
     """Restart a worker under its id; it is listed at once, but no entry reaches it."""
     cut_off(cell, name)
--- a/tests/cell/test_rebirth.py
+++ b/tests/cell/test_rebirth.py
@@ -7,6 +7,7 @@
 from marigoldlift.errors import WorkerUnavailableError
 from marigoldlift.orders.runs import LATE_ORDER_S
 from marigoldlift.submissions.model import AdvicePolicy, Step
+from tests.cell.actions import set_task_duration
 
 ELECTION_S = 1.5
 SETTLED_S = 10
@@ -16,13 +17,6 @@
 QUEUES = ((AdvicePolicy(10, 1, 1500), SETTLED_S), (None, LATE_ORDER_S + SETTLED_S))
 
 
-def set_task_duration(cell, duration_s):
-    """Set the run time of all tasks, in s."""
-    cell.duration_of = lambda task: duration_s
-    for entry in cell.entries:
-        entry.calls.duration_of = cell.duration_of
-
-
 @pytest.mark.parametrize(('advice', 'settled_s'), QUEUES)
 def test_starts_in_flight_over_a_worker_restart_are_ordered_again(run_scenario, advice, settled_s):
     """Guards against starts whose outcome stays unknown for ever.
