A worker whose session was closed gets no lower token when it returns

Callers saw a pause of the whole cell: a worker that was cut off, alive, until its session was closed refused the token of the next session, and the leader began a new tenure. Cause: the new session began at the tenure's first token; the one before had raised it.

--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -46,6 +46,7 @@
         records: records of the workers in the log.
         leave_at: earliest time at which a draining worker leaves, by id, in seconds of the monotonic clock.
         earlier_orders: what may remain of the orders of earlier leaders.
+        closed_tokens: last fencing token of the closed sessions, by worker id.
         tasks: polling tasks by worker id.
         faults: sets aside workers whose handling raises.
     """
@@ -81,6 +82,7 @@
             self.clock,
             longest_lease_s * SLOW_CLOCK_FACTOR + TIMER_SLACK_S,
         )
+        self.closed_tokens: dict[str, int] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
     def health(self, worker: str) -> WorkerHealth:
@@ -124,8 +126,12 @@
             self.update(session, worker)
 
     def open(self, worker: Worker, tenure: int) -> WorkerSession:
-        """Open a session and start to poll its worker."""
+        """Open a session and start to poll its worker.
+
+        A worker that was away refuses tokens below that of its closed session.
+        """
         session = self.new_session(worker, tenure)
+        session.token = max(session.token, self.closed_tokens.pop(worker.id, 0))
         self.sessions[worker.id] = session
         self.start_polling(session)
         return session
@@ -252,6 +258,7 @@
         name = session.worker.id
         logger.info('session closed: worker={}', name)
         self.sessions.pop(name).run_table.detach()
+        self.closed_tokens[name] = session.token
         self.tasks.pop(name).cancel()
         self.records.drop(name)
 
--- a/tests/cell/test_silent_worker.py
+++ b/tests/cell/test_silent_worker.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marigoldlift.submissions.model import Step
+from tests.cell.actions import cut_off, reconnect
 
 ELECTION_S = 1.5
 TASK_S = 8.0
@@ -69,3 +70,27 @@
         assert {session.worker.id for session in usable} == {'w1', 'w2', 'w3'}
 
     run_scenario(scenario)
+
+
+def test_worker_that_returns_after_its_session_was_closed_ends_no_tenure(run_scenario):
+    """Guards against a takeover of the whole cell: the worker refused the token of its new session."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        leader = cell.leader().node
+        tenure = leader.election.tenure
+        sessions = leader.dispatcher.session_manager.sessions
+        sessions['w0'].raise_token()
+        await asyncio.sleep(1)
+        cut_off(cell, 'w0')
+        cell.is_listing = False
+        cell.workers_log.store([('w0', b'')])
+        while 'w0' in sessions:
+            await asyncio.sleep(1)
+        reconnect(cell)
+        cell.is_listing = True
+        await asyncio.sleep(3)
+        assert leader.election.tenure == tenure
+        assert sessions['w0'].answers()
+
+    run_scenario(scenario)
