--- a/tests/cell/worker_faults.py
+++ b/tests/cell/worker_faults.py
@@ -182,7 +182,7 @@
     """Kill an entry and start it again after a while."""
     entry.kill()
     await asyncio.sleep(cell.rng.uniform(0.2, 4))
-    entry.start()
+    start_if_dead(entry)
 
 
 async def pause(cell: ModelCell, entry: ModelEntry) -> None:
@@ -208,7 +208,13 @@
         entry.kill()
     await asyncio.sleep(cell.rng.uniform(0.1, 2))
     for started in cell.entries:
-        started.start()
+        start_if_dead(started)
+
+
+def start_if_dead(entry: ModelEntry) -> None:
+    """Start an entry unless another fault has; a second start would leave two processes of it running."""
+    if entry.gate.dead:
+        entry.start()
 
 
 async def fail_tasks(cell: ModelCell, load: Load) -> None:
