--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -319,11 +319,12 @@
         if held.stop_at is not None and now >= held.stop_at:
             return EndKind.stopped
         forced = held.gang.forced_end(held, now) if held.gang else None
+        is_due = not self.hangs and now >= held.ends_at
+        if is_due and self.fails and forced is not EndKind.done:
+            return EndKind.failed
         if forced is not None:
             return forced
-        if self.hangs or now < held.ends_at:
-            return None
-        return EndKind.failed if self.fails else EndKind.done
+        return EndKind.done if is_due else None
 
 
 class SentOrder(msgspec.Struct, frozen=True):
