--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections.abc import Callable
+from contextvars import Context
 
 import msgspec
 
@@ -374,7 +375,8 @@
         await asyncio.sleep(self.rng.uniform(0, 2 * ANSWER_S))
         if self.rng.random() < self.faults.late:
             loop = asyncio.get_running_loop()
-            loop.call_later(self.rng.uniform(*self.faults.late_s), execute_late, target, command)
+            delay_s = self.rng.uniform(*self.faults.late_s)
+            loop.call_later(delay_s, execute_late, target, command, context=Context())
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise WorkerUnavailableError('no answer', may_have_run=True)
         answer = command(target)
