Status polls acknowledge an end only until one of them was answered

Callers saw TWICE: a task that was done ran again. Cause: each poll repeated the number of the last stored end for ever. A poll that a later incarnation of the worker executes late makes it forget its own ends up to that number, so that the end of a late start is lost unseen. A number is now sent until an answered poll has carried it, and not while the worker may have restarted: also a stop without an answer counts, and only a status that was polled after it clears the suspicion. Evidence: test_late_poll_acknowledges_no_end_of_a_later_incarnation_unseen, red before.

--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -57,7 +57,9 @@
         last_answer_at: when the last answer arrived, in seconds of the monotonic clock.
         answered_poll_at: when the newest answered status poll was sent, in seconds of the monotonic clock.
         poll_failed: whether the last status poll got no answer.
-        may_have_restarted: whether the worker has left an order unanswered since its last status.
+        suspected_at: when the worker last left an order unanswered, in seconds of the monotonic clock; None once it has
+            answered a later status poll. It may have restarted since.
+        forgotten: highest number of an end that an answered poll has acknowledged.
     """
 
     def __init__(
@@ -96,7 +98,8 @@
         self.full_until: float = 0
         self.opened_at = clock()
         self.poll_failed = False
-        self.may_have_restarted = False
+        self.suspected_at: float | None = None
+        self.forgotten = 0
         self.answered_poll_at: float = -math.inf
 
     def answers(self) -> bool:
@@ -142,7 +145,7 @@
         try:
             clock_ms = await self.calls.start(self.worker, token, order)
         except WorkerUnavailableError as fault:
-            self.may_have_restarted = True
+            self.suspected_at = self.now()
             if fault.may_have_run:
                 self.mark_uncertain(known, fault)
                 return True
@@ -187,6 +190,7 @@
             self.raise_token()
             known.mark_uncertain(self.token, self.now())
             if known.doubted_at is not None:
+                # A poll that waits for an end would delay the proof that no copy is left.
                 asyncio.get_running_loop().call_later(LATE_ORDER_S, self.poll_requested.set)
 
     def raise_token(self) -> None:
@@ -210,6 +214,8 @@
         try:
             await self.calls.stop(self.worker, self.token, task, known.run)
         except (WorkerRefusedError, WorkerUnavailableError) as fault:
+            if isinstance(fault, WorkerUnavailableError):
+                self.suspected_at = self.now()
             logger.info(
                 'stop not confirmed: task={} worker={} {}', task.name, self.worker.id, fault
             )
@@ -221,8 +227,7 @@
         token = self.token
         sent_at = self.now()
         until_ms = self.renewal(sent_at)
-        # A new incarnation counts its ends anew, and must not forget any before it has told that it is one.
-        acknowledged = 0 if self.may_have_restarted else self.ends.last_acknowledged
+        acknowledged = new_acknowledgement(self)
         try:
             found = await self.calls.poll(self.worker, token, acknowledged, until_ms, wait_ms)
         except WorkerRefusedError as refusal:
@@ -233,11 +238,12 @@
             return False
         except WorkerUnavailableError:
             self.poll_failed = True
-            self.may_have_restarted = True
+            self.suspected_at = self.now()
             return False
         self.poll_failed = False
         if not self.is_same_incarnation(found):
             return False
+        self.forgotten = max(self.forgotten, acknowledged)
         self.process_status(found, sent_at, token)
         return True
 
@@ -271,7 +277,8 @@
         was_answering = self.answers()
         self.last_answer_at = now
         self.answered_poll_at = max(self.answered_poll_at, sent_at)
-        self.may_have_restarted = False
+        if self.suspected_at is not None and sent_at >= self.suspected_at:
+            self.suspected_at = None
         self.clock.note(found.clock_ms, now)
         self.process_ends(found, now)
         present = {ended.task for ended in found.ended if ended.number in self.ends.unhandled}
@@ -362,6 +369,18 @@
     return len(ended)
 
 
+def new_acknowledgement(session: WorkerSession) -> int:
+    """Return the number of the last end that a poll lets the worker forget, 0 for none.
+
+    A new incarnation counts its ends anew, and must not forget any before it has told that it is one, also if it executes the
+    poll late. So a number is sent until it was answered, and not while the worker may have restarted.
+    """
+    acknowledged = session.ends.last_acknowledged
+    if session.suspected_at is not None or acknowledged <= session.forgotten:
+        return 0
+    return acknowledged
+
+
 def log_page(session: WorkerSession) -> None:
     """Log how far the ended runs of a worker are read."""
     ends = session.ends
--- a/tests/cell/test_late_orders.py
+++ b/tests/cell/test_late_orders.py
@@ -1,6 +1,7 @@
 """Orders without an answer that a later incarnation of their worker executes."""
 
 import asyncio
+from contextvars import Context
 
 import pytest
 
@@ -31,6 +32,7 @@
             execute_late,
             target,
             lambda worker: worker.start(token, order, step, duration_s),
+            context=Context(),
         )
         await asyncio.sleep(CALL_TIMEOUT_S)
         raise WorkerUnavailableError('no answer', may_have_run=True)
@@ -158,18 +160,21 @@
     run_scenario(scenario, workers=1)
 
 
-def test_start_with_a_ticket_is_repeated_without_waiting_for_late_copies(run_scenario):
-    """Guards against waiting for a copy that no later incarnation of the worker accepts."""
+@pytest.mark.parametrize('valid_ms', [1500, 30000])
+def test_start_with_a_ticket_is_repeated_without_waiting_for_late_copies(run_scenario, valid_ms):
+    """Guards against waiting for a copy that no later incarnation of the worker accepts, and against one that runs."""
 
     async def scenario(cell):
         await asyncio.sleep(ELECTION_S)
         set_task_duration(cell, 1)
-        cell.advice.policy = AdvicePolicy(10, 1, 1500)
-        delay_next_start(cell, 3)
+        cell.advice.policy = AdvicePolicy(10, 1, valid_ms)
+        sent_to = delay_next_start(cell, 5)
         await cell.submit(
             cell.leader(), 'job', (Step(count=1, cpu_m=1000),), advice=cell.advice.policy
         )
         await cell.wait_for_outcomes(['job'], 4)
+        restart_unseen(cell, sent_to[0])
+        await asyncio.sleep(5)
 
     run_scenario(scenario, workers=2)
 
@@ -197,3 +202,48 @@
         await cell.wait_for_outcomes(['job'], 5)
 
     run_scenario(scenario, workers=2)
+
+
+def delay_next_poll(cell, delay_s):
+    """Let the next status poll get no answer and be executed after a delay."""
+    calls = cell.leader().calls
+    send = calls.poll
+
+    async def poll(worker, token, last_acknowledged, until_ms, wait_ms):
+        calls.poll = send
+        asyncio.get_running_loop().call_later(
+            delay_s,
+            execute_late,
+            cell.workers[worker.id],
+            lambda target: target.poll(token, last_acknowledged, until_ms),
+            context=Context(),
+        )
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        raise WorkerUnavailableError('no answer', may_have_run=True)
+
+    calls.poll = poll
+
+
+def test_late_poll_acknowledges_no_end_of_a_later_incarnation_unseen(run_scenario):
+    """Guards against a done task that runs again: a poll that was sent before the restart is executed after it."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 0.2)
+        await cell.submit(cell.leader(), 'first', (Step(count=3, cpu_m=1000),))
+        await cell.wait_for_outcomes(['first'], SETTLED_S)
+        await asyncio.sleep(1)
+        sent_to = delay_next_start(cell, 3)
+        await submit(cell)
+        delay_next_poll(cell, 4)
+        await asyncio.sleep(0.75)
+        cut_off(cell, sent_to[0])
+        cell.is_listing = False
+        cell.workers[sent_to[0]].begin_incarnation()
+        await asyncio.sleep(4)
+        reconnect(cell)
+        await asyncio.sleep(1)
+        cell.is_listing = True
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario, workers=1)
