Entries without a time of birth count as those of the present incarnation

Callers saw LOST on a platform whose registry entries lack `born`: a restarted worker got no work ever again, since the incarnation that its status tells is later than that of any entry. A worker that has listed the time once is held to it as before. Red on, green on: test_worker_whose_entries_lack_the_time_of_birth_gets_work_after_a_restart.

--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 
+import msgspec
 from loguru import logger
 
 from marigoldlift.leadership.earlier_leaders import EarlierLeaders
@@ -46,6 +47,8 @@
         records: records of the workers in the log.
         leave_at: earliest time at which a draining worker leaves, by id, in seconds of the monotonic clock.
         earlier_orders: what may remain of the orders of earlier leaders.
+        dated: workers of which an entry had a time of birth; the entries of others count as those of the present
+            incarnation.
         closed_tokens: last fencing token of the closed sessions, by worker id.
         tasks: polling tasks by worker id.
         faults: sets aside workers whose handling raises.
@@ -82,6 +85,7 @@
             self.clock,
             longest_lease_s * SLOW_CLOCK_FACTOR + TIMER_SLACK_S,
         )
+        self.dated: set[str] = set()
         self.closed_tokens: dict[str, int] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -112,10 +116,15 @@
 
     def refresh_session(self, worker: Worker) -> None:
         """Open or update the session with a listed worker."""
+        if worker.born_ms:
+            self.dated.add(worker.id)
         session = self.sessions.get(worker.id)
         if session is None:
             self.open(worker, self.tenure)
-        elif session.worker != worker:
+            return
+        if not worker.born_ms and worker.id not in self.dated:
+            worker = msgspec.structs.replace(worker, born_ms=session.worker.born_ms)
+        if session.worker != worker:
             self.apply_entry(session, worker)
 
     def apply_entry(self, session: WorkerSession, worker: Worker) -> None:
@@ -259,6 +268,7 @@
         logger.info('session closed: worker={}', name)
         self.sessions.pop(name).run_table.detach()
         self.closed_tokens[name] = session.token
+        self.dated.discard(name)
         self.tasks.pop(name).cancel()
         self.records.drop(name)
 
--- a/tests/cell/test_rebirth.py
+++ b/tests/cell/test_rebirth.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from marigoldlift.errors import WorkerUnavailableError
 from marigoldlift.orders.runs import LATE_ORDER_S
 from marigoldlift.submissions.model import AdvicePolicy, Step
+from tests.cell import model
 from tests.cell.actions import set_task_duration
 
 ELECTION_S = 1.5
@@ -135,3 +137,28 @@
         assert leader.node.election.tenure == tenure
 
     run_scenario(scenario)
+
+
+def test_worker_whose_entries_lack_the_time_of_birth_gets_work_after_a_restart(
+    run_scenario, monkeypatch
+):
+    """Guards against a worker that is never used again because none of its entries is of its present incarnation."""
+    entry_of = model.registry_entry
+
+    def without_born(worker):
+        entry = msgspec.json.decode(entry_of(worker))
+        entry.pop('born')
+        return msgspec.json.encode(entry)
+
+    monkeypatch.setattr(model, 'registry_entry', without_born)
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 0.5)
+        for worker in cell.workers.values():
+            worker.begin_incarnation()
+        await asyncio.sleep(2)
+        await cell.submit(cell.leader(), 'job', (Step(count=1, cpu_m=1000),))
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario, workers=2)
