A new leader holds the room of starts that earlier leaders left without an answer

Callers would see LIMIT over a takeover: a worker restarts, executes the start of an earlier leader, and gets another one before its first status. Cause: the new leader held the task back, not its room. Such a start is now a run with an unknown outcome in the table of its worker, as in the tenure that ordered it, so that room, restarts and late copies are handled in one place; the record names its run and tenure.

--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -23,7 +23,7 @@
 LATE_ORDER_S = 12
 
 #: Time after which no run of an order that was not answered can be active, in s: an order may be executed 12 s late and
-#: grant a lease of 6 s.
+#: grant a lease of 6 s, and answers and timers take up to 2 s.
 UNLEASED_EXPIRY_S = 20
 
 #: Demand of a run whose step is unknown: more than any worker has, so that nothing else is placed beside it.
@@ -47,11 +47,12 @@
         unanswered: its start has not been answered yet, and no status poll has listed it.
         listed: a status poll of the session's own incarnation of the worker has listed it.
         fence: lowest fencing token that, once the worker has seen it, makes it reject the unanswered start; None if
-            none was raised after the start. A later incarnation of the worker has not seen it.
+            none was raised after the start.
         is_ordered: whether its start was sent.
         is_ticketed: whether the start carries a ticket, which no later incarnation of the worker accepts.
-        doubted_at: when the start became one that a later incarnation of the worker may execute, in seconds of the
-            monotonic clock; None if there is no such start.
+        tenure: tenure of the earlier leader that has ordered its start, None for this one.
+        doubted_at: when the start became one that a later incarnation of the worker, which has not seen the fence, may
+            execute; in seconds of the monotonic clock, None if there is no such start.
     """
 
     __slots__ = (
@@ -70,6 +71,7 @@
         'step',
         'stop_sent_at',
         'task',
+        'tenure',
         'unanswered',
     )
 
@@ -87,6 +89,7 @@
         self.fence: int | None = None
         self.is_ordered = False
         self.is_ticketed = False
+        self.tenure: int | None = None
         self.doubted_at: float | None = None
         self.listed = False
         self.percent: float = 0
@@ -97,6 +100,19 @@
         self.is_ordered = True
         self.is_ticketed = bool(ticket)
 
+    def adopt(self, tenure: int, token: int, ordered_at: float) -> None:
+        """Record that an earlier leader has ordered the start, and that its outcome is unknown.
+
+        Args:
+            tenure: tenure of that leader.
+            token: token that, once the worker has seen it, makes it reject the order.
+            ordered_at: latest time of the order, in seconds of the monotonic clock.
+        """
+        self.is_ordered = True
+        self.tenure = tenure
+        self.fence = token
+        self.doubted_at = ordered_at
+
     def confirm(self, held: HeldRun, now: float) -> None:
         """Record that the worker lists the run as present."""
         if held.percent > self.percent:
@@ -150,7 +166,7 @@
         return self.doubted_at is not None and not self.has_expired(now)
 
     def has_expired(self, now: float) -> bool:
-        """Return whether no late copy of the start can be active any more, unless its lease was renewed."""
+        """Return whether no late copy of the start can be active any more on a worker that has had no lease since."""
         return self.doubted_at is not None and now > self.doubted_at + UNLEASED_EXPIRY_S
 
 
@@ -257,11 +273,6 @@
         if len(self.ended) > ENDED_KEPT:
             self.ended.pop(next(iter(self.ended)))
 
-    def is_unanswered(self, task: TaskRef) -> bool:
-        """Return whether the start of a task has no answer yet and the worker has not listed it."""
-        run = self.runs.get(task)
-        return run is not None and run.unanswered
-
     def tasks_of(self, task: TaskRef) -> int:
         """Return how many tasks of the same step occurrence as `task` the worker holds."""
         step = (task.submission, task.occurrence, task.step)
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -152,6 +152,8 @@
         for submission in tuple(self.parts.state.jobs):
             self.open_submissions.open(submission)
         self.session_manager.open_recorded(self.parts.election.earlier_leaders)
+        for job in self.open_submissions.jobs.values():
+            self.session_manager.earlier_orders.adopt_starts(job.steps.values())
         deadline = self.clock() + TAKEOVER_WAIT_S
         while self.clock() < deadline and not self.session_manager.all_runs_known():
             await asyncio.sleep(MIN_PASS_PAUSE_S)
--- a/marigoldlift/scheduling/earlier_orders.py
+++ b/marigoldlift/scheduling/earlier_orders.py
@@ -5,9 +5,10 @@
 import msgspec
 
 from marigoldlift.leadership.earlier_leaders import LEADER_LEASE_S, EarlierLeaders
-from marigoldlift.orders.runs import LATE_ORDER_S, UNLEASED_EXPIRY_S
+from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
-from marigoldlift.scheduling.tasks import EarlierPlace
+from marigoldlift.scheduling.tasks import StepRun
+from marigoldlift.submissions.records import UnansweredStart
 
 __all__ = ('EarlierOrders',)
 
@@ -94,24 +95,22 @@
             return now > deadlines.listed
         return now > deadlines.gone
 
-    def may_hold(self, place: EarlierPlace) -> bool:
-        """Return whether the worker may run, or may have run, or may start late a task that was placed there."""
-        if place.worker in self.unreachable:
-            return True
-        return place.unanswered_in is not None and self.may_execute_late(
-            place.worker, place.unanswered_in
-        )
-
-    def may_execute_late(self, worker: str, tenure: int) -> bool:
-        """Return whether a run may still come of a late order of an earlier leader.
+    def adopt_starts(self, steps: Iterable[StepRun]) -> None:
+        """Count the starts that earlier leaders have left without an answer as runs with an unknown outcome."""
+        for step in steps:
+            for index, place in list(step.old_places.items()):
+                session = self.sessions.get(place.worker)
+                if place.start is not None and session is not None:
+                    self.adopt_start(step, index, session, place.start)
 
-        A status shows the runs of one incarnation, and the next one may execute the order, so only a poll that was sent
-        after the last late order counts.
-        """
-        ended_at = self.leaders.ended_by(tenure)
-        if self.clock() > ended_at + UNLEASED_EXPIRY_S:
-            return False
-        session = self.sessions.get(worker)
-        if session is None or not session.knows_earlier_runs():
-            return True
-        return session.answered_poll_at < ended_at + LATE_ORDER_S
+    def adopt_start(
+        self, step: StepRun, index: int, session: WorkerSession, start: UnansweredStart
+    ) -> None:
+        """Count a start of an earlier leader as a run on its worker, unless that is known or no copy of it is left."""
+        task = step.task(index)
+        run = Run(task, start.run, step.step, Phase.sent, self.clock())
+        run.adopt(start.tenure, session.token, self.leaders.ended_by(start.tenure))
+        if task in session.run_table.runs or run.has_expired(self.clock()):
+            return
+        session.run_table.take(run)
+        step.begin(index, session, start.run)
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -141,7 +141,7 @@
         """
         if not step.job.is_runnable(step, wall_ms):
             return False
-        if not step.startable(self.session_manager.earlier_orders):
+        if not step.startable(self.session_manager.earlier_orders.unreachable):
             self.pending.reasons[step] = PendingReason.unreachable
             return False
         return True
@@ -225,7 +225,7 @@
         Stops at the first task that fits nowhere, unless it has failed somewhere: then others may still find a worker.
         """
         placed = False
-        for index in step.startable(self.session_manager.earlier_orders):
+        for index in step.startable(self.session_manager.earlier_orders.unreachable):
             session = self.placer.place_one(step, index, available, overdue=overdue)
             if session is None and not step.avoid.get(index):
                 return placed
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -1,18 +1,17 @@
 """State of open submissions on the leader: which tasks wait, run or have ended."""
 
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from enum import Enum
-from typing import Protocol
 
 import msgspec
 
 from marigoldlift.orders.api import Worker
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.submissions.model import Step, Submission, SubmissionId, TaskRef
-from marigoldlift.submissions.records import Outcome, StepProgress
+from marigoldlift.submissions.records import Outcome, StepProgress, UnansweredStart
 from marigoldlift.submissions.state import Job
 
-__all__ = ('EarlierPlace', 'EarlierTasks', 'JobRun', 'PendingReason', 'StepRun', 'Ticket')
+__all__ = ('EarlierPlace', 'JobRun', 'PendingReason', 'StepRun', 'Ticket')
 
 MS_PER_S = 1000
 
@@ -25,8 +24,7 @@
 
     Attributes:
         not_planned: the pass did not reach the step.
-        unreachable: its tasks may run, or have ended, on a worker that has not listed all its ends since the takeover, or
-            a worker may still execute the order of an earlier leader to start them.
+        unreachable: its tasks may run, or have ended, on a worker that has not listed all its ends since the takeover.
         headroom: the free CPU is reserved for urgent submissions.
         reserved: the workers that it may use are reserved for a gang.
         room: the workers that it may use lack free capacity.
@@ -64,19 +62,11 @@
 
     Attributes:
         worker: id of the worker.
-        unanswered_in: tenure of the leader whose start order had no answer and may still be executed, None if there is no
-            such order.
+        start: its start order if that had no answer and may still be executed, else None.
     """
 
     worker: str
-    unanswered_in: int | None
-
-
-class EarlierTasks(Protocol):
-    """What is known of the tasks that earlier leaders have placed."""
-
-    def may_hold(self, place: EarlierPlace) -> bool:
-        """Return whether the worker may run, or may have run, or may start late a task that was placed there."""
+    start: UnansweredStart | None
 
 
 class StepRun:
@@ -166,15 +156,17 @@
         """Return whether starts carry a ticket, which holds for one incarnation of a worker only."""
         return self.job.submission.policy.advice is not None
 
-    def startable(self, earlier: 'EarlierTasks') -> list[int]:
-        """Return the waiting tasks that can neither be running already, nor have ended, nor be started late.
+    def startable(self, unreachable: Container[str]) -> list[int]:
+        """Return the waiting tasks that can neither be running already nor have ended.
 
-        A gang has none while that is unknown of any of its tasks.
+        A gang has none while any of its tasks may still run, or have ended, on an unreachable worker.
 
         Args:
-            earlier: tells which workers may hold tasks that an earlier leader has placed there.
+            unreachable: ids of the workers that have not listed all their runs and ends since the takeover.
         """
-        blocked = {index for index, place in self.old_places.items() if earlier.may_hold(place)}
+        blocked = {
+            index for index, place in self.old_places.items() if place.worker in unreachable
+        }
         if self.step.gang and blocked:
             return []
         return sorted(self.todo - blocked)
@@ -243,21 +235,25 @@
             self.unanswered(tenure),
         )
 
-    def unanswered(self, tenure: int) -> dict[int, int]:
-        """Return who has ordered the starts without an answer; none if no late copy of them has an effect."""
+    def unanswered(self, tenure: int) -> dict[int, UnansweredStart]:
+        """Return the starts without an answer; none if no late copy of them has an effect.
+
+        Args:
+            tenure: tenure of this leader.
+        """
         if self.uses_tickets:
             return {}
-        earlier = {
-            index: place.unanswered_in
+        starts = {
+            index: place.start
             for index, place in self.old_places.items()
-            if place.unanswered_in is not None
-        }
-        own = {
-            index: tenure
-            for index, session in self.active.items()
-            if session.run_table.is_unanswered(self.task(index))
+            if place.start is not None
         }
-        return earlier | own
+        for index, session in self.active.items():
+            run = session.run_table.runs.get(self.task(index))
+            if run is not None and run.unanswered:
+                ordered_in = tenure if run.tenure is None else run.tenure
+                starts[index] = UnansweredStart(run.run, ordered_in)
+        return starts
 
 
 class JobRun:
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -18,6 +18,7 @@
     'Progress',
     'Record',
     'StepProgress',
+    'UnansweredStart',
 )
 
 
@@ -35,6 +36,18 @@
     cancelled = 'cancelled'
 
 
+class UnansweredStart(msgspec.Struct, array_like=True, frozen=True):
+    """Start order without an answer, which may still be executed.
+
+    Attributes:
+        run: number of the run.
+        tenure: tenure of the leader that has ordered it.
+    """
+
+    run: int
+    tenure: int
+
+
 class StepProgress(msgspec.Struct, array_like=True):
     """Placements, completed tasks and failed runs of one step of one occurrence.
 
@@ -42,8 +55,7 @@
         last_run: highest run number with which any task of the step was started.
         placed: workers on which tasks that have not ended were started, by index of the task.
         failures: numbers of the failed runs, by index of the task; those of a gang are under index 0.
-        unanswered: tenures of the leaders that have ordered the starts without an answer, which may still be executed, by
-            index of the task.
+        unanswered: starts of placed tasks that have no answer, by index of the task.
     """
 
     occurrence: int
@@ -52,7 +64,7 @@
     done: list[int] = []
     failures: dict[int, list[int]] = {}
     placed: dict[int, str] = {}
-    unanswered: dict[int, int] = {}
+    unanswered: dict[int, UnansweredStart] = {}
 
 
 class Record(msgspec.Struct, array_like=True, tag=True):
--- a/tests/cell/test_late_orders.py
+++ b/tests/cell/test_late_orders.py
@@ -14,6 +14,9 @@
 TASK_S = 4
 SETTLED_S = 40
 
+#: Time without a run after which a task that lasts counts as lost, in s.
+LOST_S = 7
+
 
 def delay_next_start(cell, delay_s):
     """Let the next start get no answer and be executed after a delay; return the names of the workers it was sent to."""
@@ -247,3 +250,45 @@
         await cell.wait_for_outcomes(['job'], SETTLED_S)
 
     run_scenario(scenario, workers=1)
+
+
+@pytest.mark.parametrize('seed', range(12))
+@pytest.mark.parametrize('takeover', [False, True])
+def test_late_start_keeps_its_capacity_at_a_restart(run_scenario, takeover, seed):
+    """Guards against filling a worker that executes a start of its earlier incarnation, also after a takeover."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        sent_to = delay_next_start(cell, 6)
+        await cell.submit(cell.leader(), 'late', (Step(count=1, cpu_m=7000),))
+        while not sent_to:
+            await asyncio.sleep(0.001)
+        sent_at = cell.loop.time()
+        cell.is_listing = False
+        restart = cell.workers[sent_to[0]].begin_incarnation
+        cell.loop.call_at(sent_at + 5.99, restart, context=Context())
+        if takeover:
+            cell.leader().kill()
+        await asyncio.sleep(sent_at + 5.985 - cell.loop.time())
+        await cell.submit(cell.leader(), 'next', (Step(count=1, cpu_m=7000),))
+        await asyncio.sleep(1)
+        cell.is_listing = True
+        await cell.wait_for_outcomes(['late', 'next'], SETTLED_S)
+
+    run_scenario(scenario, workers=1, seed=seed)
+
+
+def test_lasting_task_without_an_answer_runs_again_within_the_bound_of_lost(run_scenario):
+    """Guards against LOST: a task that lasts, and runs nowhere for longer than the 4 s and 3 s of the rule."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 1000)
+        delay_next_start(cell, 15)
+        steps = (Step(count=1, cpu_m=1000, long_running=True),)
+        await cell.submit(cell.leader(), 'job', steps)
+        await asyncio.sleep(LOST_S)
+        assert any(worker.held for worker in cell.workers.values())
+
+    run_scenario(scenario, workers=2)
