--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -1,7 +1,6 @@
 """Session of this leader with one worker: lease, fencing token and runs."""
 
 import asyncio
-import math
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -55,7 +54,6 @@
         synced: whether the worker has answered under the current token.
         ends: ended runs that the worker has listed.
         last_answer_at: when the last answer arrived, in seconds of the monotonic clock.
-        answered_poll_at: when the newest answered status poll was sent, in seconds of the monotonic clock.
         poll_failed: whether the last status poll got no answer.
         suspected_at: when the worker last left an order unanswered, in seconds of the monotonic clock; None once it has
             answered a later status poll. It may have restarted since.
@@ -100,7 +98,6 @@
         self.poll_failed = False
         self.suspected_at: float | None = None
         self.forgotten = 0
-        self.answered_poll_at: float = -math.inf
 
     def answers(self) -> bool:
         """Return whether the worker has answered recently enough to get new work."""
@@ -276,7 +273,6 @@
         now = self.now()
         was_answering = self.answers()
         self.last_answer_at = now
-        self.answered_poll_at = max(self.answered_poll_at, sent_at)
         if self.suspected_at is not None and sent_at >= self.suspected_at:
             self.suspected_at = None
         self.clock.note(found.clock_ms, now)
@@ -349,16 +345,15 @@
                 self.observer.run_vanished(self, known)
 
 
-def give_up_late_starts(session: WorkerSession) -> int:
-    """Give up the late starts of which nothing can be active any more, and return their number.
+def give_up_late_starts(session: WorkerSession) -> None:
+    """Give up the late starts of which nothing can be active any more.
 
     This holds while the session has sent no lease that such a run may have received.
     """
-    if session.clock.lease_ms:
-        return 0
-    now = session.now()
-    runs = session.run_table.runs.values()
-    return give_up(session, [run for run in runs if run.has_expired(now)])
+    if not session.clock.lease_ms:
+        now = session.now()
+        runs = session.run_table.runs.values()
+        give_up(session, [run for run in runs if run.has_expired(now)])
 
 
 def give_up(session: WorkerSession, ended: Sequence[Run]) -> int:
