Workspaces on the platform path: parsed from the configuration, named by each submission

An entry now reads them, answers 401 to a key that its configuration does not hold (503 while its configuration may be stale), and stores the workspace with each submission. A configuration without tenants is served as before.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -114,6 +114,7 @@
     def configure(self, configuration: CellConfiguration) -> None:
         """Apply a new configuration."""
         self.front.configuration = configuration
+        self.node.workspaces.replace(configuration.version, configuration.workspaces)
         self.metrics.set(Metric.configuration_version, configuration.version)
 
     def render_metrics(self) -> str:
--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -25,6 +25,7 @@
 from marigoldlift.supervision import FaultBoundary
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
+from marigoldlift.workspaces.directory import WorkspaceDirectory
 
 __all__ = ('CellNode', 'NodeLimits', 'NodeParts', 'exit_on_failure')
 
@@ -78,6 +79,7 @@
         peer_observers: called with the address of each entry that has written to the log.
         listing: replica of the platform's list of workers; read only while this entry leads, since on large
             installations it uses as much of a small VM's network bandwidth as the log.
+        workspaces: workspaces of the newest configuration.
         dispatcher: dispatcher of the current tenure, None while this entry does not lead.
     """
 
@@ -94,6 +96,7 @@
         self.limits = limits
         self.clock = clock
         self.state = CellState(clock)
+        self.workspaces = WorkspaceDirectory()
         self.faults = FaultBoundary(clock, parts.metrics)
         self.appender = Appender(
             parts.log,
@@ -180,6 +183,7 @@
             outcome_kept_s=self.limits.outcome_kept_s,
             metrics=self.parts.metrics,
             faults=self.faults,
+            workspaces=self.workspaces,
         )
 
     def set_gauges(self) -> None:
--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -11,6 +11,7 @@
 
 from marigoldlift.decoding import JsonDecoder
 from marigoldlift.errors import InvalidInputError, LogUnavailableError
+from marigoldlift.ids import WorkspaceId
 from marigoldlift.platform.draining_server import has_pipelined_request
 from marigoldlift.platform.configuration import CellConfiguration, Queue
 from marigoldlift.platform.wire import StepBody, SubmissionBody
@@ -19,6 +20,7 @@
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 from marigoldlift.util import monotonic_now
+from marigoldlift.workspaces.model import NO_WORKSPACE
 
 __all__ = ('ClientRequestHandler',)
 
@@ -109,6 +111,10 @@
         if queue is None:
             stale = self.may_be_stale()
             return reply(HTTPStatus.SERVICE_UNAVAILABLE if stale else HTTPStatus.NOT_FOUND)
+        workspace = self.workspace_of(request, self.configuration, queue)
+        if workspace is None:
+            stale = self.may_be_stale()
+            return reply(HTTPStatus.SERVICE_UNAVAILABLE if stale else HTTPStatus.UNAUTHORIZED)
         name = request.path[len(queue.prefix) :]
         if not name and request.method == 'GET':
             return self.pending(queue)
@@ -116,7 +122,20 @@
             return error_reply(
                 HTTPStatus.NOT_FOUND, 'the path ends with no id of 16 hexadecimal digits'
             )
-        return await self.handle_submission(request, queue, SubmissionId(name))
+        return await self.handle_submission(request, queue, workspace, SubmissionId(name))
+
+    def workspace_of(
+        self, request: web.BaseRequest, configuration: CellConfiguration, queue: Queue
+    ) -> WorkspaceId | None:
+        """Return the workspace of a caller, None if its key is unknown."""
+        keys = configuration.workspace_of_key
+        if keys is None:
+            return NO_WORKSPACE
+        scheme, _, key = request.headers.get('Authorization', '').partition(' ')
+        found = keys.get(key.strip()) if scheme.lower() == 'bearer' else None
+        if found is None and queue.anonymous:
+            return NO_WORKSPACE
+        return found
 
     def pending(self, queue: Queue) -> web.Response:
         """Answer with the number of accepted submissions of a queue of which no task has started."""
@@ -131,11 +150,12 @@
         self,
         request: web.BaseRequest,
         queue: Queue,
+        workspace: WorkspaceId,
         name: SubmissionId,
     ) -> web.Response:
         """Answer a request about one submission."""
         if request.method == 'POST':
-            return await self.submit(request, queue, name)
+            return await self.submit(request, queue, workspace, name)
         if request.method == 'DELETE':
             return reply(STATUS_OF[await self.acceptance.cancel(name, timeout_s(request))])
         if request.method != 'GET':
@@ -150,12 +170,18 @@
         return reply(HTTPStatus.OK, {'state': outcome.value})
 
     async def submit(
-        self, request: web.BaseRequest, queue: Queue, name: SubmissionId
+        self,
+        request: web.BaseRequest,
+        queue: Queue,
+        workspace: WorkspaceId,
+        name: SubmissionId,
     ) -> web.Response:
         """Parse a submission and store it."""
         body = await request.read()
         try:
-            submission = parse_submission(submission_decoder.decode(body), queue, name, self.relay)
+            submission = parse_submission(
+                submission_decoder.decode(body), queue, name, self.relay, workspace
+            )
         except InvalidInputError as fault:
             logger.info('submission invalid: submission={} {}', name, fault)
             return error_reply(HTTPStatus.BAD_REQUEST, str(fault))
@@ -192,7 +218,11 @@
 
 
 def parse_submission(
-    body: SubmissionBody, queue: Queue, name: SubmissionId, relay: str
+    body: SubmissionBody,
+    queue: Queue,
+    name: SubmissionId,
+    relay: str,
+    workspace: WorkspaceId = NO_WORKSPACE,
 ) -> Submission:
     """Validate the body of a submission and convert it.
 
@@ -210,6 +240,7 @@
         occurrences=max(1, body.repeat_count),
         first_due_ms=body.start_at_ms if body.repeat_count else 0,
         interval_ms=body.interval_ms,
+        workspace=workspace,
     )
 
 
--- a/marigoldlift/platform/wire.py
+++ b/marigoldlift/platform/wire.py
@@ -17,6 +17,7 @@
     'ServiceBody',
     'StepBody',
     'SubmissionBody',
+    'TenantBody',
     'WorkerBody',
 )
 
@@ -32,12 +33,19 @@
 MAX_MEM_MB = 1_000_000_000
 MAX_GPUS = 10_000
 
+#: Number of workers up to which a cap over all of them is checked.
+MAX_WORKERS = 100_000
+
 #: Largest count in a submission: tasks of a step, occurrences, and limits on tasks.
 MAX_COUNT = 1_000_000
 
 CpuThousandths = Annotated[int, msgspec.Meta(ge=0, le=MAX_CPU_M)]
 Megabytes = Annotated[int, msgspec.Meta(ge=0, le=MAX_MEM_MB)]
 GpuCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_GPUS)]
+TotalCpuThousandths = Annotated[int, msgspec.Meta(ge=0, le=MAX_CPU_M * MAX_WORKERS)]
+TotalMegabytes = Annotated[int, msgspec.Meta(ge=0, le=MAX_MEM_MB * MAX_WORKERS)]
+TotalGpuCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_GPUS * MAX_WORKERS)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
 ClockMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
@@ -96,6 +104,7 @@
     priority: int = 0
     stretch: float = 1
     advice: QueueAdviceBody | None = None
+    anonymous: bool = False
 
 
 class ServiceBody(msgspec.Struct):
@@ -115,13 +124,40 @@
     idle_timeout_ms: float = 15000
 
 
+class CapBody(msgspec.Struct):
+    """What a workspace may have running over all workers; 0 stands for no limit."""
+
+    cpu: TotalCpuThousandths = 0
+    mem_mb: TotalMegabytes = 0
+    gpu: TotalGpuCount = 0
+
+
+class TenantBody(msgspec.Struct):
+    """A workspace, called a tenant on the wire.
+
+    Attributes:
+        api_keys: keys that its callers use.
+        weight: its share when all is full, in submissions a second.
+    """
+
+    name: str
+    api_keys: list[str] = []
+    weight: Weight = 0
+    cap: CapBody = msgspec.field(default_factory=CapBody)
+
+
 class ConfigurationBody(msgspec.Struct):
-    """One whole version of the configuration; `routes` are queues."""
+    """One whole version of the configuration; `routes` are queues.
+
+    Attributes:
+        tenants: entries of workspaces, each decoded by itself; None where the deployment has none.
+    """
 
     version: int
     routes: list[QueueBody] = []
     services: list[ServiceBody] = []
     limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
+    tenants: list[msgspec.Raw] | None = None
 
 
 class StepBody(msgspec.Struct):
--- a/marigoldlift/scheduling/parts.py
+++ b/marigoldlift/scheduling/parts.py
@@ -13,6 +13,7 @@
 from marigoldlift.submissions.state import CellState
 from marigoldlift.supervision import FaultBoundary
 from marigoldlift.telemetry.metrics import Metrics
+from marigoldlift.workspaces.directory import WorkspaceDirectory
 
 __all__ = ('DispatcherParts',)
 
@@ -35,6 +36,7 @@
         outcome_kept_s: minimum time for which the outcome of a submission can be queried, in seconds.
         metrics: metrics of this entry.
         faults: sets aside items whose handling raises.
+        workspaces: workspaces of the newest configuration.
     """
 
     state: CellState
@@ -51,3 +53,4 @@
     outcome_kept_s: float
     metrics: Metrics
     faults: FaultBoundary
+    workspaces: WorkspaceDirectory
--- a/marigoldlift/submissions/model.py
+++ b/marigoldlift/submissions/model.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from marigoldlift.ids import WorkspaceId
+from marigoldlift.workspaces.model import NO_WORKSPACE
+
 __all__ = (
     'AdvicePolicy',
     'Policy',
@@ -102,6 +105,7 @@
         occurrences: number of times that the steps run.
         first_due_ms: Unix time at which the first occurrence is due, 0 for at once.
         interval_ms: time between two occurrences, in ms.
+        workspace: workspace of the caller that handed it in.
     """
 
     id: SubmissionId
@@ -112,3 +116,4 @@
     occurrences: int = 1
     first_due_ms: float = 0
     interval_ms: float = 0
+    workspace: WorkspaceId = NO_WORKSPACE
