Leaders that are asked to stop lead on for 2.5 s, and restarted entries succeed them first

Callers of all workspaces waited twice as long while the entries were restarted in turn: in 16 s the leadership changed 8 times, each time to the next large VM, which was stopped 0.4 to 1 s later. Each change costs 0.3 to 0.6 s without starts, and puts orders in doubt. Ruled out: the advice (its queue was short then) and room.

An entry that is asked to stop claims no more, but leads on for 2.5 s of its grace time, in which it answers callers as well. Among the candidates for a released leadership, those that have started since the released tenure began claim 0.1 s sooner: they have been restarted already.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -10,7 +10,7 @@
 
 from marigoldlift.cell_node import CellNode, NodeLimits, NodeParts, exit_on_failure
 from marigoldlift.ids import Incarnation, VmId
-from marigoldlift.leadership.election import Candidate
+from marigoldlift.leadership.election import Candidate, Standing
 from marigoldlift.platform.advice import PlatformAdvice
 from marigoldlift.platform.calls import HttpClient
 from marigoldlift.platform.configuration import CellConfiguration, ConfigurationReader
@@ -43,6 +43,12 @@
 #: Shortest pause between two reads of the operators' log, in s: each read has a cost.
 OPERATORS_READ_INTERVAL_S = 0.1
 
+#: How long a leader that is asked to stop keeps the leadership, in s, and part of the grace time that it leaves for what
+#: comes after. In a rolling restart its successors are stopped one after the other, and each change of the leader
+#: delays all work.
+KEEP_LEADERSHIP_S = 2.5
+AFTER_LEADERSHIP_S = 3.5
+
 #: Age of the store's last answer above which the entry is not ready, in s; reads wait for up to 1 s.
 STALE_AFTER_S = 2.5
 
@@ -174,7 +180,11 @@
         loop.add_signal_handler(signal.SIGHUP, self.watch.check_requested.set)
 
     async def retire(self) -> None:
-        """Hand the leadership over."""
+        """Hand the leadership over, after a while in which this entry goes on serving."""
+        self.node.election.standing = Standing.stopping
+        await asyncio.sleep(
+            min(KEEP_LEADERSHIP_S, max(0, self.settings.grace_s - AFTER_LEADERSHIP_S))
+        )
         asked_at = loop_now()
         await self.node.election.retire()
         logger.info('leadership handed over: took_s={:.3f}', loop_now() - asked_at)
--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 from collections.abc import Callable
+from enum import Enum
 
 import msgspec
 from loguru import logger
@@ -15,7 +16,7 @@
 from marigoldlift.replication.replica import Replica
 from marigoldlift.submissions.records import NEW_TENURE, Leadership, Record
 
-__all__ = ('LEADER_LEASE_S', 'Candidate', 'Election')
+__all__ = ('LEADER_LEASE_S', 'Candidate', 'Election', 'Standing')
 
 #: Pause between two renewals, in s: 5 of the more than 600 writes that the platform's store accepts per second.
 RENEWAL_INTERVAL_S = 0.2
@@ -45,6 +46,10 @@
 #: Largest random part of that delay, in s; it keeps entries from claiming at once.
 CLAIM_JITTER_S = 0.15
 
+#: Added to the delay of a claim by an entry that has run since before the tenure that was released, in s. In a rolling
+#: restart it is still to be stopped, while those that have started since are not.
+UNRESTARTED_DELAY_S = 0.1
+
 #: How long a leader may reach the log only through another entry before it hands over, in s; single calls may fail.
 HANDOVER_DELAY_S = 0.7
 
@@ -56,6 +61,20 @@
 RENEWAL_WAIT_S = 1.0
 
 
+class Standing(Enum):
+    """Part that an entry takes in the election.
+
+    Attributes:
+        candidate: it claims the leadership when there is no leader.
+        stopping: it claims no more; a present tenure goes on until it is released.
+        retired: it has released the leadership for good.
+    """
+
+    candidate = 'candidate'
+    stopping = 'stopping'
+    retired = 'retired'
+
+
 class Candidate(msgspec.Struct, frozen=True):
     """Identity of an entry that may lead.
 
@@ -86,6 +105,7 @@
         seen_at: when the holder's newest record was read, in seconds of the monotonic clock.
         last_direct_at: when the log was last known to be directly reachable.
         earlier_leaders: latest time at which earlier leaders may have sent orders.
+        standing: whether this entry may claim the leadership, or still lead.
         may_hand_over: whether the tenure began with direct access to the log; if not, no entry that has direct
             access wants to lead.
     """
@@ -119,7 +139,7 @@
         self.sent_at = clock()
         self.read_s: float = 0
         self.confirmed_at = clock()
-        self.retired = False
+        self.standing = Standing.candidate
         self.is_indirect = is_indirect
         self.last_direct_at = clock()
         self.may_hand_over = False
@@ -138,7 +158,7 @@
             return
         self.seen_at = self.clock()
         self.holder = None if record.released else record
-        if mine and not record.released and not self.retired:
+        if mine and not record.released and self.standing is not Standing.retired:
             self.confirm(record, offset)
         elif self.tenure is not None:
             self.end_tenure(record.node)
@@ -179,7 +199,7 @@
 
     def should_claim(self) -> bool:
         """Return whether the leader has not renewed for so long that this entry claims the leadership."""
-        if self.retired or self.tenure is not None:
+        if self.standing is not Standing.candidate or self.tenure is not None:
             return False
         last_renewal_at = self.seen_at
         if not self.is_vacant():
@@ -199,7 +219,7 @@
         if self.is_indirect():
             delay += INDIRECT_CLAIM_DELAY_S
         if self.is_vacant():
-            return delay
+            return delay + UNRESTARTED_DELAY_S * self.tenures.saw_begin
         return (
             LEADER_TIMEOUT_S + LATENCY_FACTOR * max(self.appender.latency_s, self.read_s) + delay
         )
@@ -282,7 +302,7 @@
 
     async def retire(self) -> None:
         """Release the leadership before the entry stops."""
-        self.retired = True
+        self.standing = Standing.retired
         if self.tenure is not None:
             await self.hand_over('released')
 
--- a/marigoldlift/leadership/tenures.py
+++ b/marigoldlift/leadership/tenures.py
@@ -14,12 +14,14 @@
     Attributes:
         offset: offset of the newest record that was read.
         newest: number of the newest tenure that has begun.
+        saw_begin: whether this entry has read the claim that began it, as one that started later has not.
     """
 
     def __init__(self) -> None:
         """Start without records."""
         self.offset = -1
         self.newest = NEW_TENURE
+        self.saw_begin = False
 
     def admit(self, record: Leadership, offset: int, *, is_held: bool) -> bool:
         """Return whether a record takes effect, and note the tenure that it begins or renews.
@@ -32,8 +34,10 @@
         self.offset = offset
         if record.renews == NEW_TENURE:
             self.newest = self.newest if is_held else offset
+            self.saw_begin = True
             return True
         if record.renews < self.newest:
             return False
+        self.saw_begin = self.saw_begin and record.renews == self.newest
         self.newest = record.renews
         return True
--- a/marigoldlift/leadership/tests/test_election.py
+++ b/marigoldlift/leadership/tests/test_election.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from marigoldlift.leadership.election import LEADER_LEASE_S, Candidate, Election
+from marigoldlift.leadership.election import LEADER_LEASE_S, Candidate, Election, Standing
 from marigoldlift.replication.api import Producer
 from marigoldlift.replication.appender import Appender
 from marigoldlift.replication.replica import Replica
@@ -248,3 +248,32 @@
             await asyncio.sleep(1)
         assert second.election.tenure == tenure
         assert second.election.may_act()
+
+
+async def test_entry_that_is_stopping_leads_on_but_claims_no_more(log):
+    """Guards against a change of the leader at each stop of a rolling restart."""
+    async with running(log) as members:
+        first = leader(members)
+        tenure = first.election.tenure
+        for member in members:
+            member.election.standing = Standing.stopping
+        await asyncio.sleep(3)
+        assert first.election.tenure == tenure
+        await first.election.retire()
+        await asyncio.sleep(3)
+        assert not any(member.election.tenure for member in members)
+
+
+async def test_entry_that_was_restarted_claims_first(log):
+    """Guards against a successor that a rolling restart is about to stop."""
+    async with running(log) as members:
+        first = leader(members)
+        restarted = next(member for member in members if member is not first)
+        restarted.stop()
+        fresh = Member(log, restarted.election.candidate.node, life='2')
+        fresh.election.jitter_s = max(member.election.jitter_s for member in members) + 0.05
+        await asyncio.sleep(1)
+        await first.election.retire()
+        await asyncio.sleep(2)
+        assert fresh.election.tenure is not None
+        fresh.stop()
