Submissions are accessible to their workspace only; known keys expire on an entry that does not reach the store

A key of any workspace read and cancelled any submission, and an entry that was cut off accepted withdrawn keys for as long as it lasted. An answer that waited in the socket of a paused process does not count as recent: the age of the configuration counts from when the read was sent.

Malformed keys, names, weights and caps are left out one by one. front.py is split into callers, keys, replies and submission_parsing.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -13,7 +13,11 @@
 from marigoldlift.leadership.election import Candidate
 from marigoldlift.platform.advice import PlatformAdvice
 from marigoldlift.platform.calls import HttpClient
-from marigoldlift.platform.configuration import CellConfiguration, ConfigurationReader
+from marigoldlift.platform.configuration import (
+    CellConfiguration,
+    ConfigurationFreshness,
+    ConfigurationReader,
+)
 from marigoldlift.platform.front import ClientRequestHandler
 from marigoldlift.platform.node_settings import NodeSettings
 from marigoldlift.platform.servers import (
@@ -72,7 +76,7 @@
         self.node.peer_observers.append(self.route.add_peer)
         for seed in settings.seeds:
             self.node.broker.note_relay(seed)
-        reader = ConfigurationReader(self.configure)
+        reader = ConfigurationReader(self.configure, settings.needs_keys)
         operators = PlatformLog(self.route, OPERATORS_TOPIC)
         self.operators = Replica(
             operators,
@@ -81,8 +85,9 @@
             OPERATORS_READ_INTERVAL_S,
             self.node.faults,
         )
+        self.freshness = ConfigurationFreshness(self.operators, monotonic_now, settings)
         self.front = ClientRequestHandler(
-            self.node.acceptance, own_address, self.is_stale, self.metrics
+            self.node.acceptance, own_address, self.freshness, self.metrics
         )
         self.stopping = asyncio.Event()
 
@@ -116,10 +121,14 @@
         self.front.configuration = configuration
         self.node.workspaces.replace(configuration.version, configuration.workspaces)
         self.metrics.set(Metric.configuration_version, configuration.version)
+        self.metrics.set(Metric.configuration_workspaces, len(configuration.workspaces))
+        self.metrics.set(Metric.configuration_keys, configuration.key_count)
 
     def render_metrics(self) -> str:
         """Return all metrics as text."""
         self.node.set_gauges()
+        age_s = monotonic_now() - self.operators.last_response_at
+        self.metrics.set(Metric.log_age, age_s, stream='operators')
         return self.metrics.render()
 
     def is_stale(self) -> bool:
--- a/marigoldlift/platform/configuration.py
+++ b/marigoldlift/platform/configuration.py
@@ -8,27 +8,28 @@
 from marigoldlift.decoding import JsonDecoder
 from marigoldlift.errors import MalformedMessageError
 from marigoldlift.ids import WorkspaceId
-from marigoldlift.platform.wire import ConfigurationBody, QueueBody, TenantBody
+from marigoldlift.platform.keys import KeyDigest
+from marigoldlift.platform.node_settings import NodeSettings
+from marigoldlift.platform.wire import ConfigurationBody, QueueBody
+from marigoldlift.platform.workspace_parsing import KeyedWorkspace, parse_workspaces
+from marigoldlift.replication.replica import Replica
 from marigoldlift.submissions.model import AdvicePolicy, Policy
 from marigoldlift.submissions.record_codec import StoredRecord
-from marigoldlift.workspaces.model import ResourceCap, Workspace
 
-__all__ = ('CellConfiguration', 'ConfigurationReader', 'KeyedWorkspace', 'Queue')
+__all__ = ('CellConfiguration', 'ConfigurationFreshness', 'ConfigurationReader', 'Queue')
 
 CONFIGURATION_KEY = 'config'
 
 #: Largest configuration, in bytes.
 MAX_CONFIGURATION_BYTES = 8_388_608
 
-#: Largest entry of one workspace, in bytes.
-MAX_TENANT_BYTES = 65_536
+#: Part of the time in which a change has to be in force that is left to the request and its answer, in s.
+RESERVE_S = 0.5
 
 configuration_decoder: JsonDecoder[ConfigurationBody] = JsonDecoder(
     ConfigurationBody, MAX_CONFIGURATION_BYTES
 )
 
-tenant_decoder: JsonDecoder[TenantBody] = JsonDecoder(TenantBody, MAX_TENANT_BYTES)
-
 
 class Queue(msgspec.Struct, frozen=True):
     """A queue, with the host and the path prefix of its requests.
@@ -43,13 +44,6 @@
     anonymous: bool = False
 
 
-class KeyedWorkspace(msgspec.Struct, frozen=True):
-    """A workspace with the keys of its callers."""
-
-    workspace: Workspace
-    keys: tuple[str, ...]
-
-
 class CellConfiguration:
     """One version of the configuration.
 
@@ -57,8 +51,9 @@
         version: number of the version.
         queues: queues by host and path prefix.
         workspaces: workspaces that share the cell.
-        workspace_of_key: name of the workspace by key; None if the configuration names no workspaces, so that callers
-            need no key.
+        workspace_of_key: name of the workspace by the digest of a key; None where the deployment has no workspaces, so
+            that callers need no key.
+        suspended: workspaces for which nothing is accepted.
         prefix_lengths: lengths of the path prefixes of each host, the longest first.
     """
 
@@ -72,7 +67,8 @@
         self.version = version
         listed = tuple(workspaces or ())
         self.workspaces = tuple(entry.workspace for entry in listed)
-        self.workspace_of_key: dict[str, WorkspaceId] | None = None
+        self.suspended = frozenset(entry.workspace.name for entry in listed if entry.suspended)
+        self.workspace_of_key: dict[KeyDigest, WorkspaceId] | None = None
         if workspaces is not None:
             self.workspace_of_key = {
                 key: entry.workspace.name for entry in listed for key in entry.keys
@@ -85,6 +81,11 @@
             name: sorted(found, reverse=True) for name, found in lengths.items()
         }
 
+    @property
+    def key_count(self) -> int:
+        """Return the number of keys."""
+        return len(self.workspace_of_key or ())
+
     def queue_of(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest match for a path, None if none matches."""
         for length in self.prefix_lengths.get(host, ()):
@@ -97,13 +98,17 @@
 class ConfigurationReader:
     """Applies records of the operators' topic and keeps the highest version."""
 
-    def __init__(self, on_change: Callable[[CellConfiguration], None]) -> None:
+    def __init__(
+        self, on_change: Callable[[CellConfiguration], None], needs_keys: bool = False
+    ) -> None:
         """Start without a version.
 
         Args:
             on_change: called with each version that is higher than all previous ones.
+            needs_keys: whether callers need keys also under a version that names no workspaces.
         """
         self.on_change = on_change
+        self.needs_keys = needs_keys
         self.version = -1
 
     def apply(self, stored: StoredRecord) -> None:
@@ -118,9 +123,64 @@
         if body.version <= self.version:
             return
         self.version = body.version
-        logger.info('configuration in force: version={} queues={}', body.version, len(body.routes))
-        workspaces = None if body.tenants is None else parse_workspaces(body.tenants)
-        self.on_change(CellConfiguration(body.version, map(parse_queue, body.routes), workspaces))
+        configuration = self.convert(body)
+        logger.info(
+            'configuration in force: version={} queues={} workspaces={} keys={}',
+            configuration.version,
+            len(configuration.queues),
+            len(configuration.workspaces),
+            configuration.key_count,
+        )
+        self.on_change(configuration)
+
+    def convert(self, body: ConfigurationBody) -> CellConfiguration:
+        """Convert one version of the configuration."""
+        workspaces = None
+        if body.tenants is not None or self.needs_keys:
+            workspaces = parse_workspaces(body.tenants or ())
+        return CellConfiguration(body.version, map(parse_queue, body.routes), workspaces)
+
+
+class ConfigurationFreshness:
+    """Tells how long an entry that does not reach the store may act on the configuration that it has read last.
+
+    The age counts from when a read was sent that found nothing newer, on a clock that includes suspended time. A process
+    that wakes from a pause may first find an old answer in its socket; the age still includes the pause then.
+
+    Attributes:
+        replica: follows the operators' topic.
+        clock: monotonic time in seconds that includes suspended time.
+        unknown_after_s: age from which a queue or key that the configuration does not hold may exist, in s.
+        keys_expire_after_s: age from which no key is accepted, in s.
+    """
+
+    def __init__(
+        self, replica: Replica, clock: Callable[[], float], settings: NodeSettings
+    ) -> None:
+        """Derive the ages from the settings."""
+        self.replica = replica
+        self.clock = clock
+        self.unknown_after_s = settings.configuration_s - RESERVE_S
+        self.keys_expire_after_s = key_validity_s(settings)
+
+    def age_s(self) -> float:
+        """Return the age of the last confirmation in s, infinity before the first one."""
+        return self.clock() - self.replica.confirmed_at
+
+    def may_be_stale(self) -> bool:
+        """Return whether the store may have held a newer configuration for so long that it should be in force."""
+        return self.age_s() > self.unknown_after_s
+
+    def are_keys_expired(self) -> bool:
+        """Return whether any key may have been withdrawn for so long that it must not be accepted."""
+        return self.age_s() > self.keys_expire_after_s
+
+
+def key_validity_s(settings: NodeSettings) -> float:
+    """Return for how long after the last confirmation an entry accepts the keys that it knows, in s."""
+    if settings.strict_key_withdrawal:
+        return settings.key_withdrawal_s
+    return settings.configuration_s + settings.configuration_stretch_s
 
 
 def parse_queue(body: QueueBody) -> Queue:
@@ -138,21 +198,3 @@
         advice=advice,
     )
     return Queue(body.host, body.path_prefix, policy, body.anonymous)
-
-
-def parse_workspaces(entries: Iterable[msgspec.Raw]) -> list[KeyedWorkspace]:
-    """Convert the entries of workspaces; one that is malformed, or repeats a name, is skipped with a log line."""
-    found: dict[str, KeyedWorkspace] = {}
-    for number, entry in enumerate(entries):
-        try:
-            body = tenant_decoder.decode(bytes(entry))
-        except MalformedMessageError as fault:
-            logger.error('workspace cannot be read: tenants[{}] {}', number, fault)
-            continue
-        if body.name in found:
-            logger.error('workspace skipped: tenants[{}] repeats the name of another', number)
-            continue
-        cap = ResourceCap(body.cap.cpu, body.cap.mem_mb, body.cap.gpu)
-        workspace = Workspace(WorkspaceId(body.name), body.weight, cap)
-        found[body.name] = KeyedWorkspace(workspace, tuple(body.api_keys))
-    return list(found.values())
--- a/marigoldlift/platform/node_settings.py
+++ b/marigoldlift/platform/node_settings.py
@@ -1,6 +1,7 @@
 """Parser of the settings file of a process on the platform: lines of the form `a.b=value`."""
 
 import math
+from types import MappingProxyType
 
 import msgspec
 
@@ -18,6 +19,19 @@
 SUPPORTED_ORDERS = 'call'
 
 
+#: Values for settings files that do not name these bounds.
+DEFAULT_CONFIGURATION_MS = 3000
+DEFAULT_KEY_WITHDRAWAL_MS = 5000
+
+#: Smallest of these bounds: a read of the configuration waits for 1 s, so that a smaller one would pass between two reads.
+MIN_CONFIGURATION_MS = 2000
+
+#: Entry of `contracts` in the settings of a deployment whose callers need keys.
+KEYS_CONTRACT = 'tenants'
+
+FLAGS = MappingProxyType({'true': True, 'false': False})
+
+
 class NodeSettings(msgspec.Struct, frozen=True):
     """Settings of an entry: its VM, and the services and limits of the platform.
 
@@ -37,6 +51,11 @@
         gang_wait_s: how long a member of a gang waits on its worker for the other members, in s.
         outcome_kept_s: how long the outcome of a submission can be queried, in s.
         grace_s: time from the stop request until the process is killed, in s.
+        configuration_s: time within which a change of the configuration has to be in force, in s.
+        configuration_stretch_s: how much longer it may take while the store is disturbed, in s.
+        key_withdrawal_s: time after which a withdrawn key must not be accepted, in s.
+        strict_key_withdrawal: whether that holds for entries that do not reach the store, too.
+        needs_keys: whether callers need keys even if the configuration names no workspaces.
     """
 
     node: str
@@ -54,6 +73,11 @@
     gang_wait_s: float
     outcome_kept_s: float
     grace_s: float
+    configuration_s: float
+    configuration_stretch_s: float
+    key_withdrawal_s: float
+    strict_key_withdrawal: bool
+    needs_keys: bool
 
 
 class SettingsLines:
@@ -91,6 +115,20 @@
             return 0
         return number
 
+    def duration_ms(self, path: str, default_ms: float) -> float:
+        """Return a duration in s from a field in ms that is at least `MIN_CONFIGURATION_MS`."""
+        number = self.number(path, default_ms)
+        if number < MIN_CONFIGURATION_MS:
+            self.errors.append(f'{path}: {number:g} is below {MIN_CONFIGURATION_MS}')
+        return number / MS_PER_S
+
+    def flag(self, path: str) -> bool:
+        """Return a field that has to hold `true` or `false`, false if it is missing."""
+        content = self.text(path, 'false')
+        if content not in FLAGS:
+            self.errors.append(f'{path}: {content!r} is neither true nor false')
+        return FLAGS.get(content, False)
+
     def address(self, path: str) -> str:
         """Return a required field that has to hold an address of the form IP:PORT."""
         content = self.text(path)
@@ -133,6 +171,11 @@
         gang_wait_s=lines.number('bounds.gang_ms') / MS_PER_S,
         outcome_kept_s=lines.number('bounds.status_s'),
         grace_s=lines.number('bounds.grace_s'),
+        configuration_s=lines.duration_ms('bounds.config_apply_ms', DEFAULT_CONFIGURATION_MS),
+        configuration_stretch_s=lines.number('bounds.max_stretch_ms', 0) / MS_PER_S,
+        key_withdrawal_s=lines.duration_ms('bounds.revoke_ms', DEFAULT_KEY_WITHDRAWAL_MS),
+        strict_key_withdrawal=lines.flag('bounds.strict_revoke'),
+        needs_keys=KEYS_CONTRACT in lines.text('contracts', '').split(','),
     )
     if lines.errors:
         raise SettingsError(tuple(lines.errors))
--- a/marigoldlift/platform/tests/test_front.py
+++ b/marigoldlift/platform/tests/test_front.py
@@ -9,8 +9,9 @@
 
 from marigoldlift.errors import InvalidInputError, LogUnavailableError
 from marigoldlift.platform.configuration import CellConfiguration, Queue
-from marigoldlift.platform.front import ClientRequestHandler, parse_submission, submission_decoder
+from marigoldlift.platform.front import ClientRequestHandler
 from marigoldlift.platform.servers import listen_draining
+from marigoldlift.platform.submission_parsing import parse_submission, submission_decoder
 from marigoldlift.submissions.acceptance import AcceptanceResult
 from marigoldlift.submissions.model import Policy, SubmissionId
 from marigoldlift.submissions.records import Outcome
@@ -30,24 +31,38 @@
         self.outcomes = {SubmissionId(NAME): Outcome.running}
         self.submitted = []
 
-    async def submit(self, submission, timeout_s):
+    async def submit(self, submission, timeout_s, caller):
         self.submitted.append(submission)
         return self.answer
 
-    async def cancel(self, name, timeout_s):
+    async def cancel(self, name, timeout_s, caller):
         return AcceptanceResult.done if name in self.outcomes else AcceptanceResult.gone
 
-    async def outcome(self, name, timeout_s):
+    async def outcome(self, name, timeout_s, caller):
         return self.outcomes.get(name)
 
     def pending(self, queue):
         return 12
 
 
+class FakeFreshness:
+    """Age of the configuration that a test chooses."""
+
+    def __init__(self):
+        self.stale = False
+        self.expired = False
+
+    def may_be_stale(self):
+        return self.stale
+
+    def are_keys_expired(self):
+        return self.expired
+
+
 @pytest.fixture
 async def front():
     """Request handler with a configuration."""
-    handler = ClientRequestHandler(FakeAcceptance(), 'relay', bool, Metrics())
+    handler = ClientRequestHandler(FakeAcceptance(), 'relay', FakeFreshness(), Metrics())
     handler.configuration = CellConfiguration(1, (LONGER, QUEUE))
     return handler
 
@@ -115,7 +130,7 @@
     """Guards against 404 from an entry that has no configuration or one that may be stale."""
     assert (await send_request(client, 'POST', f'/other/{NAME}', data=BODY))[0] == 404
     assert (await send_request(client, 'GET', f'/q1/{NAME}', headers={'Host': 'other'}))[0] == 404
-    front.may_be_stale = lambda: True
+    front.freshness.stale = True
     assert (await send_request(client, 'POST', f'/other/{NAME}', data=BODY))[0] == 503
     front.configuration = None
     assert (await send_request(client, 'POST', f'/q1/{NAME}', data=BODY))[0] == 503
--- a/marigoldlift/platform/tests/test_malformed.py
+++ b/marigoldlift/platform/tests/test_malformed.py
@@ -17,9 +17,9 @@
 from marigoldlift.platform.advice import reply_decoder
 from marigoldlift.platform.calls import CallUnansweredError, HttpClient, Reply
 from marigoldlift.platform.configuration import ConfigurationReader, configuration_decoder
-from marigoldlift.platform.front import parse_submission, submission_decoder
 from marigoldlift.platform.servers import parse_response_time
 from marigoldlift.platform.store import append_decoder, decode_stored, newest_decoder, parse_append
+from marigoldlift.platform.submission_parsing import parse_submission, submission_decoder
 from marigoldlift.platform.tests.test_front import NAME, QUEUE
 from marigoldlift.platform.workers import (
     check_order,
--- a/marigoldlift/platform/wire.py
+++ b/marigoldlift/platform/wire.py
@@ -8,6 +8,7 @@
     'AdviceBody',
     'AdviceReply',
     'AppendReply',
+    'CapBody',
     'ConfigurationBody',
     'PollReply',
     'NewestReply',
@@ -18,6 +19,7 @@
     'StepBody',
     'SubmissionBody',
     'TenantBody',
+    'Weight',
     'WorkerBody',
 )
 
@@ -135,15 +137,18 @@
 class TenantBody(msgspec.Struct):
     """A workspace, called a tenant on the wire.
 
+    Keys, weight and cap are decoded by themselves, so that one that is malformed leaves the others in force.
+
     Attributes:
         api_keys: keys that its callers use.
-        weight: its share when all is full, in submissions a second.
+        weight: its share when all is full, in submissions a second: a `Weight`.
+        cap: what it may have running, a `CapBody`.
     """
 
     name: str
-    api_keys: list[str] = []
-    weight: Weight = 0
-    cap: CapBody = msgspec.field(default_factory=CapBody)
+    api_keys: list[msgspec.Raw] = []
+    weight: msgspec.Raw = msgspec.Raw(b'0')
+    cap: msgspec.Raw = msgspec.Raw(b'{}')
 
 
 class ConfigurationBody(msgspec.Struct):
--- a/marigoldlift/replication/replica.py
+++ b/marigoldlift/replication/replica.py
@@ -41,6 +41,8 @@
         offset: the next record to read.
         ready: set while the replica holds a completely read snapshot.
         last_response_at: when the last answer of the store arrived, in seconds of the monotonic clock.
+        confirmed_at: time before which everything stored is applied: when the newest read that reached the end was sent.
+            The answer may have waited in the socket of a paused process, so the time of its arrival tells nothing.
         resumed_at: when the first answer after the last failure or outage arrived.
         returned_at: when the first answer after the last time of at least `AWAY_S` without one arrived.
         interrupted: whether a read has failed since the last answer.
@@ -75,6 +77,7 @@
         self.offset = 0
         self.ready = asyncio.Event()
         self.last_response_at = clock()
+        self.confirmed_at = float('-inf')
         self.resumed_at = self.last_response_at
         self.returned_at = float('-inf')
         self.read_at = self.last_response_at
@@ -150,6 +153,8 @@
             if stored.offset == self.offset:
                 self.offset += 1
                 self.apply_contained(stored)
+        if self.offset >= page.end:
+            self.confirmed_at = max(self.confirmed_at, sent_at)
         return page.end
 
     async def refresh(self, max_age_s: float) -> None:
@@ -188,6 +193,7 @@
         after = ''
         start: int | None = None
         records: list[StoredRecord] = []
+        sent_at = self.clock()
         more = True
         while more:
             page = await self.log.newest(after)
@@ -201,6 +207,7 @@
         for stored in sorted(records, key=lambda stored: stored.offset):
             self.apply_contained(stored)
         self.offset = start or 0
+        self.confirmed_at = max(self.confirmed_at, sent_at)
         self.note_answer()
         self.ready.set()
 
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -220,7 +220,7 @@
                 if self.log_is_read:
                     self.open_submissions.open(record.submission.id)
                 self.wake.set()
-            case Cancelled():
+            case Cancelled() if self.parts.state.is_cancelled(record.submission):
                 self.open_submissions.cancel(record.submission)
             case Progress() if record.outcome in FINAL_OUTCOMES:
                 self.open_submissions.forget(record.submission)
--- a/marigoldlift/scheduling/retention.py
+++ b/marigoldlift/scheduling/retention.py
@@ -12,6 +12,7 @@
 from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.records import Dropped, Finished, Record
 from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState, Job
+from marigoldlift.workspaces.model import NO_WORKSPACE
 
 __all__ = ('Retention',)
 
@@ -108,8 +109,8 @@
         latest = self.state.clock() - self.kept_s
         return [name for name, job in self.state.finished.items() if job.seen_at < latest]
 
-    def expired_cancellations(self) -> list[SubmissionId]:
-        """Return the cancellations that no acceptance has followed within the retention period."""
+    def expired_cancellations(self) -> list[str]:
+        """Return the names of the cancellations that had no effect within the retention period."""
         latest = self.state.clock() - self.kept_s
         return [name for name, at in self.state.early_cancellations.items() if at < latest]
 
@@ -129,14 +130,17 @@
 def records_of_ended(job: Job) -> Sequence[Record]:
     """Return the records that reduce a submission to its outcome."""
     name = job.submission.id
-    return [Finished(name, job.state), Dropped(f's/{name}'), *dropped_progress(job)]
+    owner = job.owner
+    queue = '' if owner.workspace == NO_WORKSPACE else owner.queue
+    finished = Finished(name, job.state, owner.workspace, queue)
+    return [finished, Dropped(f's/{name}'), *dropped_progress(job)]
 
 
 def dropped_progress(job: Job) -> Iterator[Record]:
-    """Yield the records that drop a submission's cancellation and its progress."""
+    """Yield the records that drop a submission's cancellations and its progress."""
     name = job.submission.id
-    if job.cancelled:
-        yield Dropped(f'c/{name}')
+    for cancellation in sorted(job.cancellations):
+        yield Dropped(f'c/{cancellation}')
     for tenure in sorted(job.tenures):
         yield Dropped(f'p/{name}/{tenure}')
 
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -10,7 +10,9 @@
 from marigoldlift.replication.appender import Appender
 from marigoldlift.replication.append_router import AppendRouter
 from marigoldlift.replication.replica import Replica
+from marigoldlift.submissions.access import ANYONE, Caller
 from marigoldlift.submissions.model import Submission, SubmissionId
+from marigoldlift.submissions.record_codec import cancellation_name
 from marigoldlift.submissions.records import Accepted, Cancelled, Outcome
 from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState
 from marigoldlift.telemetry.metric_table import Metric
@@ -37,12 +39,13 @@
 
 
 class AcceptanceResult(Enum):
-    """Result of a request to submit or cancel."""
+    """Result of a request to submit or cancel; `taken` refuses an id that another workspace has used."""
 
     done = 'done'
     refused = 'refused'
     unknown = 'unknown'
     gone = 'gone'
+    taken = 'taken'
 
 
 class Acceptance:
@@ -78,15 +81,18 @@
         """Return how long a caller waits for the store, in s."""
         return min(STORE_WAIT_S, timeout_s)
 
-    async def submit(self, submission: Submission, timeout_s: float) -> AcceptanceResult:
+    async def submit(
+        self, submission: Submission, timeout_s: float, caller: Caller = ANYONE
+    ) -> AcceptanceResult:
         """Store a submission; it counts as accepted once it is stored, and repeating its id has no effect.
 
         Args:
             submission: the submission to accept.
             timeout_s: how long the caller waits, in s.
+            caller: who hands it in.
         """
         if self.state.state_of(submission.id) is not None:
-            return AcceptanceResult.done
+            return self.repeated(submission.id, caller)
         if self.replica.was_away():
             logger.info('submission refused: submission={} the entry was away', submission.id)
             return AcceptanceResult.refused
@@ -95,6 +101,13 @@
             return AcceptanceResult.refused
         return await self.store(submission, timeout_s)
 
+    def repeated(self, submission: SubmissionId, caller: Caller) -> AcceptanceResult:
+        """Return the answer to a caller who hands in a known id."""
+        if self.state.is_visible(submission, caller):
+            return AcceptanceResult.done
+        logger.info('submission refused: submission={} id of another workspace', submission)
+        return AcceptanceResult.taken
+
     async def store(self, submission: Submission, timeout_s: float) -> AcceptanceResult:
         """Store a submission; a refusal is reported as unknown if an earlier attempt had an unknown outcome."""
         earlier_attempt = submission.id in self.uncertain_submissions
@@ -113,15 +126,17 @@
         )
         return AcceptanceResult.done
 
-    async def is_known(self, submission: SubmissionId) -> bool:
+    async def is_known(self, submission: SubmissionId, caller: Caller) -> bool:
         """Return whether a submission was accepted, according to all records stored before this call.
 
+        One that the caller may not access is handled like an unknown one, also in the time that it takes.
+
         Raises:
             LogUnavailableError: the store does not answer.
         """
-        if self.state.state_of(submission) is None:
+        if not self.state.is_visible(submission, caller):
             await self.replica.synchronize()
-        if self.state.state_of(submission) is None:
+        if not self.state.is_visible(submission, caller):
             self.note_gone(submission)
             return False
         return True
@@ -136,33 +151,35 @@
             self.clock() - self.replica.read_at,
         )
 
-    async def outcome(self, submission: SubmissionId, timeout_s: float) -> Outcome | None:
-        """Return the state of a submission, None if it does not exist.
+    async def outcome(
+        self, submission: SubmissionId, timeout_s: float, caller: Caller = ANYONE
+    ) -> Outcome | None:
+        """Return the state of a submission, None if it does not exist or the caller may not access it.
 
         If the store does not answer in time, the state in this entry's replica is returned.
 
         Args:
             submission: id of the submission.
             timeout_s: how long the caller waits, in s.
+            caller: who asks.
 
         Raises:
             LogUnavailableError: the store does not answer, and this entry's replica does not hold the submission.
         """
         try:
             async with asyncio.timeout(timeout_s):
-                return await self.newest_outcome(submission)
+                return await self.newest_outcome(submission, caller)
         except TimeoutError:
-            known = self.state.state_of(submission)
-        if known is None:
-            raise LogUnavailableError('the log did not answer in time')
-        return known
+            if not self.state.is_visible(submission, caller):
+                raise LogUnavailableError('the log did not answer in time') from None
+        return self.state.state_of(submission)
 
-    async def newest_outcome(self, submission: SubmissionId) -> Outcome | None:
+    async def newest_outcome(self, submission: SubmissionId, caller: Caller) -> Outcome | None:
         """Return the state of a submission after reading the store.
 
         A running submission may just have ended, so this waits up to `STATE_WAIT_S` for its outcome.
         """
-        if not await self.is_known(submission):
+        if not await self.is_known(submission, caller):
             return None
         until = self.clock() + STATE_WAIT_S
         while self.state.state_of(submission) not in FINAL_OUTCOMES:
@@ -172,18 +189,20 @@
             await asyncio.sleep(STATE_AGE_S)
         return self.state.state_of(submission)
 
-    async def cancel(self, submission: SubmissionId, timeout_s: float) -> AcceptanceResult:
+    async def cancel(
+        self, submission: SubmissionId, timeout_s: float, caller: Caller = ANYONE
+    ) -> AcceptanceResult:
         """Store the cancellation of a submission.
 
         That of an unknown one is stored too before it is reported as gone: its acceptance may still be stored, by an
-        entry that was paused or whose append gets through late.
+        entry that was paused or whose append gets through late. That of another workspace's submission is stored in the
+        same way, so that the answer tells nothing, and has no effect.
         """
+        record = Cancelled(submission, caller)
         try:
-            known = await self.is_known(submission)
-            if self.needs_cancellation(submission):
-                await self.append_router.append(
-                    Cancelled(submission), self.store_timeout_s(timeout_s)
-                )
+            known = await self.is_known(submission, caller)
+            if self.needs_cancellation(record):
+                await self.append_router.append(record, self.store_timeout_s(timeout_s))
         except AppendRefusedError as refusal:
             logger.info('cancellation refused: submission={} {}', submission, refusal.reason)
             return AcceptanceResult.refused
@@ -191,17 +210,16 @@
             return AcceptanceResult.unknown
         return AcceptanceResult.done if known else AcceptanceResult.gone
 
-    def needs_cancellation(self, submission: SubmissionId) -> bool:
-        """Return whether the cancellation of a submission has to be stored.
+    def needs_cancellation(self, record: Cancelled) -> bool:
+        """Return whether a cancellation has to be stored.
 
         Raises:
             AppendRefusedError: the submission is unknown, and too many cancellations of unknown ones are stored.
         """
-        outcome = self.state.state_of(submission)
-        if outcome is not None:
-            return outcome not in FINAL_OUTCOMES
+        if self.state.is_visible(record.submission, record.caller):
+            return self.state.state_of(record.submission) not in FINAL_OUTCOMES
         early = self.state.early_cancellations
-        if submission in early:
+        if cancellation_name(record) in early:
             return False
         if len(early) >= MAX_EARLY_CANCELLATIONS:
             raise AppendRefusedError('too many cancellations of unknown submissions are stored')
--- a/marigoldlift/submissions/record_codec.py
+++ b/marigoldlift/submissions/record_codec.py
@@ -22,6 +22,7 @@
     'MAX_KEY_BYTES',
     'MAX_RECORD_BYTES',
     'StoredRecord',
+    'cancellation_name',
     'decode_record',
     'encode_record',
     'record_key',
@@ -36,12 +37,21 @@
     content: bytes
 
 
+def cancellation_name(record: Cancelled) -> str:
+    """Return the name of a cancellation, which is its submission and, if it has one, the caller's workspace.
+
+    So a cancellation by another workspace does not replace that by the workspace which owns the submission.
+    """
+    workspace = record.caller.workspace
+    return f'{record.submission}/{workspace}' if workspace else record.submission
+
+
 #: Key of each kind of record.
 KEY_BUILDERS: Mapping[type[Record], Callable[[Any], str]] = MappingProxyType(
     {
         Accepted: lambda record: f's/{record.submission.id}',
         Progress: lambda record: f'p/{record.submission}/{record.tenure}',
-        Cancelled: lambda record: f'c/{record.submission}',
+        Cancelled: lambda record: f'c/{cancellation_name(record)}',
         Finished: lambda record: f'f/{record.submission}',
         Leadership: lambda record: f'l/{record.node}',
         KnownWorker: lambda record: f'w/{record.worker}',
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -4,7 +4,10 @@
 
 import msgspec
 
+from marigoldlift.ids import WorkspaceId
+from marigoldlift.submissions.access import ANYONE, Caller
 from marigoldlift.submissions.model import Submission, SubmissionId
+from marigoldlift.workspaces.model import NO_WORKSPACE
 
 __all__ = (
     'NEW_TENURE',
@@ -78,9 +81,14 @@
 
 
 class Cancelled(Record, tag='c'):
-    """A submission that its caller has cancelled."""
+    """A submission that its caller has cancelled.
+
+    Attributes:
+        caller: who has cancelled it; without effect on a submission that this caller may not access.
+    """
 
     submission: SubmissionId
+    caller: Caller = ANYONE
 
 
 class Progress(Record, tag='p'):
@@ -120,10 +128,16 @@
     """Outcome of a submission that has ended and has no runs left.
 
     Its other records are dropped after this one, so that a snapshot stays small.
+
+    Attributes:
+        workspace: workspace whose callers may still query it, `NO_WORKSPACE` for all callers.
+        queue: name of its queue, empty without a workspace.
     """
 
     submission: SubmissionId
     outcome: Outcome
+    workspace: WorkspaceId = NO_WORKSPACE
+    queue: str = ''
 
 
 class KnownWorker(Record, tag='w'):
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -1,11 +1,15 @@
 """State of the cell, built by applying the records of the shared log."""
 
+import sys
 from collections.abc import Callable, Collection
+from typing import TypeGuard
 
 import msgspec
 from loguru import logger
 
 from marigoldlift.errors import MalformedMessageError
+from marigoldlift.ids import WorkspaceId
+from marigoldlift.submissions.access import Caller, Owner
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.submissions.records import (
     Accepted,
@@ -17,7 +21,11 @@
     Record,
     StepProgress,
 )
-from marigoldlift.submissions.record_codec import StoredRecord, decode_record
+from marigoldlift.submissions.record_codec import (
+    StoredRecord,
+    cancellation_name,
+    decode_record,
+)
 
 __all__ = ('FINAL_OUTCOMES', 'CellState', 'FinishedJob', 'Job')
 
@@ -31,12 +39,13 @@
 
     Attributes:
         seen_at: when this entry read it, in seconds of the monotonic clock.
+        cancellations: names of its cancellations by callers who may access it.
         final_at: when this entry read its outcome, None while it has none.
         tenures: tenures whose leaders have stored progress.
     """
 
     __slots__ = (
-        'cancelled',
+        'cancellations',
         'final_at',
         'offset',
         'outcome',
@@ -57,12 +66,22 @@
         self.submission = submission
         self.offset = offset
         self.seen_at = seen_at
-        self.cancelled = False
+        self.cancellations: set[str] = set()
         self.outcome = Outcome.queued
         self.progress: dict[tuple[int, int], StepProgress] = {}
         self.tenures: set[int] = set()
         self.final_at: float | None = None
 
+    @property
+    def cancelled(self) -> bool:
+        """Return whether the submission was cancelled."""
+        return bool(self.cancellations)
+
+    @property
+    def owner(self) -> Owner:
+        """Return what decides who may access the submission."""
+        return Owner(self.submission.workspace, self.submission.policy.queue)
+
     @property
     def state(self) -> Outcome:
         """Return the state of the submission."""
@@ -105,10 +124,19 @@
 
     Attributes:
         seen_at: when this entry read it, in seconds of the monotonic clock.
+        workspace: workspace whose callers may still query it.
+        queue: name of its queue, empty without a workspace.
     """
 
     outcome: Outcome
     seen_at: float
+    workspace: WorkspaceId
+    queue: str
+
+    @property
+    def owner(self) -> Owner:
+        """Return what decides who may access the submission."""
+        return Owner(self.workspace, self.queue)
 
 
 class CellState:
@@ -118,8 +146,9 @@
         jobs: submissions that have not ended, or that have ended but have no `Finished` record yet.
         finished: submissions that have ended and have no runs left.
         early_records: records read before the submission that they belong to, in order.
-        early_cancellations: cancelled submissions of which no acceptance was read, with the time at which the cancellation
-            was read, in seconds of the monotonic clock; an acceptance that follows is cancelled.
+        early_cancellations: names of cancellations that have no effect so far, with the time at which each was read, in
+            seconds of the monotonic clock: no acceptance was read, or the submission is that of another workspace. An
+            acceptance that follows is cancelled if its workspace is that of the cancellation.
         observers: called with the offset and content of each record after it was applied.
     """
 
@@ -133,7 +162,7 @@
         self.jobs: dict[SubmissionId, Job] = {}
         self.finished: dict[SubmissionId, FinishedJob] = {}
         self.early_records: dict[SubmissionId, list[Cancelled | Progress]] = {}
-        self.early_cancellations: dict[SubmissionId, float] = {}
+        self.early_cancellations: dict[str, float] = {}
         self.workers: dict[str, KnownWorker] = {}
         self.observers: list[Observer] = []
 
@@ -145,6 +174,16 @@
         job = self.jobs.get(submission)
         return job.state if job else None
 
+    def is_cancelled(self, submission: SubmissionId) -> bool:
+        """Return whether an open submission was cancelled by a caller who may access it."""
+        job = self.jobs.get(submission)
+        return job is not None and job.cancelled
+
+    def is_visible(self, submission: SubmissionId, caller: Caller) -> bool:
+        """Return whether a submission is known, and the caller may access it."""
+        job = self.finished.get(submission) or self.jobs.get(submission)
+        return job is not None and caller.may_access(job.owner)
+
     def apply(self, stored: StoredRecord) -> None:
         """Apply one stored record; one that does not decode is skipped with a log line."""
         if not stored.content:
@@ -175,32 +214,49 @@
         """Add a submission, and apply its early records; a known one stays unchanged."""
         if submission.id in self.jobs or submission.id in self.finished:
             return
-        self.jobs[submission.id] = Job(submission, offset, self.clock())
-        if self.early_cancellations.pop(submission.id, None) is not None:
-            logger.info('submission accepted after its cancellation: submission={}', submission.id)
+        job = Job(submission, offset, self.clock())
+        self.jobs[submission.id] = job
         for record in self.early_records.pop(submission.id, ()):
+            if is_cancellation(record):
+                self.early_cancellations.pop(cancellation_name(record), None)
             self.update_job(record)
+        if job.cancelled:
+            logger.info('submission accepted after its cancellation: submission={}', submission.id)
 
     def update_job(self, record: Cancelled | Progress) -> None:
         """Update a submission; keep the record for later if its acceptance is not read yet."""
         if record.submission in self.finished:
+            if is_cancellation(record):
+                self.note_without_effect(record)
             return
         job = self.jobs.get(record.submission)
         if job is None:
             self.keep_early(record)
             return
         if isinstance(record, Cancelled):
-            job.cancelled = True
+            self.cancel(job, record)
         else:
             job.merge(record)
         self.note_outcome(job)
 
+    def cancel(self, job: Job, record: Cancelled) -> None:
+        """Cancel a submission, unless it belongs to another workspace than that of the caller."""
+        if record.caller.may_access(job.owner):
+            job.cancellations.add(cancellation_name(record))
+        else:
+            self.note_without_effect(record)
+
+    def note_without_effect(self, record: Cancelled) -> None:
+        """Keep the name of a cancellation that has no effect until its record expires."""
+        self.early_cancellations.setdefault(cancellation_name(record), self.clock())
+
     def keep_early(self, record: Cancelled | Progress) -> None:
         """Keep a record for an acceptance that is read later; a repeated cancellation is kept once."""
         if isinstance(record, Cancelled):
-            if record.submission in self.early_cancellations:
+            name = cancellation_name(record)
+            if name in self.early_cancellations:
                 return
-            self.early_cancellations[record.submission] = self.clock()
+            self.early_cancellations[name] = self.clock()
         self.early_records.setdefault(record.submission, []).append(record)
 
     def note_outcome(self, job: Job) -> None:
@@ -212,8 +268,12 @@
         """Keep only the outcome of a submission."""
         self.jobs.pop(record.submission, None)
         self.early_records.pop(record.submission, None)
-        self.early_cancellations.pop(record.submission, None)
-        self.finished[record.submission] = FinishedJob(record.outcome, self.clock())
+        self.finished[record.submission] = FinishedJob(
+            record.outcome,
+            self.clock(),
+            WorkspaceId(sys.intern(record.workspace)),
+            sys.intern(record.queue),
+        )
 
     def retain(self, keys: Collection[str]) -> None:
         """Remove the submissions, outcomes, cancellations and workers whose keys a snapshot does not contain.
@@ -234,22 +294,30 @@
         submission = SubmissionId(name)
         if kind == 's':
             self.jobs.pop(submission, None)
-            if submission not in self.early_cancellations:
+            if not any(map(is_cancellation, self.early_records.get(submission, ()))):
                 self.early_records.pop(submission, None)
         elif kind == 'f':
             self.finished.pop(submission, None)
         elif kind == 'c':
-            self.drop_cancellation(submission)
+            self.drop_cancellation(name)
         elif kind == 'w':
             self.workers.pop(name, None)
 
-    def drop_cancellation(self, submission: SubmissionId) -> None:
-        """Remove an early cancellation."""
-        if self.early_cancellations.pop(submission, None) is None:
+    def drop_cancellation(self, name: str) -> None:
+        """Remove a cancellation that has no effect so far."""
+        if self.early_cancellations.pop(name, None) is None:
             return
-        early = self.early_records.pop(submission)
-        kept: list[Cancelled | Progress] = [
-            record for record in early if isinstance(record, Progress)
+        submission = SubmissionId(name.partition('/')[0])
+        early = self.early_records.pop(submission, ())
+        kept = [
+            record
+            for record in early
+            if not is_cancellation(record) or cancellation_name(record) != name
         ]
         if kept:
             self.early_records[submission] = kept
+
+
+def is_cancellation(record: Cancelled | Progress) -> TypeGuard[Cancelled]:
+    """Return whether a record is a cancellation."""
+    return isinstance(record, Cancelled)
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -87,6 +87,13 @@
     log_age = MetricSpec(GAUGE, 'seconds', ('stream',), 'Time since the log last answered a read.')
     starts = MetricSpec(COUNTER, '', ('outcome',), 'Starts ordered, by answer.')
     configuration_version = MetricSpec(GAUGE, '', (), 'Offset of the last accepted change.')
+    configuration_workspaces = MetricSpec(
+        GAUGE, '', (), 'Workspaces of the configuration in force.'
+    )
+    configuration_keys = MetricSpec(GAUGE, '', (), 'Keys of callers in force.')
+    callers_refused = MetricSpec(
+        COUNTER, '', ('reason',), 'Callers refused for their key or workspace.'
+    )
     members = MetricSpec(GAUGE, '', ('state',), 'Entries known, by state.')
     peer_call = MetricSpec(SUMMARY, 'seconds', ('method',), 'Time of a call to a peer.')
     peer_errors = MetricSpec(COUNTER, '', ('code',), 'Calls to peers that failed.')
