--- a/marigoldlift/platform/tests/conftest.py
+++ b/marigoldlift/platform/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import pytest
 from aiohttp import web
+from loguru import logger
 
 from marigoldlift.platform.http_calls import open_session
 
@@ -60,3 +61,12 @@
     """Session as the daemon opens it."""
     async with open_session(HOST_CONNECTIONS) as opened:
         yield opened
+
+
+@pytest.fixture
+def caplog_lines():
+    """Lines that were logged during the test."""
+    lines = []
+    sink = logger.add(lines.append, format='{level} {message}', level='INFO')
+    yield lines
+    logger.remove(sink)
--- a/marigoldlift/platform/tests/test_front.py
+++ b/marigoldlift/platform/tests/test_front.py
@@ -30,9 +30,11 @@
         self.answer = AcceptanceResult.done
         self.outcomes = {SubmissionId(NAME): Outcome.running}
         self.submitted = []
+        self.callers = []
 
     async def submit(self, submission, timeout_s, caller):
         self.submitted.append(submission)
+        self.callers.append(caller)
         return self.answer
 
     async def cancel(self, name, timeout_s, caller):
--- a/marigoldlift/platform/tests/test_node_settings.py
+++ b/marigoldlift/platform/tests/test_node_settings.py
@@ -52,3 +52,17 @@
         parse_node_settings(GOOD[:cut])
     except SettingsError as error:
         assert error.errors
+
+
+def test_bounds_of_the_configuration():
+    """Guards against bounds of keys that are read wrongly, or are too short for the reads of the configuration."""
+    settings = parse_node_settings(f'{GOOD}contracts=base,tenants\nbounds.strict_revoke=true\n')
+    assert settings.strict_key_withdrawal
+    assert settings.needs_keys
+    assert settings.configuration_s == pytest.approx(3.0)
+    broken = f'{GOOD}bounds.strict_revoke=maybe\nbounds.revoke_ms=900\n'
+    raised = pytest.raises(SettingsError, parse_node_settings, broken)
+    assert raised.value.errors == (
+        'bounds.revoke_ms: 900 is below 2000',
+        "bounds.strict_revoke: 'maybe' is neither true nor false",
+    )
