A record larger than one read is read whole

A configuration of 1,900 queues has 520 kB, and a read asks for 128 kB. Where an answer ends within its first record, the next read would have asked for the same part, and the entry would never have seen the version. It is now read again with 1,024 kB. Whether the platform's store cuts a record is not known; the fake of the test does.

--- a/marigoldlift/platform/store.py
+++ b/marigoldlift/platform/store.py
@@ -4,6 +4,7 @@
 import binascii
 import struct
 from collections.abc import Iterator, Sequence
+from types import MappingProxyType
 from urllib.parse import quote
 
 from loguru import logger
@@ -41,9 +42,14 @@
 #: Largest answer to a read, in kB; the slowest VMs have links of 5 Mbit/s and need 0.2 s for it.
 READ_KB = 128
 
+#: Size of a read after one that did not hold the whole first record, such as a configuration with 1,900 new queues.
+MAX_READ_KB = 1024
+
 #: Longest wait for a whole snapshot page, in s; a page has up to 1 MB in base64 and takes 2 s over the slowest link.
 PAGE_TIMEOUT_S = 8.0
 
+READ_TIMEOUT_S = MappingProxyType({READ_KB: ANSWER_TIMEOUT_S, MAX_READ_KB: PAGE_TIMEOUT_S})
+
 #: Longest wait for the next part of a snapshot page, in s. A slow store begins its answer within 0.3 s; an unresponsive
 #: one must not block an entry that has no snapshot yet for the whole timeout.
 PAGE_IDLE_TIMEOUT_S = 1.0
@@ -115,14 +121,26 @@
             RetentionPassedError: records from that offset are no longer kept.
             LogUnavailableError: no usable answer.
         """
-        path = self.path('log-read', f'&from={start}&wait_ms={wait_ms}&max_kb={READ_KB}')
-        reply = await self.fetch(path, ANSWER_TIMEOUT_S + wait_ms / MS_PER_S)
+        body = await self.read_bytes(start, wait_ms, READ_KB)
+        if is_cut_off(body):
+            body = await self.read_bytes(start, 0, MAX_READ_KB)
+        end, _ = POSITION.unpack_from(body)
+        return LogPage(end, list(decode_stored(body, start)))
+
+    async def read_bytes(self, start: int, wait_ms: int, max_kb: int) -> bytes:
+        """Return the answer to one read, which begins with a `POSITION`.
+
+        Raises:
+            RetentionPassedError: records from that offset are no longer kept.
+            LogUnavailableError: no usable answer.
+        """
+        path = self.path('log-read', f'&from={start}&wait_ms={wait_ms}&max_kb={max_kb}')
+        reply = await self.fetch(path, READ_TIMEOUT_S[max_kb] + wait_ms / MS_PER_S)
         if reply.status == GONE:
             raise RetentionPassedError(start)
         if reply.status != OK or len(reply.body) < POSITION.size:
             raise LogUnavailableError(f'read answered {reply.status}')
-        end, _ = POSITION.unpack_from(reply.body)
-        return LogPage(end, list(decode_stored(reply.body, start)))
+        return reply.body
 
     async def newest(self, after: str) -> SnapshotPage:
         """Return one page of the newest records, for the keys that follow `after`.
@@ -185,6 +203,15 @@
         offset += 1
 
 
+def is_cut_off(body: bytes) -> bool:
+    """Return whether the answer to a read ends within its first record."""
+    kept = len(body) - POSITION.size
+    if kept < LENGTH.size:
+        return kept > 0
+    size = LENGTH.unpack_from(body, POSITION.size)[0]
+    return kept < LENGTH.size + size
+
+
 def split_record(offset: int, record: bytes) -> StoredRecord:
     """Split a record into key and content; the key is empty if it does not decode."""
     key_size = record[0] if record else 0
--- a/marigoldlift/platform/tests/test_store.py
+++ b/marigoldlift/platform/tests/test_store.py
@@ -7,7 +7,14 @@
 
 from marigoldlift.errors import LogUnavailableError
 from marigoldlift.platform.calls import HttpClient
-from marigoldlift.platform.store import PAGE_IDLE_TIMEOUT_S, WORK_TOPIC, PlatformLog
+from marigoldlift.platform.store import (
+    LENGTH,
+    PAGE_IDLE_TIMEOUT_S,
+    POSITION,
+    WORK_TOPIC,
+    PlatformLog,
+    encode_stored,
+)
 from marigoldlift.platform.store_route import StoreRoute
 from marigoldlift.util import monotonic_now
 
@@ -62,3 +69,19 @@
     page = await log.newest('')
     assert [record.key for record in page.records] == ['s/1']
     assert PART_PAUSE_S * 7 > PAGE_IDLE_TIMEOUT_S
+
+
+@pytest.mark.parametrize('kept', [2, LENGTH.size, 128 * 1024])
+async def test_record_larger_than_a_read_is_read_whole(server, log, kept):
+    """Guards against an entry that asks for the same part of a large configuration again and again."""
+    record = encode_stored('config', b'x' * 200_000)
+
+    async def answer(request):
+        whole = int(request.query['max_kb']) > 128
+        part = record if whole else record[:kept]
+        return web.Response(body=POSITION.pack(5, 0) + part)
+
+    server.reply = answer
+    page = await log.read(4, 0)
+    assert [(stored.key, len(stored.content)) for stored in page.records] == [('config', 200_000)]
+    assert len(server.requests) == 2
