--- a/tests/cell/test_access.py
+++ b/tests/cell/test_access.py
@@ -64,7 +64,8 @@
         await asyncio.sleep(1)
         for state in (Outcome.running, Outcome.complete, Outcome.complete):
             assert await outcomes(cell, ADMITTED) == {state}
-            assert await outcomes(cell, OUTSIDERS) == {state if is_open else None}
+            hidden = {state} if is_open else {None}
+            assert await outcomes(cell, OUTSIDERS) == hidden
             await asyncio.sleep(ENDED_S)
             assert JOB in cell.entries[0].node.state.finished
             await restart_all(cell)
@@ -100,10 +101,10 @@
 
 
 @pytest.mark.parametrize(
-    ('callers', 'state'), [((OTHER,), Outcome.running), ((OWNER, OTHER), Outcome.cancelled)]
+    ('callers', 'state'), [((OTHER,), Outcome.running), ((OTHER, OWNER), Outcome.cancelled)]
 )
 def test_cancellation_before_the_acceptance(run_scenario, callers, state):
-    """Guards against a workspace that cancels the ids which another one is about to hand in."""
+    """Guards against a workspace that cancels, or keeps from being cancelled, what another one is about to hand in."""
 
     async def scenario(cell):
         await asyncio.sleep(ELECTION_S)
