Acceptances of one id by two workspaces do not replace each other in the log

The key of the record now names the workspace too, the first record in the log holds, and the leader drops the other. tests/cell/test_access.py shows it: red with the key as before, green now. Without workspaces keys and records are as they were. The model of one submission moves to submissions/job.py.

--- a/marigoldlift/scheduling/retention.py
+++ b/marigoldlift/scheduling/retention.py
@@ -10,6 +10,7 @@
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.submissions.model import SubmissionId
+from marigoldlift.submissions.record_codec import scoped_name
 from marigoldlift.submissions.records import Dropped, Finished, Record
 from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState, Job
 from marigoldlift.workspaces.model import NO_WORKSPACE
@@ -73,9 +74,12 @@
     def records(self) -> list[Sequence[Record]]:
         """Return the records of one round, grouped by submission."""
         ended = map(records_of_ended, self.ended()[:MAX_SUBMISSIONS_PER_ROUND])
-        expired = map(records_of_expired, self.expired()[:MAX_SUBMISSIONS_PER_ROUND])
+        expired = map(self.records_of_expired, self.expired()[:MAX_SUBMISSIONS_PER_ROUND])
+        rejected = sorted(self.state.rejected_acceptances)[:MAX_SUBMISSIONS_PER_ROUND]
         forgotten = self.expired_cancellations()[:MAX_SUBMISSIONS_PER_ROUND]
-        return [*ended, *expired, *((Dropped(f'c/{name}'),) for name in forgotten)]
+        unused = [f's/{name}' for name in rejected]
+        unused.extend(f'c/{name}' for name in forgotten)
+        return [*ended, *expired, *((Dropped(key),) for key in unused)]
 
     async def store(self, groups: Sequence[Sequence[Record]]) -> None:
         """Store all records of a submission or none; without its outcome, a dropped acceptance would be lost."""
@@ -109,6 +113,11 @@
         latest = self.state.clock() - self.kept_s
         return [name for name, job in self.state.finished.items() if job.seen_at < latest]
 
+    def records_of_expired(self, name: SubmissionId) -> Sequence[Record]:
+        """Return the records that drop a submission; a late copy of its acceptance may have been stored meanwhile."""
+        accepted = scoped_name(name, self.state.finished[name].workspace)
+        return [Dropped(f's/{accepted}'), Dropped(f'f/{name}')]
+
     def expired_cancellations(self) -> list[str]:
         """Return the names of the cancellations that had no effect within the retention period."""
         latest = self.state.clock() - self.kept_s
@@ -133,7 +142,7 @@
     owner = job.owner
     queue = '' if owner.workspace == NO_WORKSPACE else owner.queue
     finished = Finished(name, job.state, owner.workspace, queue)
-    return [finished, Dropped(f's/{name}'), *dropped_progress(job)]
+    return [finished, Dropped(f's/{job.name}'), *dropped_progress(job)]
 
 
 def dropped_progress(job: Job) -> Iterator[Record]:
@@ -143,8 +152,3 @@
         yield Dropped(f'c/{cancellation}')
     for tenure in sorted(job.tenures):
         yield Dropped(f'p/{name}/{tenure}')
-
-
-def records_of_expired(name: SubmissionId) -> Sequence[Record]:
-    """Return the records that drop a submission; a late copy of its acceptance may have been stored in the meantime."""
-    return [Dropped(f's/{name}'), Dropped(f'f/{name}')]
--- /dev/null
+++ b/marigoldlift/submissions/job.py
@@ -0,0 +1,128 @@
+"""State of one submission according to the log, open or ended."""
+
+import msgspec
+
+from marigoldlift.ids import WorkspaceId
+from marigoldlift.submissions.access import Owner
+from marigoldlift.submissions.model import Submission
+from marigoldlift.submissions.record_codec import scoped_name
+from marigoldlift.submissions.records import Outcome, Progress, StepProgress
+
+__all__ = ('FINAL_OUTCOMES', 'FinishedJob', 'Job')
+
+FINAL_OUTCOMES = frozenset((Outcome.complete, Outcome.failed, Outcome.cancelled))
+
+
+class Job:
+    """State of one submission according to the log.
+
+    Attributes:
+        seen_at: when this entry read it, in seconds of the monotonic clock.
+        cancellations: names of its cancellations by callers who may access it.
+        final_at: when this entry read its outcome, None while it has none.
+        tenures: tenures whose leaders have stored progress.
+    """
+
+    __slots__ = (
+        'cancellations',
+        'final_at',
+        'offset',
+        'outcome',
+        'progress',
+        'seen_at',
+        'submission',
+        'tenures',
+    )
+
+    def __init__(self, submission: Submission, offset: int, seen_at: float) -> None:
+        """Create the state of an accepted submission.
+
+        Args:
+            submission: what was accepted.
+            offset: offset of its record in the log.
+            seen_at: when this entry read it, in seconds of the monotonic clock.
+        """
+        self.submission = submission
+        self.offset = offset
+        self.seen_at = seen_at
+        self.cancellations: set[str] = set()
+        self.outcome = Outcome.queued
+        self.progress: dict[tuple[int, int], StepProgress] = {}
+        self.tenures: set[int] = set()
+        self.final_at: float | None = None
+
+    @property
+    def cancelled(self) -> bool:
+        """Return whether the submission was cancelled."""
+        return bool(self.cancellations)
+
+    @property
+    def name(self) -> str:
+        """Return the name of its acceptance."""
+        return scoped_name(self.submission.id, self.submission.workspace)
+
+    @property
+    def owner(self) -> Owner:
+        """Return what decides who may access the submission."""
+        return Owner(self.submission.workspace, self.submission.policy.queue)
+
+    @property
+    def state(self) -> Outcome:
+        """Return the state of the submission."""
+        if self.outcome not in FINAL_OUTCOMES and self.cancelled:
+            return Outcome.cancelled
+        return self.outcome
+
+    def merge(self, record: Progress) -> None:
+        """Merge a progress record; final outcomes, cancellations, completed tasks and failures are never undone."""
+        self.tenures.add(record.tenure)
+        if self.state not in FINAL_OUTCOMES:
+            if record.outcome in FINAL_OUTCOMES or self.outcome is Outcome.queued:
+                self.outcome = record.outcome
+        for step in record.steps:
+            known = self.progress.get((step.occurrence, step.step))
+            self.progress[step.occurrence, step.step] = merge_step_progress(known, step)
+
+
+def merge_step_progress(known: StepProgress | None, added: StepProgress) -> StepProgress:
+    """Merge the progress of a step from two records; placements are those of the newer one, which has them all."""
+    if known is None:
+        return added
+    failures = {
+        index: sorted({*known.failures.get(index, ()), *added.failures.get(index, ())})
+        for index in known.failures.keys() | added.failures.keys()
+    }
+    return StepProgress(
+        occurrence=added.occurrence,
+        step=added.step,
+        last_run=max(known.last_run, added.last_run),
+        done=sorted({*known.done, *added.done}),
+        failures=failures,
+        placed=added.placed,
+        unanswered=added.unanswered,
+    )
+
+
+class FinishedJob(msgspec.Struct, frozen=True):
+    """Outcome kept of a submission that has ended.
+
+    Attributes:
+        seen_at: when this entry read it, in seconds of the monotonic clock.
+        workspace: workspace whose callers may still query it.
+        queue: name of its queue, empty without a workspace.
+    """
+
+    outcome: Outcome
+    seen_at: float
+    workspace: WorkspaceId
+    queue: str
+
+    @property
+    def state(self) -> Outcome:
+        """Return the state of the submission, like that of an open one."""
+        return self.outcome
+
+    @property
+    def owner(self) -> Owner:
+        """Return what decides who may access the submission."""
+        return Owner(self.workspace, self.queue)
--- a/marigoldlift/submissions/record_codec.py
+++ b/marigoldlift/submissions/record_codec.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from marigoldlift.decoding import MsgpackDecoder
+from marigoldlift.ids import WorkspaceId
+from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.records import (
     Accepted,
     Cancelled,
@@ -26,6 +28,7 @@
     'decode_record',
     'encode_record',
     'record_key',
+    'scoped_name',
 )
 
 
@@ -37,19 +40,25 @@
     content: bytes
 
 
+def scoped_name(submission: SubmissionId, workspace: WorkspaceId) -> str:
+    """Return an id within its workspace, so that records of several workspaces do not replace each other."""
+    return f'{submission}/{workspace}' if workspace else submission
+
+
 def cancellation_name(record: Cancelled) -> str:
-    """Return the name of a cancellation, which is its submission and, if it has one, the caller's workspace.
+    """Return the name of a cancellation: its submission within the workspace of the caller."""
+    return scoped_name(record.submission, record.caller.workspace)
 
-    So a cancellation by another workspace does not replace that by the workspace which owns the submission.
-    """
-    workspace = record.caller.workspace
-    return f'{record.submission}/{workspace}' if workspace else record.submission
+
+def acceptance_name(record: Accepted) -> str:
+    """Return the name of an acceptance: its submission within its workspace."""
+    return scoped_name(record.submission.id, record.submission.workspace)
 
 
 #: Key of each kind of record.
 KEY_BUILDERS: Mapping[type[Record], Callable[[Any], str]] = MappingProxyType(
     {
-        Accepted: lambda record: f's/{record.submission.id}',
+        Accepted: lambda record: f's/{acceptance_name(record)}',
         Progress: lambda record: f'p/{record.submission}/{record.tenure}',
         Cancelled: lambda record: f'c/{cancellation_name(record)}',
         Finished: lambda record: f'f/{record.submission}',
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable, Collection
 from typing import TypeGuard
 
-import msgspec
 from loguru import logger
 
 from marigoldlift.errors import MalformedMessageError
 from marigoldlift.ids import WorkspaceId
-from marigoldlift.submissions.access import Caller, Owner
+from marigoldlift.submissions.access import Caller
+from marigoldlift.submissions.job import FINAL_OUTCOMES, FinishedJob, Job
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.submissions.records import (
     Accepted,
@@ -19,126 +19,19 @@
     Outcome,
     Progress,
     Record,
-    StepProgress,
 )
 from marigoldlift.submissions.record_codec import (
     StoredRecord,
     cancellation_name,
     decode_record,
+    scoped_name,
 )
 
 __all__ = ('FINAL_OUTCOMES', 'CellState', 'FinishedJob', 'Job')
 
-FINAL_OUTCOMES = frozenset((Outcome.complete, Outcome.failed, Outcome.cancelled))
-
 Observer = Callable[[int, Record], None]
 
 
-class Job:
-    """State of one submission according to the log.
-
-    Attributes:
-        seen_at: when this entry read it, in seconds of the monotonic clock.
-        cancellations: names of its cancellations by callers who may access it.
-        final_at: when this entry read its outcome, None while it has none.
-        tenures: tenures whose leaders have stored progress.
-    """
-
-    __slots__ = (
-        'cancellations',
-        'final_at',
-        'offset',
-        'outcome',
-        'progress',
-        'seen_at',
-        'submission',
-        'tenures',
-    )
-
-    def __init__(self, submission: Submission, offset: int, seen_at: float) -> None:
-        """Create the state of an accepted submission.
-
-        Args:
-            submission: what was accepted.
-            offset: offset of its record in the log.
-            seen_at: when this entry read it, in seconds of the monotonic clock.
-        """
-        self.submission = submission
-        self.offset = offset
-        self.seen_at = seen_at
-        self.cancellations: set[str] = set()
-        self.outcome = Outcome.queued
-        self.progress: dict[tuple[int, int], StepProgress] = {}
-        self.tenures: set[int] = set()
-        self.final_at: float | None = None
-
-    @property
-    def cancelled(self) -> bool:
-        """Return whether the submission was cancelled."""
-        return bool(self.cancellations)
-
-    @property
-    def owner(self) -> Owner:
-        """Return what decides who may access the submission."""
-        return Owner(self.submission.workspace, self.submission.policy.queue)
-
-    @property
-    def state(self) -> Outcome:
-        """Return the state of the submission."""
-        if self.outcome not in FINAL_OUTCOMES and self.cancelled:
-            return Outcome.cancelled
-        return self.outcome
-
-    def merge(self, record: Progress) -> None:
-        """Merge a progress record; final outcomes, cancellations, completed tasks and failures are never undone."""
-        self.tenures.add(record.tenure)
-        if self.state not in FINAL_OUTCOMES:
-            if record.outcome in FINAL_OUTCOMES or self.outcome is Outcome.queued:
-                self.outcome = record.outcome
-        for step in record.steps:
-            known = self.progress.get((step.occurrence, step.step))
-            self.progress[step.occurrence, step.step] = merge_step_progress(known, step)
-
-
-def merge_step_progress(known: StepProgress | None, added: StepProgress) -> StepProgress:
-    """Merge the progress of a step from two records; placements are those of the newer one, which has them all."""
-    if known is None:
-        return added
-    failures = {
-        index: sorted({*known.failures.get(index, ()), *added.failures.get(index, ())})
-        for index in known.failures.keys() | added.failures.keys()
-    }
-    return StepProgress(
-        occurrence=added.occurrence,
-        step=added.step,
-        last_run=max(known.last_run, added.last_run),
-        done=sorted({*known.done, *added.done}),
-        failures=failures,
-        placed=added.placed,
-        unanswered=added.unanswered,
-    )
-
-
-class FinishedJob(msgspec.Struct, frozen=True):
-    """Outcome kept of a submission that has ended.
-
-    Attributes:
-        seen_at: when this entry read it, in seconds of the monotonic clock.
-        workspace: workspace whose callers may still query it.
-        queue: name of its queue, empty without a workspace.
-    """
-
-    outcome: Outcome
-    seen_at: float
-    workspace: WorkspaceId
-    queue: str
-
-    @property
-    def owner(self) -> Owner:
-        """Return what decides who may access the submission."""
-        return Owner(self.workspace, self.queue)
-
-
 class CellState:
     """All submissions, and the workers that may hold tasks.
 
@@ -149,6 +42,8 @@
         early_cancellations: names of cancellations that have no effect so far, with the time at which each was read, in
             seconds of the monotonic clock: no acceptance was read, or the submission is that of another workspace. An
             acceptance that follows is cancelled if its workspace is that of the cancellation.
+        rejected_acceptances: names of acceptances whose id another workspace had used before; their records are to be
+            dropped.
         observers: called with the offset and content of each record after it was applied.
     """
 
@@ -163,15 +58,13 @@
         self.finished: dict[SubmissionId, FinishedJob] = {}
         self.early_records: dict[SubmissionId, list[Cancelled | Progress]] = {}
         self.early_cancellations: dict[str, float] = {}
+        self.rejected_acceptances: set[str] = set()
         self.workers: dict[str, KnownWorker] = {}
         self.observers: list[Observer] = []
 
     def state_of(self, submission: SubmissionId) -> Outcome | None:
         """Return the state of a submission, None if it is unknown."""
-        finished = self.finished.get(submission)
-        if finished is not None:
-            return finished.outcome
-        job = self.jobs.get(submission)
+        job = self.find(submission)
         return job.state if job else None
 
     def is_cancelled(self, submission: SubmissionId) -> bool:
@@ -181,9 +74,13 @@
 
     def is_visible(self, submission: SubmissionId, caller: Caller) -> bool:
         """Return whether a submission is known, and the caller may access it."""
-        job = self.finished.get(submission) or self.jobs.get(submission)
+        job = self.find(submission)
         return job is not None and caller.may_access(job.owner)
 
+    def find(self, submission: SubmissionId) -> Job | FinishedJob | None:
+        """Return what is known of a submission, None if it is unknown."""
+        return self.finished.get(submission) or self.jobs.get(submission)
+
     def apply(self, stored: StoredRecord) -> None:
         """Apply one stored record; one that does not decode is skipped with a log line."""
         if not stored.content:
@@ -212,7 +109,11 @@
 
     def accept(self, offset: int, submission: Submission) -> None:
         """Add a submission, and apply its early records; a known one stays unchanged."""
-        if submission.id in self.jobs or submission.id in self.finished:
+        known = self.find(submission.id)
+        if known is not None:
+            name = scoped_name(submission.id, submission.workspace)
+            if name != scoped_name(submission.id, known.owner.workspace):
+                self.rejected_acceptances.add(name)
             return
         job = Job(submission, offset, self.clock())
         self.jobs[submission.id] = job
@@ -280,7 +181,8 @@
 
         Their keys were dropped while this entry could not read the log.
         """
-        known = [f's/{name}' for name in self.jobs]
+        known = [f's/{job.name}' for job in self.jobs.values()]
+        known.extend(f's/{name}' for name in self.rejected_acceptances)
         known.extend(f'f/{name}' for name in self.finished)
         known.extend(f'c/{name}' for name in self.early_cancellations)
         known.extend(f'w/{name}' for name in self.workers)
@@ -291,18 +193,27 @@
     def drop(self, key: str) -> None:
         """Remove the submission, outcome, early cancellation or worker of a dropped key."""
         kind, _, name = key.partition('/')
-        submission = SubmissionId(name)
         if kind == 's':
-            self.jobs.pop(submission, None)
-            if not any(map(is_cancellation, self.early_records.get(submission, ()))):
-                self.early_records.pop(submission, None)
+            self.drop_acceptance(name)
         elif kind == 'f':
-            self.finished.pop(submission, None)
+            self.finished.pop(SubmissionId(name), None)
         elif kind == 'c':
             self.drop_cancellation(name)
         elif kind == 'w':
             self.workers.pop(name, None)
 
+    def drop_acceptance(self, name: str) -> None:
+        """Remove a submission, unless the name is that of an acceptance by another workspace."""
+        self.rejected_acceptances.discard(name)
+        submission = SubmissionId(name.partition('/')[0])
+        job = self.jobs.get(submission)
+        if job is not None:
+            if job.name == name:
+                self.jobs.pop(submission)
+            return
+        if not any(map(is_cancellation, self.early_records.get(submission, ()))):
+            self.early_records.pop(submission, None)
+
     def drop_cancellation(self, name: str) -> None:
         """Remove a cancellation that has no effect so far."""
         if self.early_cancellations.pop(name, None) is None:
--- a/tests/cell/test_access.py
+++ b/tests/cell/test_access.py
@@ -23,6 +23,7 @@
     restart_all,
 )
 
+TASK_S = 6.0
 ENDED_S = 8.0
 LONG_TASK_S = 60.0
 
@@ -122,6 +123,27 @@
     run_scenario(scenario)
 
 
+def test_id_handed_in_by_two_workspaces_at_once(run_scenario):
+    """Guards against a submission that another workspace replaces in the log, and against records that stay."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        await asyncio.gather(submit(cell.entries[0]), submit(cell.entries[1], OTHER))
+        await asyncio.sleep(1)
+        owner = Caller(cell.entries[0].node.state.jobs[JOB].submission.workspace)
+        other = OTHER if owner == OWNER else OWNER
+        for state in (Outcome.running, Outcome.complete):
+            await restart_all(cell)
+            await asyncio.sleep(ELECTION_S)
+            assert await outcomes(cell, (owner,)) == {state}
+            assert await outcomes(cell, (other,)) == {None}
+        await asyncio.sleep(DROPPED_S)
+        assert not any(JOB in key for key in cell.log.newest)
+
+    run_scenario(scenario, outcome_kept_s=SHORT_KEPT_S)
+
+
 def test_records_of_earlier_versions_have_no_workspace():
     """Guards against records that cannot be read after an update."""
     finished = msgspec.msgpack.encode(['f', 'job', 'complete'])
