--- a/marigoldlift/platform/configuration.py
+++ b/marigoldlift/platform/configuration.py
@@ -122,8 +122,8 @@
             return
         if body.version <= self.version:
             return
-        self.version = body.version
         configuration = self.convert(body)
+        self.version = configuration.version
         logger.info(
             'configuration in force: version={} queues={} workspaces={} keys={}',
             configuration.version,
