--- a/marigoldlift/submissions/record_codec.py
+++ b/marigoldlift/submissions/record_codec.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from marigoldlift.decoding import MsgpackDecoder
+from marigoldlift.ids import WorkspaceId
+from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.records import (
     Accepted,
     Cancelled,
@@ -22,9 +24,11 @@
     'MAX_KEY_BYTES',
     'MAX_RECORD_BYTES',
     'StoredRecord',
+    'cancellation_name',
     'decode_record',
     'encode_record',
     'record_key',
+    'scoped_name',
 )
 
 
@@ -36,12 +40,27 @@
     content: bytes
 
 
+def scoped_name(submission: SubmissionId, workspace: WorkspaceId) -> str:
+    """Return an id within its workspace, so that records of several workspaces do not replace each other."""
+    return f'{submission}/{workspace}' if workspace else submission
+
+
+def cancellation_name(record: Cancelled) -> str:
+    """Return the name of a cancellation: its submission within the workspace of the caller."""
+    return scoped_name(record.submission, record.caller.workspace)
+
+
+def acceptance_name(record: Accepted) -> str:
+    """Return the name of an acceptance: its submission within its workspace."""
+    return scoped_name(record.submission.id, record.submission.workspace)
+
+
 #: Key of each kind of record.
 KEY_BUILDERS: Mapping[type[Record], Callable[[Any], str]] = MappingProxyType(
     {
-        Accepted: lambda record: f's/{record.submission.id}',
+        Accepted: lambda record: f's/{acceptance_name(record)}',
         Progress: lambda record: f'p/{record.submission}/{record.tenure}',
-        Cancelled: lambda record: f'c/{record.submission}',
+        Cancelled: lambda record: f'c/{cancellation_name(record)}',
         Finished: lambda record: f'f/{record.submission}',
         Leadership: lambda record: f'l/{record.node}',
         KnownWorker: lambda record: f'w/{record.worker}',
