--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -81,6 +81,7 @@
             OPERATORS_READ_INTERVAL_S,
             self.node.faults,
         )
+        self.node.workspaces.read_at = self.configuration_read_at
         self.front = ClientRequestHandler(
             self.node.acceptance, own_address, self.is_stale, self.metrics
         )
@@ -117,6 +118,10 @@
         self.node.workspaces.replace(configuration.version, configuration.workspaces)
         self.metrics.set(Metric.configuration_version, configuration.version)
 
+    def configuration_read_at(self) -> float:
+        """Return when the store last answered a read of the configuration, in seconds of the monotonic clock."""
+        return self.operators.last_response_at
+
     def render_metrics(self) -> str:
         """Return all metrics as text."""
         self.node.set_gauges()
--- a/marigoldlift/workspaces/model.py
+++ b/marigoldlift/workspaces/model.py
@@ -4,7 +4,7 @@
 
 from marigoldlift.ids import WorkspaceId
 
-__all__ = ('NO_WORKSPACE', 'ResourceCap', 'Workspace')
+__all__ = ('NO_CAP', 'NO_WORKSPACE', 'ResourceCap', 'Workspace')
 
 #: Workspace of submissions whose queue or configuration names none; it has neither weight nor cap.
 NO_WORKSPACE = WorkspaceId('')
@@ -24,6 +24,10 @@
     gpus: int = 0
 
 
+#: Cap that limits nothing.
+NO_CAP = ResourceCap()
+
+
 class Workspace(msgspec.Struct, frozen=True):
     """One workspace.
 
@@ -34,4 +38,4 @@
 
     name: WorkspaceId
     weight: float = 0
-    cap: ResourceCap = ResourceCap()
+    cap: ResourceCap = NO_CAP
