--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -209,6 +209,7 @@
             the worker has.
         mem_mb: free memory, in MB.
         gpus: free accelerators.
+        changes: number of runs that were taken or removed so far; what is derived from the runs is valid until the next.
     """
 
     def __init__(self, worker: Worker, held_tasks: HeldTasks) -> None:
@@ -224,6 +225,7 @@
         self.used_cpu_m = 0
         self.used_mem_mb = 0
         self.used_gpus = 0
+        self.changes = 0
         self.resize(worker)
 
     def detach(self) -> None:
@@ -265,6 +267,7 @@
         self.used_cpu_m += 0 if step.fills else sign * step.cpu_m
         self.used_mem_mb += sign * step.mem_mb
         self.used_gpus += sign * step.gpus
+        self.changes += 1
         self.update_free()
 
     def note_end(self, task: TaskRef, run: int) -> None:
