Place no more tasks than fit into the cap of their workspace

The planner admits a step as far as its workspace's cap has room, gangs whole or not at all. A step that is not admitted is no failed placement, reserves no workers, asks for no tickets and has a pending reason of its own. The first waiting gang of a workspace keeps its room from less urgent steps of it, unless it is larger than the cap. No step is admitted while its cap is not known. Metrics and log lines show the share of the cap in use and what waits for it.

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -194,6 +194,7 @@
         metrics.set(Metric.log_age, now - self.replica.last_response_at, stream='work')
         if self.dispatcher is not None:
             metrics.set(Metric.log_age, now - self.listing.last_response_at, stream='workers')
+            self.dispatcher.planner.set_gauges(metrics)
         metrics.set(Metric.members, len(self.broker.relays), state='alive')
         metrics.set(Metric.early_cancellations, len(self.state.early_cancellations))
         states = [job.state for job in self.state.jobs.values()]
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -13,6 +13,7 @@
 from marigoldlift.scheduling.checks import RunChecks
 from marigoldlift.scheduling.events import RunEvents
 from marigoldlift.scheduling.parts import DispatcherParts
+from marigoldlift.scheduling.pending import PendingSteps
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
@@ -20,6 +21,8 @@
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tickets import TicketManager
+from marigoldlift.scheduling.workspace_caps import WorkspaceCaps
+from marigoldlift.scheduling.workspace_usage import WorkspaceUsage
 from marigoldlift.submissions.records import Accepted, Cancelled, Progress, Record
 from marigoldlift.submissions.state import FINAL_OUTCOMES
 from marigoldlift.supervision import ItemKind
@@ -85,6 +88,8 @@
         self.starter = Starter(self.session_manager, self.progress, self.events)
         placer = Placer(self.session_manager.health, self.clock)
         tickets = TicketManager(parts.broker, placer, self.starter, self.clock, self.wake.set)
+        self.usage = WorkspaceUsage(parts.state, self.session_manager)
+        caps = WorkspaceCaps(parts.workspaces, self.usage, self.clock)
         self.planner = Planner(
             self.session_manager,
             placer,
@@ -92,7 +97,7 @@
             self.starter,
             self.clock,
             parts.gang_wait_s,
-            parts.metrics,
+            PendingSteps(placer, self.session_manager, self.clock, parts.metrics, caps),
             self.faults,
         )
         self.open_submissions = OpenSubmissions(
@@ -154,6 +159,7 @@
         self.session_manager.open_recorded(self.parts.election.earlier_leaders)
         for job in self.open_submissions.jobs.values():
             self.session_manager.earlier_orders.adopt_starts(job.steps.values())
+        self.usage.earlier_runs.begin()
         deadline = self.clock() + TAKEOVER_WAIT_S
         while self.clock() < deadline and not self.session_manager.all_runs_known():
             await asyncio.sleep(MIN_PASS_PAUSE_S)
--- a/marigoldlift/scheduling/pending.py
+++ b/marigoldlift/scheduling/pending.py
@@ -8,6 +8,7 @@
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.tasks import PendingReason, StepRun
+from marigoldlift.scheduling.workspace_caps import WorkspaceCaps
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 
@@ -73,6 +74,7 @@
         session_manager: SessionManager,
         clock: Callable[[], float],
         metrics: Metrics,
+        caps: WorkspaceCaps,
     ) -> None:
         """Start without idle steps.
 
@@ -81,7 +83,9 @@
             session_manager: sessions with the workers.
             clock: monotonic clock in seconds.
             metrics: receives the idle times.
+            caps: tells which steps wait because of the cap of their workspace.
         """
+        self.caps = caps
         self.placer = placer
         self.session_manager = session_manager
         self.clock = clock
@@ -122,6 +126,8 @@
     def is_placeable(self, step: StepRun, half_free: dict[str, Sequence[WorkerSession]]) -> bool:
         """Return whether less than half of the service is in use and the step fits completely.
 
+        A step of a workspace that uses half of its cap or more may have to wait for that.
+
         Args:
             step: the waiting step.
             half_free: cache of this sample: listed workers by service, empty if half or more of the service is in use.
@@ -130,6 +136,8 @@
         if service not in half_free:
             sessions = listed_sessions(self.session_manager, service)
             half_free[service] = sessions if is_half_free(sessions) else ()
+        if self.caps.may_wait(step):
+            return False
         missing = len(step.todo)
         for session in half_free[service]:
             if missing <= 0:
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.cap_report import report_waiting, set_cap_gauges
 from marigoldlift.scheduling.pending import PendingSteps
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.pool import Pool
@@ -52,7 +53,7 @@
         starter: Starter,
         clock: Callable[[], float],
         gang_wait_s: float,
-        metrics: Metrics,
+        pending: PendingSteps,
         faults: FaultBoundary,
     ) -> None:
         """Start without waiting steps.
@@ -64,7 +65,7 @@
             starter: sends start and stop orders.
             clock: monotonic clock in seconds.
             gang_wait_s: how long a member of a gang waits at its worker for the others, in seconds.
-            metrics: receives the idle times of steps.
+            pending: samples which steps are idle, and tells how many of their tasks the caps of workspaces admit.
             faults: sets aside submissions whose handling raises.
         """
         self.session_manager = session_manager
@@ -80,7 +81,8 @@
         self.reserving_step: StepRun | None = None
         self.failed_placements = 0
         self.wait_report = WaitReport(placer, clock)
-        self.pending = PendingSteps(placer, session_manager, clock, metrics)
+        self.pending = pending
+        self.caps = pending.caps
 
     def add(self, step: StepRun) -> None:
         """Queue a step for placement if it has tasks to start."""
@@ -98,6 +100,9 @@
         self.drop_finished()
         self.pending.reasons.clear()
         ready = self.ready_steps(now, wall_ms)
+        self.caps.begin_pass(self.waiting)
+        for gang in filter(self.pending.is_overdue, ready):
+            self.caps.reserve(gang)
         for candidate in ready:
             with self.faults.contain(ItemKind.submission, candidate.job.id):
                 if self.failed_placements < MAX_FAILED_PLACEMENTS or self.pending.is_overdue(
@@ -106,6 +111,7 @@
                     self.place(candidate)
         if self.wait_report.is_due():
             self.wait_report.report(ready, self.pool)
+            report_waiting(self.caps, ready, self.pending.reasons)
 
     def ready_steps(self, now: float, wall_ms: float) -> list[StepRun]:
         """Return the steps that may be placed now, the most urgent first.
@@ -128,6 +134,10 @@
         """Record which steps are idle, with the reason that the last pass found."""
         self.pending.sample(self.waiting, time.time() * MS_PER_S)
 
+    def set_gauges(self, metrics: Metrics) -> None:
+        """Update the gauges of the caps before they are read."""
+        set_cap_gauges(self.caps, metrics)
+
     def drop_finished(self) -> None:
         """Remove the steps that have no task to start or whose submission has ended."""
         finished = [step for step in self.waiting if not step.todo or step.job.outcome]
@@ -162,7 +172,21 @@
         return cached
 
     def place(self, step: StepRun) -> None:
-        """Start as many tasks of a step as possible, and request tickets for the rest."""
+        """Place a step as far as the cap of its workspace admits it; one that it does not admit holds up no other."""
+        admitted = self.caps.admit(step)
+        if admitted:
+            waiting = len(step.todo)
+            try:
+                self.place_admitted(step, admitted)
+            finally:
+                self.caps.note_placed(step, waiting - len(step.todo))
+            admitted = self.caps.admit(step)
+        if step.todo and not admitted:
+            self.caps.reserve(step)
+            self.pending.reasons[step] = self.caps.pending_reason(step)
+
+    def place_admitted(self, step: StepRun, admitted: int) -> None:
+        """Start as many of the admitted tasks of a step as possible, and request tickets for the rest."""
         overdue = self.pending.is_overdue(step)
         service = step.job.submission.policy.service
         pool = self.pool(service, include_quarantined=overdue)
@@ -174,8 +198,9 @@
         available = permitted if overdue or step.job.is_urgent else self.unreserved(permitted)
         waiting = len(step.todo)
         place = self.place_gang if step.step.gang else self.place_tasks
-        placed = place(step, available, overdue=overdue)
-        self.count_placed(service, step, waiting - len(step.todo))
+        placed = place(step, available, admitted, overdue=overdue)
+        rest = admitted - waiting + len(step.todo)
+        self.count_placed(service, step, admitted - rest)
         if placed:
             logger.info(
                 'step placed: step={} run={} active={} todo={} age_s={:.2f}',
@@ -185,10 +210,12 @@
                 len(step.todo),
                 self.clock() - step.job.since,
             )
-        if step.todo and step.gang_started_at is None:
+        if rest and step.gang_started_at is None:
+            if not available:
+                self.caps.reserve(step)
             self.failed_placements += int(bool(available) and not placed)
             self.tickets.ask_if_needed(
-                step, pool, overdue=overdue, has_reservation=step is self.reserving_step
+                step, pool, rest, overdue=overdue, has_reservation=step is self.reserving_step
             )
             self.pending.reasons[step] = self.pending_reason(step, permitted, available)
 
@@ -219,27 +246,33 @@
             return False
         return pool.free_cpu_m - step.step.cpu_m < pool.cpu_m * URGENT_SHARE
 
-    def place_tasks(self, step: StepRun, available: list[WorkerSession], *, overdue: bool) -> bool:
-        """Start tasks one by one.
+    def place_tasks(
+        self, step: StepRun, available: list[WorkerSession], admitted: int, *, overdue: bool
+    ) -> bool:
+        """Start tasks one by one, as many as are admitted.
 
         Stops at the first task that fits nowhere, unless it has failed somewhere: then others may still find a worker.
         """
-        placed = False
+        placed = 0
         for index in step.startable(self.session_manager.earlier_orders.unreachable):
             session = self.placer.place_one(step, index, available, overdue=overdue)
-            if session is None and not step.avoid.get(index):
-                return placed
             if session is not None:
-                placed |= self.starter.start(step, index, session, step.next_run(index))
-        return placed
-
-    def place_gang(self, step: StepRun, available: list[WorkerSession], *, overdue: bool) -> bool:
+                placed += int(self.starter.start(step, index, session, step.next_run(index)))
+            elif not step.avoid.get(index):
+                return placed > 0
+            if placed >= admitted:
+                return True
+        return placed > 0
+
+    def place_gang(
+        self, step: StepRun, available: list[WorkerSession], admitted: int, *, overdue: bool
+    ) -> bool:
         """Start a whole gang, or the missing members of one that is starting.
 
         A gang that fits nowhere reserves workers for itself; one that fits only on workers that it avoids just waits.
         """
         if step.gang_started_at is not None:
-            return self.complete_gang(step, available, overdue=overdue)
+            return self.complete_gang(step, available, admitted, overdue=overdue)
         if step.active or len(step.todo) < step.step.count:
             return False
         if any(self.starter.is_held(step.task(index)) for index in step.todo):
@@ -256,7 +289,7 @@
         return True
 
     def complete_gang(
-        self, step: StepRun, available: list[WorkerSession], *, overdue: bool
+        self, step: StepRun, available: list[WorkerSession], admitted: int, *, overdue: bool
     ) -> bool:
         """Start the missing members of a gang under the same run number while the started ones still wait for them.
 
@@ -267,7 +300,7 @@
             step.gang_broken = True
             self.starter.stop_step(step)
             return False
-        return self.place_tasks(step, available, overdue=overdue)
+        return self.place_tasks(step, available, admitted, overdue=overdue)
 
     def reserve(self, step: StepRun) -> None:
         """Reserve all workers that the step has a ticket for, expired or not, against less urgent steps.
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -25,6 +25,8 @@
     Attributes:
         not_planned: the pass did not reach the step.
         unreachable: its tasks may run, or have ended, on a worker that has not listed all its ends since the takeover.
+        cap: its workspace has no room left in its cap for another of its tasks, or for the whole gang.
+        cap_unknown: the cap of its workspace is not known, or may have changed since it was last read.
         headroom: the free CPU is reserved for urgent submissions.
         reserved: the workers that it may use are reserved for a gang.
         room: the workers that it may use lack free capacity.
@@ -36,6 +38,8 @@
 
     not_planned = 'not_planned'
     unreachable = 'unreachable'
+    cap = 'cap'
+    cap_unknown = 'cap_unknown'
     headroom = 'headroom'
     reserved = 'reserved'
     room = 'room'
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -106,13 +106,14 @@
         return [session for session in ticketed if step.may_use(session.worker)]
 
     def ask_if_needed(
-        self, step: StepRun, pool: Pool, *, overdue: bool, has_reservation: bool
+        self, step: StepRun, pool: Pool, admitted: int, *, overdue: bool, has_reservation: bool
     ) -> None:
         """Request more tickets if those that the step holds are not enough to place it.
 
         Args:
             step: the waiting step.
             pool: workers that may get new tasks.
+            admitted: number of its waiting tasks that may be started now.
             overdue: whether the step has waited so long that its request is urgent and may name workers that it avoids.
             has_reservation: whether workers are reserved for the step, so that its tickets must be valid as soon as
                 there is enough capacity.
@@ -123,7 +124,11 @@
             return
         avoided = set() if overdue else self.placer.avoided_by_step(step)
         asked = self.workers_to_ask(
-            step, list(pool.eligible(step.step)), avoided, has_reservation=has_reservation
+            step,
+            list(pool.eligible(step.step)),
+            avoided,
+            admitted,
+            has_reservation=has_reservation,
         )
         if asked:
             step.ask_after = math.inf
@@ -151,6 +156,7 @@
         step: StepRun,
         usable: Sequence[WorkerSession],
         avoided: Container[str],
+        admitted: int,
         *,
         has_reservation: bool,
     ) -> list[str]:
@@ -164,6 +170,7 @@
             step: the waiting step.
             usable: workers that may get new tasks and have the label that the step requires.
             avoided: ids of the workers that the step currently avoids.
+            admitted: number of its waiting tasks that may be started now.
             has_reservation: whether workers are reserved for the step.
         """
         room = self.placer.room(step, usable)
@@ -172,17 +179,19 @@
         placeable = sum(room[session] for session in approved if session.worker.id not in avoided)
         unasked = [session for session in room if session.worker.id not in step.tickets]
         if placeable >= needed or (has_reservation and not unasked):
-            return self.expired(step, approved)
+            return self.expired(step, approved, admitted)
         if not unasked:
             return []
-        missing = len(step.todo) - placeable if step.step.gang else len(step.todo)
+        missing = admitted - placeable if step.step.gang else admitted
         at_least = MAX_WORKERS_PER_CALL if step.tickets else FIRST_CALL_WORKERS
         share = self.shares.share(step.job.submission.policy.queue)
         asked = choose_candidates(room, unasked, missing, share, at_least)
-        return asked + self.expired(step, approved)
+        return asked + self.expired(step, approved, admitted)
 
-    def expired(self, step: StepRun, approved: Sequence[WorkerSession]) -> list[str]:
-        """Return workers whose tickets expire before an answer would arrive, as many as the waiting tasks need."""
+    def expired(
+        self, step: StepRun, approved: Sequence[WorkerSession], admitted: int
+    ) -> list[str]:
+        """Return workers whose tickets expire before an answer would arrive, as many as the admitted tasks need."""
         answered_at = self.clock() + self.broker.cost_s(
             step.job.submission.policy.advice, min(len(approved), MIN_WORKERS_PER_CALL)
         )
@@ -192,7 +201,7 @@
             approved, key=lambda candidate: -self.placer.placeable_tasks(candidate, step)
         )
         for session in by_capacity:
-            if placeable >= len(step.todo) * SPARE_CAPACITY_FACTOR:
+            if placeable >= admitted * SPARE_CAPACITY_FACTOR:
                 break
             placeable += self.placer.placeable_tasks(session, step)
             if not step.holds_ticket(session.worker.id, answered_at):
--- /dev/null
+++ b/marigoldlift/scheduling/workspace_caps.py
@@ -0,0 +1,180 @@
+"""How many tasks of a step fit into the cap of its workspace.
+
+Answers the load of a workspace that hands in more than its cap holds: its own work waits, and neither holds up that of
+others nor takes room, questions to the advice, or reservations from them.
+"""
+
+from collections.abc import Callable, Iterable
+
+from marigoldlift.ids import WorkspaceId
+from marigoldlift.scheduling.tasks import PendingReason, StepRun
+from marigoldlift.scheduling.workspace_usage import (
+    ResourceUse,
+    UsageByWorkspace,
+    WorkspaceUsage,
+    fitting_in_cap,
+    use_of,
+)
+from marigoldlift.workspaces.directory import WorkspaceDirectory
+from marigoldlift.workspaces.model import NO_CAP, NO_WORKSPACE, ResourceCap
+
+__all__ = ('WorkspaceCaps',)
+
+#: Age of the last read of the configuration above which caps count as unknown, in s; reads wait for up to 1 s. The
+#: platform's rules let an older version be used for 3 s.
+MAX_CONFIGURATION_AGE_S = 2.5
+
+#: How long after the acceptance of a submission the configuration must have been read to include its workspace, in s; a
+#: read that was answered earlier may have been on its way since before. The platform's rules count a submission as lost
+#: after 3 s.
+CONFIGURATION_LAG_S = 1.0
+
+#: Share of its cap above which a workspace may be what keeps a step waiting, by the platform's rules.
+BUSY_SHARE = 0.5
+
+
+class WorkspaceCaps:
+    """Decides how many tasks of a step may be started in the current pass.
+
+    Attributes:
+        used: what each workspace has running, with what the pass has placed; None until it is needed.
+        reserved: the most urgent gang of each workspace that waits for room or tickets; its room is kept from less urgent
+            steps of the same workspace.
+        starting: gangs of which some members were started before the pass.
+    """
+
+    def __init__(
+        self,
+        directory: WorkspaceDirectory,
+        usage: WorkspaceUsage,
+        clock: Callable[[], float],
+    ) -> None:
+        """Start before the first pass.
+
+        Args:
+            directory: holds the caps.
+            usage: derives what each workspace has running.
+            clock: monotonic clock in seconds.
+        """
+        self.directory = directory
+        self.usage = usage
+        self.clock = clock
+        self.used: UsageByWorkspace | None = None
+        self.reserved: dict[WorkspaceId, StepRun] = {}
+        self.starting: set[StepRun] = set()
+
+    def begin_pass(self, waiting: Iterable[StepRun]) -> None:
+        """Begin a pass; what runs is derived anew once a step of a workspace asks.
+
+        Args:
+            waiting: steps with tasks to start.
+        """
+        self.used = None
+        self.reserved = {}
+        self.starting = {step for step in waiting if is_starting(step)}
+
+    def admit(self, step: StepRun) -> int:
+        """Return how many waiting tasks of a step may be started now.
+
+        A gang is admitted whole or not at all; members that a started gang lacks always are, since their room is kept.
+        """
+        workspace = step.job.submission.workspace
+        if workspace == NO_WORKSPACE or step.gang_started_at is not None:
+            return len(step.todo)
+        cap = self.find_cap(step)
+        if cap is None:
+            return 0
+        if cap == NO_CAP:
+            return len(step.todo)
+        fitting = min(fitting_in_cap(cap, self.used_beside(step), step.step), len(step.todo))
+        return 0 if step.step.gang and fitting < step.step.count else fitting
+
+    def pending_reason(self, step: StepRun) -> PendingReason:
+        """Return why a step is not admitted."""
+        return PendingReason.cap_unknown if self.find_cap(step) is None else PendingReason.cap
+
+    def reserve(self, step: StepRun) -> None:
+        """Keep the room of a gang that waits for it or for tickets from less urgent steps, which might fill it for ever.
+
+        Only the first gang of a workspace in a pass gets a reservation, and none that is larger than the cap: it cannot run
+        until the cap is raised, and must not hold up others.
+        """
+        workspace = step.job.submission.workspace
+        if workspace == NO_WORKSPACE or workspace in self.reserved or not is_waiting_gang(step):
+            return
+        if not self.is_too_wide(step):
+            self.reserved[workspace] = step
+
+    def is_too_wide(self, step: StepRun) -> bool:
+        """Return whether a step is a gang that does not fit into its cap, or whose cap is not known."""
+        if not step.step.gang:
+            return False
+        cap = self.find_cap(step)
+        return cap is None or fitting_in_cap(cap, ResourceUse(), step.step) < step.step.count
+
+    def note_placed(self, step: StepRun, tasks: int) -> None:
+        """Count tasks that the pass has placed."""
+        workspace = step.job.submission.workspace
+        if self.used is None or step in self.starting or not tasks:
+            return
+        use_of(self.used, workspace).add_tasks(step.step, tasks)
+        if self.reserved.get(workspace) is step:
+            self.reserved.pop(workspace)
+
+    def may_wait(self, step: StepRun) -> bool:
+        """Return whether a step may wait because of its cap.
+
+        By the platform's rules it may while half of the cap or more is in use. A gang that is larger than the cap must wait.
+        """
+        cap = self.find_cap(step)
+        if cap is None or self.is_too_wide(step):
+            return True
+        return cap != NO_CAP and self.used_by(step).share(cap) >= BUSY_SHARE
+
+    def find_cap(self, step: StepRun) -> ResourceCap | None:
+        """Return the cap of a step's workspace, None if it is not known.
+
+        A withdrawn workspace keeps its last cap, so that what it has handed in is done as before. One that no version read
+        since the acceptance names was withdrawn before this process began, and has none.
+        """
+        workspace = step.job.submission.workspace
+        if workspace == NO_WORKSPACE:
+            return NO_CAP
+        read_at = self.directory.read_at()
+        if self.directory.version < 0 or self.clock() - read_at > MAX_CONFIGURATION_AGE_S:
+            return None
+        known = self.directory.find_last(workspace)
+        if known is not None:
+            return known.cap
+        return NO_CAP if read_at > step.job.since + CONFIGURATION_LAG_S else None
+
+    def in_use(self) -> UsageByWorkspace:
+        """Return what each workspace has running."""
+        if self.used is None:
+            self.used = self.usage.derive(self.starting)
+        return self.used
+
+    def used_by(self, step: StepRun) -> ResourceUse:
+        """Return what the workspace of a step has running."""
+        return self.in_use().get(step.job.submission.workspace) or ResourceUse()
+
+    def used_beside(self, step: StepRun) -> ResourceUse:
+        """Return what the workspace of a step has running, with the room reserved for another step."""
+        used = self.used_by(step)
+        holder = self.reserved.get(step.job.submission.workspace)
+        if holder is None or holder is step:
+            return used
+        total = ResourceUse()
+        total.add(used)
+        total.add_tasks(holder.step, holder.step.count)
+        return total
+
+
+def is_starting(step: StepRun) -> bool:
+    """Return whether some members of a gang were started and the others are still to join them."""
+    return step.gang_started_at is not None and not step.gang_broken
+
+
+def is_waiting_gang(step: StepRun) -> bool:
+    """Return whether a step is a gang of which no member was started."""
+    return step.step.gang and step.gang_started_at is None
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -83,6 +83,12 @@
     entries_skipped = MetricSpec(
         COUNTER, '', (), 'Entries of the list of workers that describe no worker.'
     )
+    workspace_cap_share = MetricSpec(
+        GAUGE, '', ('workspace',), 'Largest share of its cap that a workspace has running.'
+    )
+    workspaces = MetricSpec(
+        GAUGE, '', ('state',), 'Workspaces with a cap, by the share of it that is in use.'
+    )
     leading = MetricSpec(GAUGE, '', (), 'Whether this entry gives the orders: 1 or 0.')
     log_age = MetricSpec(GAUGE, 'seconds', ('stream',), 'Time since the log last answered a read.')
     starts = MetricSpec(COUNTER, '', ('outcome',), 'Starts ordered, by answer.')
