Test caps under lost answers, takeovers, and changes of the caps

Disabling the records of earlier leaders, the version check, the check for gangs that are too wide, or the count of placed tasks turns these tests red.

--- a/standins/cell/invariants.py
+++ b/standins/cell/invariants.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Mapping
 
 from marigoldlift.submissions.model import Submission, TaskRef
+from standins.cell.caps import CapHistory
 
 __all__ = ('InvariantChecker',)
 
@@ -15,13 +16,15 @@
         violations: violated invariants, one line each, which begins with a code: TWICE (a task runs twice at the same
             time or after an end `done` that is acknowledged then or later), LIMIT (the worker's capacity is exceeded), ROUTE
             (the worker lacks the required label or holds too many tasks of the step), UNASKED (the submission is
-            unknown), BUDGET (no attempts are left), ORDER (an earlier step is not done).
+            unknown), BUDGET (no attempts are left), ORDER (an earlier step is not done), CAP (the cap of the workspace is
+            exceeded).
         submissions: known submissions by id.
         starts: number of started runs, by task.
         running: workers that run a task, by task.
         ended_done: tasks with an end `done`, acknowledged or not; the end of a member of a gang counts for all.
         done_runs: runs that have ended `done`, acknowledged or not, by task.
         repeated_runs: runs that had ended `done`, without an acknowledgement, when another run was started, by task.
+        caps: caps of the workspaces.
         done: tasks with an acknowledged end `done`.
         failed: number of acknowledged ends `failed`, by task.
         ended_failed: number of ends `failed`, acknowledged or not, by task.
@@ -42,6 +45,7 @@
         self.failed: dict[TaskRef, int] = {}
         self.ended_failed: dict[TaskRef, int] = {}
         self.unanswered: dict[TaskRef, float] = {}
+        self.caps = CapHistory()
         self.cancelled: set[str] = set()
         self.alone: int = 0
 
@@ -76,6 +80,19 @@
         for before in submission.steps[task.step].after:
             self.check_before(submission, before, task, worker)
         holders.add(worker)
+        self.check_cap(submission, task, worker)
+
+    def check_cap(self, submission: Submission, task: TaskRef, worker: str) -> None:
+        """Check that a run that has started does not exceed the cap of its workspace."""
+        running = [
+            other.steps[held.step]
+            for held, holders in self.running.items()
+            for other in (self.submissions[held.submission],)
+            if holders and other.workspace == submission.workspace
+        ]
+        sent_at = self.unanswered.get(task, 0)
+        if self.caps.exceeds(submission.workspace, running, sent_at):
+            self.record_violation(f'CAP of {submission.workspace!r}', task, worker)
 
     def check_budget(self, submission: Submission, task: TaskRef, worker: str) -> None:
         """Check that a task has attempts left."""
--- a/tests/cell/concurrent_faults.py
+++ b/tests/cell/concurrent_faults.py
@@ -4,16 +4,22 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import msgspec
+
 from marigoldlift.submissions.model import Step
+from marigoldlift.workspaces.model import NO_WORKSPACE
 from standins.cell.log import LogFault
 from tests.cell.model import ModelCell, ModelEntry
 
-__all__ = ('inject_concurrent_faults',)
+__all__ = ('GANG_CPU_M', 'inject_concurrent_faults')
 
 ELECTION_S = 1.5
 FAULTS_S = 25.0
 RECOVERY_LIMIT_S = 90.0
 
+#: Processor time that the gangs of workspaces need at most, in thousandths of a core.
+GANG_CPU_M = 8000
+
 Fault = Callable[[ModelCell], Coroutine[Any, Any, None]]
 
 
@@ -120,7 +126,11 @@
 
 
 async def load(cell: ModelCell, names: list[str]) -> None:
-    """Submit 40 submissions at random entries and random times."""
+    """Submit 40 submissions at random entries and random times, those of the cell's workspaces by turns.
+
+    In workspaces, every third submission that is narrow enough for all caps is a gang.
+    """
+    workspaces = tuple(cell.workspaces) or (NO_WORKSPACE,)
     for number in range(40):
         await asyncio.sleep(cell.rng.expovariate(40 / FAULTS_S))
         entry = cell.rng.choice(cell.entries)
@@ -129,8 +139,11 @@
         steps = [Step(count=cell.rng.randint(1, 6), cpu_m=cell.rng.choice((500, 2000, 4000)))]
         if cell.rng.choice((True, False)):
             steps.append(Step(count=cell.rng.randint(1, 3), cpu_m=1000, after=(0,)))
+        if cell.workspaces and not number % 3 and steps[0].count * steps[0].cpu_m <= GANG_CPU_M:
+            steps[0] = msgspec.structs.replace(steps[0], gang=True)
         name = f'job{number:02}'
-        submitting = entry.gate.spawn(cell.submit(entry, name, steps, max_attempts=5))
+        workspace = workspaces[number % len(workspaces)]
+        submitting = entry.gate.spawn(cell.submit(entry, name, steps, workspace, max_attempts=5))
         names.append(name)
         await asyncio.wait((submitting,), timeout=0.5)
 
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -4,12 +4,14 @@
 import random
 from collections import Counter
 from collections.abc import Mapping, Sequence
+from contextvars import Context
 from typing import Any
 
 import msgspec
 
 from marigoldlift.cell_node import CellNode, NodeLimits, NodeParts
 from marigoldlift.errors import AppendRefusedError
+from marigoldlift.ids import WorkspaceId
 from marigoldlift.leadership.election import Candidate
 from marigoldlift.orders.api import Worker
 from marigoldlift.platform.workers import decode_worker
@@ -25,6 +27,7 @@
 from marigoldlift.submissions.records import Outcome
 from marigoldlift.submissions.record_codec import decode_record
 from marigoldlift.telemetry.metrics import Metrics
+from marigoldlift.workspaces.model import NO_WORKSPACE, ResourceCap, Workspace
 from standins.cell.gangs import GangTable
 from standins.cell.invariants import InvariantChecker
 from standins.cell.log import LogClient, MemoryLog
@@ -156,6 +159,13 @@
         )
         for work in self.node.loops():
             self.gate.spawn(work)
+        self.read_configuration()
+
+    def read_configuration(self) -> None:
+        """Read the newest configuration."""
+        self.node.workspaces.replace(
+            self.cell.configuration_version, self.cell.workspaces.values()
+        )
 
     def kill(self) -> None:
         """End the current incarnation at once."""
@@ -166,6 +176,8 @@
     """Entries, workers and the two logs of a cell.
 
     Attributes:
+        workspaces: workspaces of the newest configuration, by name.
+        configuration_version: its version.
         is_listing: whether heartbeats of workers update the list of workers.
         list_lag_s: time until an entry that a worker writes is in the list of workers, in s.
         last_heartbeat_at: loop time of the last heartbeat of each listed worker, in s.
@@ -187,6 +199,8 @@
         self.log = MemoryLog()
         self.workers_log = MemoryLog()
         self.durations: dict[TaskRef, float] = {}
+        self.workspaces: dict[WorkspaceId, Workspace] = {}
+        self.configuration_version = 0
         names = [f'w{number}' for number in range(workers)]
         gangs = GangTable()
         self.workers = {
@@ -204,6 +218,16 @@
         """Return how long a task takes, in s."""
         return self.durations.setdefault(task, self.rng.uniform(0.2, 2.5))
 
+    def set_cap(self, name: str, lag_s: float = 0, **limits: int) -> None:
+        """Change the cap of a workspace, which the entries read within the lag."""
+        workspace = Workspace(WorkspaceId(name), cap=ResourceCap(**limits))
+        self.workspaces[workspace.name] = workspace
+        self.configuration_version += 1
+        self.checker.caps.replace(workspace.name, workspace.cap, self.loop.time())
+        for entry in self.entries:
+            delay_s = self.rng.uniform(0, lag_s) if lag_s else 0
+            self.loop.call_later(delay_s, entry.read_configuration, context=Context())
+
     def list_workers(self) -> None:
         """List the workers that are up and remove those without a heartbeat for `EXPIRY_S`."""
         if not self.is_listing:
@@ -237,11 +261,21 @@
                 self.list_workers()
 
     async def submit(
-        self, entry: ModelEntry, name: str, steps: Sequence[Step], **policy_fields: Any
+        self,
+        entry: ModelEntry,
+        name: str,
+        steps: Sequence[Step],
+        workspace: WorkspaceId = NO_WORKSPACE,
+        **policy_fields: Any,
     ) -> AcceptanceResult:
         """Submit steps at an entry and return the result."""
         submission = Submission(
-            SubmissionId(name), 'content', tuple(steps), policy(**policy_fields), entry.name
+            SubmissionId(name),
+            'content',
+            tuple(steps),
+            policy(**policy_fields),
+            entry.name,
+            workspace=workspace,
         )
         self.checker.submissions[name] = submission
         return await entry.node.acceptance.submit(submission, 3.0)
