Ask the advice for no more tasks than the cap has room for

Each waiting step of a workspace near its cap was admitted while any room was left, and asked for tickets that expired before it got its turn. The more urgent steps whose questions are under way now count as if they ran when a step asks.

--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -211,13 +211,13 @@
                 self.clock() - step.job.since,
             )
         if rest and step.gang_started_at is None:
-            if not available:
-                self.caps.reserve(step)
+            asked = rest if available else self.caps.room_to_ask(step, rest)
             self.failed_placements += int(bool(available) and not placed)
             self.tickets.ask_if_needed(
-                step, pool, rest, overdue=overdue, has_reservation=step is self.reserving_step
+                step, pool, asked, overdue=overdue, has_reservation=step is self.reserving_step
             )
-            self.pending.reasons[step] = self.pending_reason(step, permitted, available)
+            self.caps.note_question(step, asked)
+            self.pending.reasons[step] = self.pending_reason(step, permitted, available, asked)
 
     def count_placed(self, service: str, step: StepRun, tasks: int) -> None:
         """Subtract placed tasks from the free CPU of all pools of the service."""
@@ -230,9 +230,15 @@
         return [session for session in permitted if session.worker.id not in self.reserved]
 
     def pending_reason(
-        self, step: StepRun, permitted: list[WorkerSession], available: list[WorkerSession]
+        self,
+        step: StepRun,
+        permitted: list[WorkerSession],
+        available: list[WorkerSession],
+        asked: int,
     ) -> PendingReason:
-        """Return why a step was not placed completely."""
+        """Return why a step was not placed completely; `asked` is the number of tasks that it may ask the advice for."""
+        if not asked:
+            return PendingReason.cap
         if available:
             return PendingReason.room
         return PendingReason.reserved if permitted else self.tickets.pending_reason(step)
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -1,5 +1,6 @@
 """State of open submissions on the leader: which tasks wait, run or have ended."""
 
+import math
 from collections.abc import Container, Sequence
 from enum import Enum
 
@@ -137,6 +138,11 @@
         ticket = self.tickets.get(worker)
         return ticket is not None and ticket.until > now
 
+    @property
+    def is_asking(self) -> bool:
+        """Return whether a question to the placement advice is under way."""
+        return math.isinf(self.ask_after)
+
     def may_use(self, worker: Worker) -> bool:
         """Return whether a worker has the label that the step requires, and the advice has not denied it."""
         required = self.step.requires
--- a/marigoldlift/scheduling/tests/test_workspace_caps.py
+++ b/marigoldlift/scheduling/tests/test_workspace_caps.py
@@ -1,7 +1,9 @@
 """What a workspace has running, derived from runs and records, and how many more tasks its cap admits."""
 
+import math
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from hypothesis import given, strategies as st
 
@@ -11,14 +13,22 @@
 from marigoldlift.scheduling.tasks import JobRun, PendingReason
 from marigoldlift.scheduling.workspace_caps import CONFIGURATION_LAG_S, WorkspaceCaps
 from marigoldlift.scheduling.workspace_usage import ResourceUse, WorkspaceUsage, fitting_in_cap
-from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId, TaskRef
+from marigoldlift.submissions.model import (
+    AdvicePolicy,
+    Policy,
+    Step,
+    Submission,
+    SubmissionId,
+    TaskRef,
+)
 from marigoldlift.submissions.records import Outcome, Progress, StepProgress, UnansweredStart
-from marigoldlift.submissions.state import CellState
+from marigoldlift.submissions.state import CellState, Job
 from marigoldlift.workspaces.directory import WorkspaceDirectory
 from marigoldlift.workspaces.model import ResourceCap, Workspace
 
 WORKER = Worker('w', '10.0.0.1:80', 'a', 'service', True, 1, 8000, 8000, 0, ())
 STEPS = (Step(count=3, cpu_m=1000), Step(count=3, cpu_m=500, fills=True, gang=True))
+ADVICE = AdvicePolicy(450, 6.5, 2000)
 LAB = Workspace('lab', cap=ResourceCap(cpu_m=4000))
 
 
@@ -166,6 +176,22 @@
     assert caps.admit(plain) == 2
 
 
+def test_steps_ask_for_no_more_tickets_than_the_cap_has_room(state, caps):
+    """Guards against questions of every waiting step of a workspace at its cap, whose tickets expire before they are used."""
+    advised = msgspec.structs.replace(
+        state.jobs['job'].submission, policy=Policy('queue', 'service', 1, 3, 2.0, 0, ADVICE)
+    )
+    steps = [JobRun(Job(advised, 0, 0)).steps[0, 0] for _ in range(3)]
+    caps.begin_pass(steps)
+    asked = []
+    for step in steps:
+        asked.append(caps.room_to_ask(step, caps.admit(step)))
+        step.ask_after = math.inf
+        caps.note_question(step, asked[-1])
+    assert asked == [3, 1, 0]
+    assert [caps.admit(step) for step in steps] == [3, 3, 3]
+
+
 def test_gang_larger_than_its_cap_waits_alone(directory, state, caps):
     """Guards against a gang that can never run and keeps the room of its workspace or counts as placeable."""
     plain, gang = JobRun(state.jobs['job']).steps.values()
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -113,12 +113,14 @@
         Args:
             step: the waiting step.
             pool: workers that may get new tasks.
-            admitted: number of its waiting tasks that may be started now.
+            admitted: number of its waiting tasks that may be started now; none are asked for if it is 0.
             overdue: whether the step has waited so long that its request is urgent and may name workers that it avoids.
             has_reservation: whether workers are reserved for the step, so that its tickets must be valid as soon as
                 there is enough capacity.
         """
-        if step.job.submission.policy.advice is None or self.clock() < step.ask_after:
+        if step.job.submission.policy.advice is None or not admitted:
+            return
+        if self.clock() < step.ask_after:
             return
         if not self.broker.may_ask(urgent=overdue or step.job.is_urgent):
             return
@@ -143,7 +145,7 @@
     def pending_reason(self, step: StepRun) -> PendingReason:
         """Return why a step has no valid ticket."""
         now = self.clock()
-        if math.isinf(step.ask_after):
+        if step.is_asking:
             return PendingReason.advice_call
         if now < step.ask_after:
             return PendingReason.advice_retry
--- a/marigoldlift/scheduling/workspace_caps.py
+++ b/marigoldlift/scheduling/workspace_caps.py
@@ -38,8 +38,9 @@
 
     Attributes:
         used: what each workspace has running, with what the pass has placed; None until it is needed.
-        reserved: the most urgent gang of each workspace that waits for room or tickets; its room is kept from less urgent
+        reserved: the most urgent gang of each workspace that waits for room or for an answer of the advice; its room is kept from less urgent
             steps of the same workspace.
+        claimed: what the tasks of each workspace need whose questions to the advice are under way.
         starting: gangs of which some members were started before the pass.
     """
 
@@ -61,6 +62,7 @@
         self.clock = clock
         self.used: UsageByWorkspace | None = None
         self.reserved: dict[WorkspaceId, StepRun] = {}
+        self.claimed: UsageByWorkspace = {}
         self.starting: set[StepRun] = set()
 
     def begin_pass(self, waiting: Iterable[StepRun]) -> None:
@@ -71,6 +73,7 @@
         """
         self.used = None
         self.reserved = {}
+        self.claimed = {}
         self.starting = {step for step in waiting if is_starting(step)}
 
     def admit(self, step: StepRun) -> int:
@@ -86,15 +89,36 @@
             return 0
         if cap == NO_CAP:
             return len(step.todo)
-        fitting = min(fitting_in_cap(cap, self.used_beside(step), step.step), len(step.todo))
-        return 0 if step.step.gang and fitting < step.step.count else fitting
+        return tasks_to_start(step, fitting_in_cap(cap, self.used_beside(step), step.step))
+
+    def room_to_ask(self, step: StepRun, admitted: int) -> int:
+        """Return for how many of its admitted tasks a step without tickets may ask the advice.
+
+        The more urgent steps of its workspace whose questions are under way count as if they ran: asking for more tasks
+        than the cap has room for would use up calls for tickets that expire.
+        """
+        workspace = step.job.submission.workspace
+        cap = self.find_cap(step)
+        if workspace not in self.claimed or cap is None or self.reserved.get(workspace) is step:
+            return admitted
+        total = self.used_beside(step).plus(self.claimed[workspace])
+        return min(tasks_to_start(step, fitting_in_cap(cap, total, step.step)), admitted)
+
+    def note_question(self, step: StepRun, tasks: int) -> None:
+        """Count the tasks of a step whose question to the advice is under way; a gang keeps its room meanwhile."""
+        workspace = step.job.submission.workspace
+        if workspace == NO_WORKSPACE or not step.is_asking:
+            return
+        self.reserve(step)
+        if self.reserved.get(workspace) is not step:
+            use_of(self.claimed, workspace).add_tasks(step.step, tasks)
 
     def pending_reason(self, step: StepRun) -> PendingReason:
         """Return why a step is not admitted."""
         return PendingReason.cap_unknown if self.find_cap(step) is None else PendingReason.cap
 
     def reserve(self, step: StepRun) -> None:
-        """Keep the room of a gang that waits for it or for tickets from less urgent steps, which might fill it for ever.
+        """Keep the room of a waiting gang from less urgent steps of its workspace, which might fill it for ever.
 
         Only the first gang of a workspace in a pass gets a reservation, and none that is larger than the cap: it cannot run
         until the cap is raised, and must not hold up others.
@@ -164,12 +188,18 @@
         holder = self.reserved.get(step.job.submission.workspace)
         if holder is None or holder is step:
             return used
-        total = ResourceUse()
-        total.add(used)
+        total = used.plus(ResourceUse())
         total.add_tasks(holder.step, holder.step.count)
         return total
 
 
+def tasks_to_start(step: StepRun, fitting: int) -> int:
+    """Return how many waiting tasks of a step may be started if so many fit into its cap: a gang whole or not at all."""
+    if step.step.gang and fitting < step.step.count:
+        return 0
+    return min(fitting, len(step.todo))
+
+
 def is_starting(step: StepRun) -> bool:
     """Return whether some members of a gang were started and the others are still to join them."""
     return step.gang_started_at is not None and not step.gang_broken
--- a/marigoldlift/scheduling/workspace_usage.py
+++ b/marigoldlift/scheduling/workspace_usage.py
@@ -49,6 +49,13 @@
         self.gpus += sign * other.gpus
         self.tasks += sign * other.tasks
 
+    def plus(self, other: 'ResourceUse') -> 'ResourceUse':
+        """Return the sum of this and what other runs occupy."""
+        total = ResourceUse()
+        total.add(self)
+        total.add(other)
+        return total
+
     def share(self, cap: ResourceCap) -> float:
         """Return the largest share of a cap that is in use over its resources, 0 if the cap limits nothing."""
         limits = (
