--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -92,6 +92,7 @@
             self.node.faults,
         )
         self.freshness = ConfigurationFreshness(self.operators, monotonic_now, settings)
+        self.node.workspaces.read_at = self.configuration_read_at
         self.front = ClientRequestHandler(
             self.node.acceptance, own_address, self.freshness, self.metrics
         )
@@ -130,6 +131,10 @@
         self.metrics.set(Metric.configuration_workspaces, len(configuration.workspaces))
         self.metrics.set(Metric.configuration_keys, configuration.key_count)
 
+    def configuration_read_at(self) -> float:
+        """Return when the store last answered a read of the configuration, in seconds of the monotonic clock."""
+        return self.operators.last_response_at
+
     def render_metrics(self) -> str:
         """Return all metrics as text."""
         self.node.set_gauges()
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -1,5 +1,6 @@
 """State of open submissions on the leader: which tasks wait, run or have ended."""
 
+import math
 from collections.abc import Container, Sequence
 from enum import Enum
 
@@ -25,6 +26,8 @@
     Attributes:
         not_planned: the pass did not reach the step.
         unreachable: its tasks may run, or have ended, on a worker that has not listed all its ends since the takeover.
+        cap: its workspace has no room left in its cap for another of its tasks, or for the whole gang.
+        cap_unknown: the cap of its workspace is not known, or may have changed since it was last read.
         headroom: the free CPU is reserved for urgent submissions.
         reserved: the workers that it may use are reserved for a gang.
         room: the workers that it may use lack free capacity.
@@ -36,6 +39,8 @@
 
     not_planned = 'not_planned'
     unreachable = 'unreachable'
+    cap = 'cap'
+    cap_unknown = 'cap_unknown'
     headroom = 'headroom'
     reserved = 'reserved'
     room = 'room'
@@ -133,6 +138,11 @@
         ticket = self.tickets.get(worker)
         return ticket is not None and ticket.until > now
 
+    @property
+    def is_asking(self) -> bool:
+        """Return whether a question to the placement advice is under way."""
+        return math.isinf(self.ask_after)
+
     def may_use(self, worker: Worker) -> bool:
         """Return whether a worker has the label that the step requires, and the advice has not denied it."""
         required = self.step.requires
