Model: a worker that goes down executes no order that was under way

The model looked whether a worker is up when an order was sent, not when it arrives. test_standstill.py ::test_no_task_with_tickets_stands_still[change_leaders-0] became red by that once starts were sent in another order: its trace shows the start of job090.0.1.1 executed at w1 in the millisecond in which w1 crashed, and its run on after the crash, so that the next one counted as TWICE. No real worker does that.

Test: test_worker_model.py::test_worker_that_goes_down_executes_no_order_under_way; before, the order was executed by the worker that was down.

--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -379,6 +379,9 @@
             loop.call_later(delay_s, execute_late, target, command, context=Context())
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise WorkerUnavailableError('no answer', may_have_run=True)
+        if not target.up:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise WorkerUnavailableError('went down meanwhile', may_have_run=True)
         answer = command(target)
         if self.rng.random() < self.faults.lost:
             await asyncio.sleep(CALL_TIMEOUT_S)
--- a/tests/cell/test_worker_model.py
+++ b/tests/cell/test_worker_model.py
@@ -200,3 +200,19 @@
         assert cell.checker.starts.total() == starts
 
     assert not run_workers(scenario, Step(count=1))
+
+
+def test_worker_that_goes_down_executes_no_order_under_way(run_workers):
+    """Guards against a TWICE that no real worker shows: a start that was under way at a crash ran on the dead worker."""
+
+    async def scenario(cell):
+        worker = cell.workers['w0']
+        order = StartOrder(TaskRef(SubmissionId('job'), 0, 0, 0), 1, 'content', LEASE_MS, '', '')
+        sending = asyncio.ensure_future(cell.entries[0].calls.start(worker.describe(), 1, order))
+        await asyncio.sleep(0)
+        worker.crash()
+        await asyncio.wait((sending,))
+        assert sending.exception().may_have_run
+        assert not worker.held
+
+    run_workers(scenario, Step(count=1, cpu_m=1000))
