Starts in flight are limited, so that a burst of tasks leaves the leader time to renew

Ruled out: the store (it answers within 5 ms until then) and the worker (the stand-in serves single starts at once).

Many starts in doubt raise the token once instead of once each, which made the worker refuse the others.

--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -144,7 +144,7 @@
         except WorkerUnavailableError as fault:
             self.suspected_at = self.now()
             if fault.may_have_run:
-                self.mark_uncertain(known, fault)
+                self.mark_uncertain(known, fault, token)
                 return True
             self.drop(known)
             return False
@@ -169,11 +169,17 @@
         if self.run_table.runs.get(known.task) is known:
             self.release(known.task)
 
-    def mark_uncertain(self, known: Run, fault: Exception) -> None:
+    def mark_uncertain(self, known: Run, fault: Exception, token: int | None = None) -> None:
         """Raise the token: once the worker has seen the new one, it rejects the old order.
 
         A run that has moved to the session of the worker's next incarnation is left unchanged: that session has
         already marked it as uncertain under its own token.
+
+        Args:
+            known: run whose start has an unknown outcome.
+            fault: why there is no answer.
+            token: token of the start, None if it is not known. It is raised once for all starts that were sent under it,
+                since each raise makes the worker refuse the starts under way.
         """
         logger.info(
             'start in doubt: task={} run={} worker={} ticketed={} {}',
@@ -184,7 +190,9 @@
             fault,
         )
         if self.run_table.runs.get(known.task) is known:
-            self.raise_token()
+            if token is None or token == self.token:
+                self.raise_token()
+            self.poll_requested.set()
             known.mark_uncertain(self.token, self.now())
             if known.doubted_at is not None:
                 # A poll that waits for an end would delay the proof that no copy is left.
--- a/marigoldlift/orders/tests/test_session.py
+++ b/marigoldlift/orders/tests/test_session.py
@@ -68,6 +68,14 @@
         raise WorkerUnavailableError('refused', may_have_run=True)
 
 
+class SlowlyRefusing(Refusing):
+    """A worker that fails starts after a while."""
+
+    async def start(self, worker, token, order):
+        await asyncio.sleep(0.4)
+        return await super().start(worker, token, order)
+
+
 def build(answers, kind=OneRun):
     """Return a session and its observer."""
     observer = Observer()
@@ -122,3 +130,20 @@
     session.run_table.take(ordered)
     assert await session.start(ordered, '', '')
     assert session.calls.leases[-1] == session.calls.leases[-2]
+
+
+async def test_starts_without_an_answer_raise_the_token_once():
+    """Guards against refused starts: each of many starts in doubt raised the token above that of the others under way."""
+    session, _ = build(answers=1, kind=Refusing)
+    assert await session.poll(0)
+    session.calls = SlowlyRefusing(0)
+    before = session.token
+    runs = [
+        Run(TaskRef(SubmissionId('job'), 0, 0, index), 1, Step(count=9), Phase.sent, session.now())
+        for index in range(3)
+    ]
+    for ordered in runs:
+        session.run_table.take(ordered)
+    await asyncio.gather(*(session.start(sent, '', '') for sent in runs))
+    assert session.token == before + 1
+    assert {sent.fence for sent in runs} == {session.token}
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -99,6 +99,8 @@
         self.pending.reasons.clear()
         ready = self.ready_steps(now, wall_ms)
         for candidate in ready:
+            if self.starter.limits.is_reached():
+                break
             with self.faults.contain(ItemKind.submission, candidate.job.id):
                 if self.failed_placements < MAX_FAILED_PLACEMENTS or self.pending.is_overdue(
                     candidate
@@ -222,15 +224,21 @@
     def place_tasks(self, step: StepRun, available: list[WorkerSession], *, overdue: bool) -> bool:
         """Start tasks one by one.
 
-        Stops at the first task that fits nowhere, unless it has failed somewhere: then others may still find a worker.
+        Stops at the first task that fits nowhere, unless it has failed somewhere: then others may still find a worker. Also
+        stops while too many starts are in flight, so that other work of the leader is not held up.
         """
         placed = False
-        for index in step.startable(self.session_manager.earlier_orders.unreachable):
-            session = self.placer.place_one(step, index, available, overdue=overdue)
-            if session is None and not step.avoid.get(index):
-                return placed
+        limits = self.starter.limits
+        accepting = list(limits.accepting(available))
+        startable = step.startable(self.session_manager.earlier_orders.unreachable)
+        for index in limits.until_reached(startable):
+            session = self.placer.place_one(step, index, accepting, overdue=overdue)
             if session is not None:
                 placed |= self.starter.start(step, index, session, step.next_run(index))
+                if not limits.accepts(session):
+                    accepting.remove(session)
+            elif not step.avoid.get(index):
+                break
         return placed
 
     def place_gang(self, step: StepRun, available: list[WorkerSession], *, overdue: bool) -> bool:
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -1,6 +1,7 @@
 """Sends start and stop orders to workers and handles refusals."""
 
 from collections.abc import Coroutine
+from contextlib import ExitStack
 from typing import Protocol
 
 from loguru import logger
@@ -10,6 +11,7 @@
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.session_manager import SessionManager
+from marigoldlift.scheduling.start_limits import StartLimits
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import TaskRef
 from marigoldlift.supervision import TaskSet
@@ -29,6 +31,9 @@
     def may_act(self) -> bool:
         """Return whether this tenure may send orders now."""
 
+    def capacity_changed(self) -> None:
+        """Request a scheduling pass."""
+
     def step_requeued(self, step: StepRun) -> None:
         """Queue a step again after one of its tasks was requeued."""
 
@@ -37,7 +42,11 @@
 
 
 class Starter:
-    """Sends orders in background tasks, so that the scheduling pass does not wait for them."""
+    """Sends orders in background tasks, so that the scheduling pass does not wait for them.
+
+    Attributes:
+        limits: starts in flight; the scheduling pass places no further tasks where a limit is reached.
+    """
 
     def __init__(
         self, session_manager: SessionManager, progress: ProgressWriter, events: TenureEvents
@@ -48,6 +57,7 @@
         self.events = events
         self.clock = session_manager.clock
         self.tasks = TaskSet()
+        self.limits = StartLimits(events.capacity_changed)
 
     def spawn(self, work: Coroutine[None, None, None]) -> None:
         """Run a coroutine in the background until it ends or the starter is cancelled."""
@@ -73,16 +83,25 @@
         ordered.checkpoint = step.checkpoint(index)
         session.run_table.take(ordered)
         step.begin(index, session, run)
-        self.spawn(self.send(step, session, ordered))
+        self.spawn(self.send(step, session, ordered, self.limits.begin(session)))
         return True
 
-    async def send(self, step: StepRun, session: WorkerSession, ordered: Run) -> None:
+    async def send(
+        self, step: StepRun, session: WorkerSession, ordered: Run, counted: ExitStack
+    ) -> None:
         """Send a start order and handle unexpected exceptions.
 
         After an exception the outcome of the start is unknown until a status poll proves that the run does not exist.
+
+        Args:
+            step: step of the task.
+            session: session with the worker.
+            ordered: the run to start.
+            counted: counts the start as one in flight.
         """
         try:
-            await self.order(step, session, ordered)
+            with counted:
+                await self.order(step, session, ordered)
         except Exception as fault:
             logger.opt(exception=fault).error('order of a start ended by a fault')
             if session.run_table.runs.get(ordered.task) is ordered:
