No poll acknowledges an end that a late start may have on a restarted worker

A status then omits the run, which counts as proof that it never ran. Ruled out: a wrong time of birth (the leader sees the restart), and the room of the start (it was held until then).

A status that omits a run proves nothing once such a poll may have been executed, so the two must not meet: a poll acknowledges nothing while a start is under way or may be executed late by another incarnation, until a poll that was sent after the last such moment is answered; and a start gets a higher token than the unanswered polls before it, which the worker then refuses. Meanwhile the ends are stored and callers see them; a worker that lists a full page of ends shows the next page up to 12 s later. Starts with a ticket are not concerned.

--- a/marigoldlift/orders/polling.py
+++ b/marigoldlift/orders/polling.py
@@ -37,6 +37,7 @@
     waits = session.synced and not session.poll_failed and not session.ends.incomplete
     answered = await session.poll(POLL_WAIT_MS if waits else 0)
     is_stuck = session.ends.incomplete and not session.ends.grew
+    is_stuck |= session.acknowledgements.keep_ends_listed()
     await asyncio.sleep(POLL_PAUSE_S if answered and not is_stuck else RETRY_PAUSE_S)
     return answered
 
--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -154,10 +154,14 @@
         """
         if self.since >= sent_at:
             return False
-        if self.doubted_at is not None and sent_at < self.doubted_at + LATE_ORDER_S:
+        if self.may_start_later(sent_at):
             return False
         return not self.unanswered or (self.fence is not None and token >= self.fence)
 
+    def may_start_later(self, now: float) -> bool:
+        """Return whether a later incarnation of the worker may still execute the start."""
+        return self.doubted_at is not None and now < self.doubted_at + LATE_ORDER_S
+
     def may_outlive_lease(self, now: float) -> bool:
         """Return whether the run may be active, or may start, although the lease of its worker has expired.
 
@@ -273,6 +277,14 @@
         if len(self.ended) > ENDED_KEPT:
             self.ended.pop(next(iter(self.ended)))
 
+    def has_late_start(self, sent_at: float) -> bool:
+        """Return whether an incarnation other than that which has answered a poll may have executed a start, or may yet.
+
+        Args:
+            sent_at: when the poll was sent, in seconds of the monotonic clock.
+        """
+        return any(run.may_start_later(sent_at) for run in self.runs.values())
+
     def tasks_of(self, task: TaskRef) -> int:
         """Return how many tasks of the same step occurrence as `task` the worker holds."""
         step = (task.submission, task.occurrence, task.step)
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from marigoldlift.errors import WorkerRefusedError, WorkerUnavailableError
+from marigoldlift.orders.acknowledgements import Acknowledgements
 from marigoldlift.orders.api import (
     EndedRun,
     HeldRun,
@@ -57,7 +58,7 @@
         poll_failed: whether the last status poll got no answer.
         suspected_at: when the worker last left an order unanswered, in seconds of the monotonic clock; None once it has
             answered a later status poll. It may have restarted since.
-        forgotten: highest number of an end that an answered poll has acknowledged.
+        acknowledgements: selects the ends that a poll lets the worker forget.
     """
 
     def __init__(
@@ -97,7 +98,7 @@
         self.opened_at = clock()
         self.poll_failed = False
         self.suspected_at: float | None = None
-        self.forgotten = 0
+        self.acknowledgements = Acknowledgements(self.run_table, self.ends)
 
     def answers(self) -> bool:
         """Return whether the worker has answered recently enough to get new work."""
@@ -138,9 +139,12 @@
         known.order(ticket)
         until_ms = self.clock.start_lease(self.now(), self.lease_s)
         order = StartOrder(known.task, known.run, content, until_ms or 0, known.checkpoint, ticket)
+        if self.acknowledgements.is_unanswered(self.token):
+            self.token += 1
         token = self.token
         try:
-            clock_ms = await self.calls.start(self.worker, token, order)
+            with self.acknowledgements.start_under_way():
+                clock_ms = await self.calls.start(self.worker, token, order)
         except WorkerUnavailableError as fault:
             self.suspected_at = self.now()
             if fault.may_have_run:
@@ -232,7 +236,11 @@
         token = self.token
         sent_at = self.now()
         until_ms = self.renewal(sent_at)
-        acknowledged = new_acknowledgement(self)
+        acknowledged = self.acknowledgements.next_number(
+            is_suspected=self.suspected_at is not None
+        )
+        if acknowledged:
+            self.acknowledgements.note_sent(token)
         try:
             found = await self.calls.poll(self.worker, token, acknowledged, until_ms, wait_ms)
         except WorkerRefusedError as refusal:
@@ -248,7 +256,7 @@
         self.poll_failed = False
         if not self.is_same_incarnation(found):
             return False
-        self.forgotten = max(self.forgotten, acknowledged)
+        self.acknowledgements.note_answered(token, acknowledged, sent_at)
         self.process_status(found, sent_at, token)
         return True
 
@@ -305,6 +313,8 @@
         for ended in found.ended:
             self.note_end(ended)
         self.ends.note_page(self.ends.last_listed - listed_before, now, more=found.more_ends)
+        if self.acknowledgements.are_held_back():
+            self.ends.stuck_since = None
         if self.ends.incomplete != was_incomplete or self.ends.incomplete and self.ends.grew:
             log_page(self)
 
@@ -372,18 +382,6 @@
     return len(ended)
 
 
-def new_acknowledgement(session: WorkerSession) -> int:
-    """Return the number of the last end that a poll lets the worker forget, 0 for none.
-
-    A new incarnation counts its ends anew, and must not forget any before it has told that it is one, also if it executes the
-    poll late. So a number is sent until it was answered, and not while the worker may have restarted.
-    """
-    acknowledged = session.ends.last_acknowledged
-    if session.suspected_at is not None or acknowledged <= session.forgotten:
-        return 0
-    return acknowledged
-
-
 def log_page(session: WorkerSession) -> None:
     """Log how far the ended runs of a worker are read."""
     ends = session.ends
