A task that lasts and has ended runs again where there is room, however full the cell is

The way out, an overdue step, never opened for it: it counted as idle only while nothing of its submission ran, and as placeable only while less than half of the service was in use; the rule asks neither of tasks that last. Ruled out: a worker that rests after failures (42 cores were free at sound workers).

Steps that were never started still leave the reserve alone.

--- a/marigoldlift/scheduling/pending.py
+++ b/marigoldlift/scheduling/pending.py
@@ -122,16 +122,23 @@
     def is_placeable(self, step: StepRun, half_free: dict[str, Sequence[WorkerSession]]) -> bool:
         """Return whether less than half of the service is in use and the step fits completely.
 
+        Of a step that lasts, any task that fits has to run, however full the service is.
+
         Args:
             step: the waiting step.
             half_free: cache of this sample: listed workers by service, empty if half or more of the service is in use.
         """
         service = step.job.submission.policy.service
+        if must_run_whole(step):
+            return self.fits(step, 1, listed_sessions(self.session_manager, service))
         if service not in half_free:
             sessions = listed_sessions(self.session_manager, service)
             half_free[service] = sessions if is_half_free(sessions) else ()
-        missing = len(step.todo)
-        for session in half_free[service]:
+        return self.fits(step, len(step.todo), half_free[service])
+
+    def fits(self, step: StepRun, missing: int, sessions: Sequence[WorkerSession]) -> bool:
+        """Return whether a number of further tasks of a step fit on workers."""
+        for session in sessions:
             if missing <= 0:
                 break
             if step.may_use(session.worker):
@@ -158,11 +165,16 @@
             )
 
 
+def must_run_whole(step: StepRun) -> bool:
+    """Return whether a step lasts and was started, so that each of its tasks has to run again however it has ended."""
+    return step.step.long_running and not step.step.gang and step.last_run > 0
+
+
 def is_idle(step: StepRun, wall_ms: float) -> bool:
-    """Return whether a step is due while nothing of its submission runs."""
+    """Return whether a step is due while nothing of its submission runs, or while a task that has to last does not."""
     if not step.todo or step.job.outcome or not step.job.is_runnable(step, wall_ms):
         return False
-    return not any(other.active for other in step.job.steps.values())
+    return must_run_whole(step) or not any(other.active for other in step.job.steps.values())
 
 
 def listed_sessions(session_manager: SessionManager, service: str) -> list[WorkerSession]:
