--- a/marigoldlift/orders/observer.py
+++ b/marigoldlift/orders/observer.py
@@ -1,31 +1,30 @@
 """Events of worker sessions, for the holder of the sessions."""
 
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol, TypeVar
 
 from marigoldlift.orders.api import EndedRun, HeldRun
 from marigoldlift.orders.runs import Run
 from marigoldlift.submissions.model import Step
 from marigoldlift.supervision import ItemKind
 
-if TYPE_CHECKING:
-    from marigoldlift.orders.session import WorkerSession
-
 __all__ = ('RunObserver',)
 
+Session = TypeVar('Session', contravariant=True)
+
 
-class RunObserver(Protocol):
-    """Receives the events of worker sessions."""
+class RunObserver(Protocol[Session]):
+    """Receives the events of worker sessions of a type."""
 
-    def run_ended(self, session: 'WorkerSession', ended: EndedRun, known: Run | None) -> None:
+    def run_ended(self, session: Session, ended: EndedRun, known: Run | None) -> None:
         """Handle an ended run that a worker lists for the first time."""
 
-    def run_found(self, session: 'WorkerSession', held: HeldRun) -> Step | None:
+    def run_found(self, session: Session, held: HeldRun) -> Step | None:
         """Handle a listed run that this leader did not start; return its step if it may continue."""
 
-    def run_vanished(self, session: 'WorkerSession', run: Run) -> None:
+    def run_vanished(self, session: Session, run: Run) -> None:
         """Handle a run that is certainly absent and will never be listed as ended."""
 
-    def fenced(self, session: 'WorkerSession') -> None:
+    def fenced(self, session: Session) -> None:
         """Handle a refusal because another holder has a higher token."""
 
     def handling_failed(self, kind: ItemKind, name: str, fault: Exception) -> None:
@@ -34,10 +33,10 @@
     def capacity_changed(self) -> None:
         """Handle more free capacity on a worker, or its answering again."""
 
-    def run_moved(self, session: 'WorkerSession', successor: 'WorkerSession', run: Run) -> None:
+    def run_moved(self, session: Session, successor: Session, run: Run) -> None:
         """Handle the transfer of a run with uncertain outcome to the session of the worker's next incarnation."""
 
-    def worker_restarted(self, session: 'WorkerSession', born_ms: int) -> None:
+    def worker_restarted(self, session: Session, born_ms: int) -> None:
         """Handle a restart of the worker under the same id."""
 
     def may_act(self) -> bool:
--- /dev/null
+++ b/marigoldlift/orders/reports.py
@@ -0,0 +1,135 @@
+"""Runs and ends that a worker lists, and what follows from them for the runs of its session."""
+
+from collections.abc import Iterable
+from typing import Generic, TypeVar
+
+from loguru import logger
+
+from marigoldlift.orders.api import EndedRun, HeldRun, WorkerStatus
+from marigoldlift.orders.ends import EndList
+from marigoldlift.orders.observer import RunObserver
+from marigoldlift.orders.runs import UNKNOWN_DEMAND, Phase, Run, RunTable
+from marigoldlift.submissions.model import Step, TaskRef
+from marigoldlift.supervision import ItemKind
+
+__all__ = ('RunReports',)
+
+Session = TypeVar('Session')
+
+
+class RunReports(Generic[Session]):
+    """Applies the runs and ends that a worker lists, and reports them to the observer of the session.
+
+    Attributes:
+        run_table: runs on the worker and its free resources; a run whose start was not answered counts too.
+        ends: ended runs that the worker has listed.
+    """
+
+    def __init__(
+        self, session: Session, observer: RunObserver[Session], run_table: RunTable
+    ) -> None:
+        """Begin without ends.
+
+        Args:
+            session: session with the worker, passed to the observer.
+            observer: receives the events.
+            run_table: runs on the worker.
+        """
+        self.session = session
+        self.observer = observer
+        self.run_table = run_table
+        self.ends = EndList()
+
+    def release(self, task: TaskRef) -> None:
+        """Remove the run of a task and free its capacity."""
+        if self.run_table.pop(task) is not None:
+            self.observer.capacity_changed()
+
+    def give_up(self, ended: Iterable[Run]) -> int:
+        """Give up runs that have certainly ended, and return their number."""
+        given_up = list(ended)
+        for known in given_up:
+            self.release(known.task)
+            self.observer.run_vanished(self.session, known)
+        return len(given_up)
+
+    def process_ends(self, found: WorkerStatus, now: float) -> None:
+        """Report the ended runs of a status, and record whether the worker holds more of them."""
+        listed_before = self.ends.last_listed
+        was_incomplete = self.ends.incomplete
+        for ended in found.ended:
+            self.note_end(ended)
+        self.ends.note_page(self.ends.last_listed - listed_before, now, more=found.more_ends)
+        if self.ends.incomplete != was_incomplete or self.ends.incomplete and self.ends.grew:
+            self.log_page()
+
+    def note_end(self, ended: EndedRun) -> None:
+        """Report a newly listed ended run; if the observer raises, the next listing reports it again.
+
+        An end that was not handled is not acknowledged, and does not hold up those that follow.
+        """
+        if not self.ends.is_new(ended.number):
+            return
+        self.ends.note(ended.number)
+        self.run_table.note_end(ended.task, ended.run)
+        known = self.run_table.runs.get(ended.task)
+        if known is not None and known.run != ended.run:
+            known = None
+        try:
+            self.observer.run_ended(self.session, ended, known)
+        except Exception as fault:
+            self.ends.unhandled.add(ended.number)
+            self.observer.handling_failed(ItemKind.end, ended.task.name, fault)
+            return
+        self.ends.unhandled.discard(ended.number)
+        if known is not None:
+            self.release(ended.task)
+
+    def handle_running(self, held: HeldRun, now: float) -> None:
+        """Update a run that the worker lists as running; an unknown one is offered to the observer.
+
+        A run that has ended is skipped, since a late answer may still list it.
+        """
+        known = self.run_table.runs.get(held.task)
+        if known is not None:
+            if known.run == held.run:
+                known.confirm(held, now)
+        elif (held.task, held.run) not in self.run_table.ended:
+            self.adopt_run(held, now)
+
+    def handle_absent(self, present: set[TaskRef], sent_at: float, token: int) -> None:
+        """Report runs that are listed neither as running nor as ended.
+
+        An unanswered start is certainly absent only if the status was polled under a token raised after it.
+        """
+        for task, known in list(self.run_table.runs.items()):
+            if task not in present and known.is_surely_absent(sent_at, token):
+                self.run_table.pop(task)
+                self.observer.run_vanished(self.session, known)
+
+    def adopt_run(self, held: HeldRun, now: float) -> None:
+        """Adopt a run that an earlier leader has started, unless the observer stops it."""
+        step = self.find_demand(held)
+        if step is not None:
+            adopted = Run(held.task, held.run, step, Phase.held, now)
+            adopted.confirm(held, now)
+            self.run_table.take(adopted)
+
+    def find_demand(self, held: HeldRun) -> Step | None:
+        """Return the demand of a run of an earlier leader; unknown if the observer fails over it."""
+        try:
+            return self.observer.run_found(self.session, held)
+        except Exception as fault:
+            self.observer.handling_failed(ItemKind.run, held.task.name, fault)
+        return UNKNOWN_DEMAND
+
+    def log_page(self) -> None:
+        """Log how far the ended runs of the worker are read."""
+        logger.info(
+            'ended runs listed: worker={} last={} acknowledged={} runs={} incomplete={}',
+            self.run_table.worker.id,
+            self.ends.last_listed,
+            self.ends.last_acknowledged,
+            len(self.run_table.runs),
+            self.ends.incomplete,
+        )
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -1,35 +1,19 @@
 """Session of this leader with one worker: lease, fencing token and runs."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import msgspec
 from loguru import logger
 
 from marigoldlift.errors import WorkerRefusedError, WorkerUnavailableError
 from marigoldlift.orders.acknowledgements import Acknowledgements
-from marigoldlift.orders.api import (
-    EndedRun,
-    HeldRun,
-    WorkerStatus,
-    StartOrder,
-    Worker,
-    WorkerCalls,
-)
+from marigoldlift.orders.api import StartOrder, Worker, WorkerCalls, WorkerStatus
 from marigoldlift.orders.clock import WorkerClock
-from marigoldlift.orders.ends import EndList
 from marigoldlift.orders.observer import RunObserver
-from marigoldlift.orders.runs import (
-    LATE_ORDER_S,
-    UNKNOWN_DEMAND,
-    UNLEASED_EXPIRY_S,
-    HeldTasks,
-    Phase,
-    Run,
-    RunTable,
-)
-from marigoldlift.submissions.model import Step, TaskRef
-from marigoldlift.supervision import ItemKind
+from marigoldlift.orders.reports import RunReports
+from marigoldlift.orders.runs import LATE_ORDER_S, UNLEASED_EXPIRY_S, HeldTasks, Run, RunTable
+from marigoldlift.submissions.model import TaskRef
 
 __all__ = ('SUSPECT_S', 'WorkerSession', 'give_up_late_starts')
 
@@ -53,6 +37,7 @@
         run_table: runs on the worker and its free resources; a run whose start was not answered counts too.
         full_until: no new work before this time, since the worker has refused some; in seconds of the monotonic clock.
         synced: whether the worker has answered under the current token.
+        reports: applies what the worker lists.
         ends: ended runs that the worker has listed.
         last_answer_at: when the last answer arrived, in seconds of the monotonic clock.
         poll_failed: whether the last status poll got no answer.
@@ -66,7 +51,7 @@
         worker: Worker,
         calls: WorkerCalls,
         tenure: int,
-        observer: RunObserver,
+        observer: 'RunObserver[WorkerSession]',
         clock: Callable[[], float],
         lease_s: float,
         held_tasks: HeldTasks | None = None,
@@ -90,7 +75,8 @@
         self.lease_s = lease_s
         self.clock = WorkerClock()
         self.run_table = RunTable(worker, HeldTasks() if held_tasks is None else held_tasks)
-        self.ends = EndList()
+        self.reports = RunReports(self, observer, self.run_table)
+        self.ends = self.reports.ends
         self.synced = False
         self.last_answer_at = clock()
         self.poll_requested = asyncio.Event()
@@ -117,11 +103,6 @@
             return self.now() - self.opened_at > UNLEASED_EXPIRY_S
         return self.clock.has_lapsed(self.now())
 
-    def release(self, task: TaskRef) -> None:
-        """Remove the run of a task and free its capacity."""
-        if self.run_table.pop(task) is not None:
-            self.observer.capacity_changed()
-
     async def start(self, known: Run, content: str, ticket: str) -> bool:
         """Start a run whose capacity is already reserved.
 
@@ -166,12 +147,12 @@
         """Give up the runs that have ended with the worker's incarnation or its lease, and return their number."""
         now = self.now()
         runs = self.run_table.runs.values()
-        return give_up(self, [run for run in runs if not run.may_outlive_lease(now)])
+        return self.reports.give_up(run for run in runs if not run.may_outlive_lease(now))
 
     def drop(self, known: Run) -> None:
         """Free the capacity of a run that is certainly absent."""
         if self.run_table.runs.get(known.task) is known:
-            self.release(known.task)
+            self.reports.release(known.task)
 
     def mark_uncertain(self, known: Run, fault: Exception, token: int | None = None) -> None:
         """Raise the token: once the worker has seen the new one, it rejects the old order.
@@ -292,13 +273,13 @@
         if self.suspected_at is not None and sent_at >= self.suspected_at:
             self.suspected_at = None
         self.clock.note(found.clock_ms, now)
-        self.process_ends(found, now)
+        self.reports.process_ends(found, now)
         present = {ended.task for ended in found.ended if ended.number in self.ends.unhandled}
         for held in found.running:
             present.add(held.task)
-            self.handle_running(held, now)
+            self.reports.handle_running(held, now)
         if found.whole:
-            self.handle_absent(present, sent_at, token)
+            self.reports.handle_absent(present, sent_at, token)
         if token == self.token and not self.synced:
             self.synced = self.clock.lease_ms > 0
             if not self.synced:
@@ -306,62 +287,6 @@
         if self.answers() and not was_answering:
             self.observer.capacity_changed()
 
-    def process_ends(self, found: WorkerStatus, now: float) -> None:
-        """Report the ended runs of a status, and record whether the worker holds more of them."""
-        listed_before = self.ends.last_listed
-        was_incomplete = self.ends.incomplete
-        for ended in found.ended:
-            self.note_end(ended)
-        self.ends.note_page(self.ends.last_listed - listed_before, now, more=found.more_ends)
-        if self.acknowledgements.are_held_back():
-            self.ends.stuck_since = None
-        if self.ends.incomplete != was_incomplete or self.ends.incomplete and self.ends.grew:
-            log_page(self)
-
-    def note_end(self, ended: EndedRun) -> None:
-        """Report a newly listed ended run; if the observer raises, the next listing reports it again.
-
-        An end that was not handled is not acknowledged, and does not hold up those that follow.
-        """
-        if not self.ends.is_new(ended.number):
-            return
-        self.ends.note(ended.number)
-        self.run_table.note_end(ended.task, ended.run)
-        known = self.run_table.runs.get(ended.task)
-        if known is not None and known.run != ended.run:
-            known = None
-        try:
-            self.observer.run_ended(self, ended, known)
-        except Exception as fault:
-            self.ends.unhandled.add(ended.number)
-            self.observer.handling_failed(ItemKind.end, ended.task.name, fault)
-            return
-        self.ends.unhandled.discard(ended.number)
-        if known is not None:
-            self.release(ended.task)
-
-    def handle_running(self, held: HeldRun, now: float) -> None:
-        """Update a run that the worker lists as running; an unknown one is offered to the observer.
-
-        A run that has ended is skipped, since a late answer may still list it.
-        """
-        known = self.run_table.runs.get(held.task)
-        if known is not None:
-            if known.run == held.run:
-                known.confirm(held, now)
-        elif (held.task, held.run) not in self.run_table.ended:
-            adopt_run(self, held, now)
-
-    def handle_absent(self, present: set[TaskRef], sent_at: float, token: int) -> None:
-        """Report runs that are listed neither as running nor as ended.
-
-        An unanswered start is certainly absent only if the status was polled under a token raised after it.
-        """
-        for task, known in list(self.run_table.runs.items()):
-            if task not in present and known.is_surely_absent(sent_at, token):
-                self.run_table.pop(task)
-                self.observer.run_vanished(self, known)
-
 
 def give_up_late_starts(session: WorkerSession) -> None:
     """Give up the late starts of which nothing can be active any more.
@@ -371,43 +296,4 @@
     if not session.clock.lease_ms:
         now = session.now()
         runs = session.run_table.runs.values()
-        give_up(session, [run for run in runs if run.has_expired(now)])
-
-
-def give_up(session: WorkerSession, ended: Sequence[Run]) -> int:
-    """Give up runs that have certainly ended, and return their number."""
-    for known in ended:
-        session.release(known.task)
-        session.observer.run_vanished(session, known)
-    return len(ended)
-
-
-def log_page(session: WorkerSession) -> None:
-    """Log how far the ended runs of a worker are read."""
-    ends = session.ends
-    logger.info(
-        'ended runs listed: worker={} last={} acknowledged={} runs={} incomplete={}',
-        session.worker.id,
-        ends.last_listed,
-        ends.last_acknowledged,
-        len(session.run_table.runs),
-        ends.incomplete,
-    )
-
-
-def adopt_run(session: WorkerSession, held: HeldRun, now: float) -> None:
-    """Adopt a run that an earlier leader has started, unless the observer stops it."""
-    step = find_demand(session, held)
-    if step is not None:
-        adopted = Run(held.task, held.run, step, Phase.held, now)
-        adopted.confirm(held, now)
-        session.run_table.take(adopted)
-
-
-def find_demand(session: WorkerSession, held: HeldRun) -> Step | None:
-    """Return the demand of a run of an earlier leader; unknown if the observer fails over it."""
-    try:
-        return session.observer.run_found(session, held)
-    except Exception as fault:
-        session.observer.handling_failed(ItemKind.run, held.task.name, fault)
-    return UNKNOWN_DEMAND
+        session.reports.give_up(run for run in runs if run.has_expired(now))
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -60,7 +60,7 @@
         state: CellState,
         calls: WorkerCalls,
         appender: Appender,
-        observer: RunObserver,
+        observer: RunObserver[WorkerSession],
         tenure: int,
         longest_lease_s: float,
         faults: FaultBoundary,
--- a/tests/cell/test_capacity.py
+++ b/tests/cell/test_capacity.py
@@ -6,7 +6,6 @@
 import pytest
 
 from marigoldlift.orders.api import HeldRun
-from marigoldlift.orders.session import adopt_run
 from marigoldlift.scheduling.placement import fitting_tasks
 from marigoldlift.submissions.model import AdvicePolicy, Step, SubmissionId, TaskRef
 from tests.cell.actions import cut_off, reconnect, set_task_duration
@@ -117,7 +116,7 @@
         dispatcher.session_manager.update(
             session, msgspec.structs.replace(entry, cpu_m=0, mem_mb=0, gpus=0)
         )
-        adopt_run(session, HeldRun(task_ref('unknown'), 1, '', 0), 0)
+        session.reports.adopt_run(HeldRun(task_ref('unknown'), 1, '', 0), 0)
         dispatcher.session_manager.update(session, entry)
         assert not fitting_tasks(session, Step(count=1, cpu_m=1))
         assert not fitting_tasks(session, Step(count=1, mem_mb=1))
