A task that lasts is started again at its own worker while a copy of its first start may be left

A poll under a raised token proves that the present incarnation never executes the copy. A task that lasts never ends as done, so the same worker may run it at once: a copy can be executed only by a later incarnation, when that run has ended with this one. Elsewhere it still starts only once no copy is left, also after the worker restarts, after the run fails, and after a takeover; the progress record names the start until then. Steps with other tasks and gangs wait as before.

--- a/marigoldlift/orders/observer.py
+++ b/marigoldlift/orders/observer.py
@@ -24,6 +24,9 @@
     def run_vanished(self, session: Session, run: Run) -> None:
         """Handle a run that is certainly absent and will never be listed as ended."""
 
+    def start_missed(self, session: Session, run: Run) -> None:
+        """Handle a run that its worker has not started, while only a later incarnation of the worker may."""
+
     def fenced(self, session: Session) -> None:
         """Handle a refusal because another holder has a higher token."""
 
--- a/marigoldlift/orders/reports.py
+++ b/marigoldlift/orders/reports.py
@@ -45,6 +45,13 @@
         if self.run_table.pop(task) is not None:
             self.observer.capacity_changed()
 
+    def release_ended(self, known: Run, now: float) -> None:
+        """Remove a run that has ended, unless a later incarnation of the worker may start it again."""
+        if known.is_repeated and known.may_start_later(now):
+            known.keep()
+        else:
+            self.release(known.task)
+
     def give_up(self, ended: Iterable[Run]) -> int:
         """Give up runs that have certainly ended, and return their number."""
         given_up = list(ended)
@@ -58,12 +65,12 @@
         listed_before = self.ends.last_listed
         was_incomplete = self.ends.incomplete
         for ended in found.ended:
-            self.note_end(ended)
+            self.note_end(ended, now)
         self.ends.note_page(self.ends.last_listed - listed_before, now, more=found.more_ends)
         if self.ends.incomplete != was_incomplete or self.ends.incomplete and self.ends.grew:
             self.log_page()
 
-    def note_end(self, ended: EndedRun) -> None:
+    def note_end(self, ended: EndedRun, now: float) -> None:
         """Report a newly listed ended run; if the observer raises, the next listing reports it again.
 
         An end that was not handled is not acknowledged, and does not hold up those that follow.
@@ -83,7 +90,7 @@
             return
         self.ends.unhandled.discard(ended.number)
         if known is not None:
-            self.release(ended.task)
+            self.release_ended(known, now)
 
     def handle_running(self, held: HeldRun, now: float) -> None:
         """Update a run that the worker lists as running; an unknown one is offered to the observer.
@@ -98,14 +105,17 @@
             self.adopt_run(held, now)
 
     def handle_absent(self, present: set[TaskRef], sent_at: float, token: int) -> None:
-        """Report runs that are listed neither as running nor as ended.
+        """Report runs that are listed neither as running nor as ended, or whose start can be sent again.
 
         An unanswered start is certainly absent only if the status was polled under a token raised after it.
         """
-        for task, known in list(self.run_table.runs.items()):
-            if task not in present and known.is_surely_absent(sent_at, token):
-                self.run_table.pop(task)
+        missing = [run for task, run in self.run_table.runs.items() if task not in present]
+        for known in missing:
+            if known.is_surely_absent(sent_at, token):
+                self.run_table.pop(known.task)
                 self.observer.run_vanished(self.session, known)
+            elif known.may_repeat(sent_at, token):
+                self.observer.start_missed(self.session, known)
 
     def adopt_run(self, held: HeldRun, now: float) -> None:
         """Adopt a run that an earlier leader has started, unless the observer stops it."""
--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -49,6 +49,8 @@
         fence: lowest fencing token that, once the worker has seen it, makes it reject the unanswered start; None if
             none was raised after the start.
         is_ordered: whether its start was sent.
+        is_repeated: whether the start may have been sent more than once, so that a copy of it may be left although one was
+            executed.
         is_ticketed: whether the start carries a ticket, which no later incarnation of the worker accepts.
         tenure: tenure of the earlier leader that has ordered its start, None for this one.
         doubted_at: when the start became one that a later incarnation of the worker, which has not seen the fence, may
@@ -60,6 +62,7 @@
         'doubted_at',
         'fence',
         'is_ordered',
+        'is_repeated',
         'is_ticketed',
         'listed',
         'moved_at',
@@ -88,6 +91,7 @@
         self.unanswered = phase is Phase.sent
         self.fence: int | None = None
         self.is_ordered = False
+        self.is_repeated = False
         self.is_ticketed = False
         self.tenure: int | None = None
         self.doubted_at: float | None = None
@@ -99,6 +103,7 @@
         """Record that the start is sent with a ticket, which is empty if the queue uses none."""
         self.is_ordered = True
         self.is_ticketed = bool(ticket)
+        self.tenure = None
 
     def adopt(self, tenure: int, token: int, ordered_at: float) -> None:
         """Record that an earlier leader has ordered the start, and that its outcome is unknown.
@@ -112,6 +117,7 @@
         self.tenure = tenure
         self.fence = token
         self.doubted_at = ordered_at
+        self.is_repeated = self.step.long_running
 
     def confirm(self, held: HeldRun, now: float) -> None:
         """Record that the worker lists the run as present."""
@@ -123,10 +129,11 @@
         self.note_executed(now)
 
     def note_executed(self, now: float) -> None:
-        """Record that the worker has executed the start, so that no copy of it is left."""
+        """Record that the worker has executed the start; no copy of it is left unless it was sent more than once."""
         self.since = now
         self.unanswered = False
-        self.doubted_at = None
+        if not self.is_repeated:
+            self.doubted_at = None
         if self.phase is Phase.sent:
             self.phase = Phase.held
 
@@ -158,6 +165,28 @@
             return False
         return not self.unanswered or (self.fence is not None and token >= self.fence)
 
+    def may_repeat(self, sent_at: float, token: int) -> bool:
+        """Return whether a status poll that omits the run proves that its start can be sent to the same worker again.
+
+        That is so for a task that lasts: it never ends as done, and a copy of the first start can be executed only by a
+        later incarnation, when the repeated run has ended with this one. The arguments are those of `is_surely_absent`.
+        """
+        if not self.step.long_running or self.step.gang or self.phase is not Phase.sent:
+            return False
+        return self.since < sent_at and self.fence is not None and token >= self.fence
+
+    def repeat(self) -> None:
+        """Record that the start is to be sent again."""
+        self.is_repeated = True
+        self.fence = None
+
+    def keep(self) -> None:
+        """Keep a run that has ended while a copy of its start is left, until a status poll proves that there is none."""
+        self.phase = Phase.stopping
+        self.unanswered = True
+        self.listed = False
+        self.fence = 0
+
     def may_start_later(self, now: float) -> bool:
         """Return whether a later incarnation of the worker may still execute the start."""
         return self.doubted_at is not None and now < self.doubted_at + LATE_ORDER_S
@@ -249,6 +278,10 @@
         self.mem_mb = self.worker.mem_mb - self.used_mem_mb
         self.gpus = self.worker.gpus - self.used_gpus
 
+    def is_overfull(self) -> bool:
+        """Return whether the runs occupy more than the worker has."""
+        return min(self.cpu_m, self.mem_mb, self.gpus) < 0
+
     def take(self, run: Run) -> None:
         """Reserve the resources of a run, replacing any other run of the same task."""
         self.pop(run.task)
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -150,9 +150,9 @@
         return self.reports.give_up(run for run in runs if not run.may_outlive_lease(now))
 
     def drop(self, known: Run) -> None:
-        """Free the capacity of a run that is certainly absent."""
+        """Free the capacity of a run that is certainly absent, unless a copy of its start is left."""
         if self.run_table.runs.get(known.task) is known:
-            self.reports.release(known.task)
+            self.reports.release_ended(known, self.now())
 
     def mark_uncertain(self, known: Run, fault: Exception, token: int | None = None) -> None:
         """Raise the token: once the worker has seen the new one, it rejects the old order.
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -184,6 +184,12 @@
         step.save(run.task.index, run.checkpoint)
         self.open_submissions.starter.requeue_task(step, run.task.index, session)
 
+    def start_missed(self, session: WorkerSession, run: Run) -> None:
+        """Send the start of a task that lasts to its worker again; elsewhere it may not run before no copy is left."""
+        step = self.open_submissions.step_of(run.task)
+        if step is not None and self.may_act():
+            self.open_submissions.starter.repeat(step, session, run)
+
     def run_moved(self, session: WorkerSession, successor: WorkerSession, run: Run) -> None:
         """Move a run whose start has an unknown outcome to the session of the worker's next incarnation."""
         step = self.open_submissions.step_of(run.task)
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -10,7 +10,7 @@
 from marigoldlift.orders.api import Worker, WorkerCalls
 from marigoldlift.orders.observer import RunObserver
 from marigoldlift.orders.polling import poll_continuously
-from marigoldlift.orders.runs import HeldTasks
+from marigoldlift.orders.runs import HeldTasks, Run
 from marigoldlift.orders.session import SUSPECT_S, WorkerSession, give_up_late_starts
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.earlier_orders import EarlierOrders
@@ -201,7 +201,7 @@
         self.sessions[worker.id] = successor
         for known in tuple(session.run_table.runs.values()):
             session.run_table.pop(known.task)
-            if known.listed or not known.is_ordered:
+            if has_ended_with(known, self.clock()):
                 self.observer.run_vanished(session, known)
                 continue
             known.mark_uncertain(successor.token, self.clock())
@@ -321,6 +321,11 @@
     return unknown_kind(known.worker, known.address, known.failure_domain, born_ms=0)
 
 
+def has_ended_with(known: Run, now: float) -> bool:
+    """Return whether a run has certainly ended with the incarnation of its worker."""
+    return (known.listed or not known.is_ordered) and not known.may_start_later(now)
+
+
 def restarted_worker(worker: Worker, born_ms: int) -> Worker:
     """Return a new incarnation that the registry doesn't list yet; it gets no new tasks.
 
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -86,6 +86,17 @@
         self.spawn(self.send(step, session, ordered, self.limits.begin(session)))
         return True
 
+    def repeat(self, step: StepRun, session: WorkerSession, ordered: Run) -> None:
+        """Send the start of a run again, unless its worker gets no more tasks of the step."""
+        service = step.job.submission.policy.service
+        usable = self.session_manager.usable(service, include_quarantined=True)
+        is_placed = step.active.get(ordered.task.index) is session
+        if not is_placed or session not in usable or session.run_table.is_overfull():
+            return
+        if step.may_use(session.worker) and self.limits.accepts(session):
+            ordered.repeat()
+            self.spawn(self.send(step, session, ordered, self.limits.begin(session)))
+
     async def send(
         self, step: StepRun, session: WorkerSession, ordered: Run, counted: ExitStack
     ) -> None:
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -250,7 +250,7 @@
         }
         for index, session in self.active.items():
             run = session.run_table.runs.get(self.task(index))
-            if run is not None and run.unanswered:
+            if run is not None and (run.unanswered or run.may_start_later(session.now())):
                 ordered_in = tenure if run.tenure is None else run.tenure
                 starts[index] = UnansweredStart(run.run, ordered_in)
         return starts
--- a/tests/cell/test_late_orders.py
+++ b/tests/cell/test_late_orders.py
@@ -6,6 +6,7 @@
 import pytest
 
 from marigoldlift.errors import WorkerUnavailableError
+from marigoldlift.orders.api import EndKind
 from marigoldlift.submissions.model import AdvicePolicy, Step
 from standins.cell.workers import CALL_TIMEOUT_S, execute_late
 from tests.cell.actions import cut_off, reconnect, set_task_duration
@@ -292,3 +293,37 @@
         assert any(worker.held for worker in cell.workers.values())
 
     run_scenario(scenario, workers=2)
+
+
+def fail_runs(cell):
+    """End all runs as failed."""
+    for worker in cell.workers.values():
+        for task in list(worker.held):
+            worker.finish(task, EndKind.failed)
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('trouble', ['none', 'takeover', 'failure'])
+def test_lasting_task_that_was_started_again_does_not_run_twice(run_scenario, trouble, seed):
+    """Guards against TWICE: a restarted worker executes the first start late, after the run was started anew elsewhere."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 1000)
+        sent_to = delay_next_start(cell, 6)
+        steps = (Step(count=1, cpu_m=1000, long_running=True),)
+        await cell.submit(cell.leader(), 'job', steps)
+        await asyncio.sleep(2)
+        assert cell.workers[sent_to[0]].held
+        if trouble == 'takeover':
+            cell.leader().kill()
+        elif trouble == 'failure':
+            fail_runs(cell)
+        await asyncio.sleep(2)
+        restart_unseen(cell, sent_to[0])
+        await asyncio.sleep(3)
+        reconnect(cell)
+        await asyncio.sleep(SETTLED_S)
+        assert any(worker.held for worker in cell.workers.values())
+
+    run_scenario(scenario, workers=2, seed=seed)
