--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -104,6 +104,8 @@
         for gang in filter(self.pending.is_overdue, ready):
             self.caps.reserve(gang)
         for candidate in ready:
+            if self.starter.limits.is_reached():
+                break
             with self.faults.contain(ItemKind.submission, candidate.job.id):
                 if self.failed_placements < MAX_FAILED_PLACEMENTS or self.pending.is_overdue(
                     candidate
@@ -257,19 +259,41 @@
     ) -> bool:
         """Start tasks one by one, as many as are admitted.
 
-        Stops at the first task that fits nowhere, unless it has failed somewhere: then others may still find a worker.
+        Stops at the first task that fits nowhere, unless it has failed somewhere: then others may still find a worker. Also
+        stops while too many starts are in flight, so that other work of the leader is not held up.
         """
         placed = 0
-        for index in step.startable(self.session_manager.earlier_orders.unreachable):
-            session = self.placer.place_one(step, index, available, overdue=overdue)
-            if session is not None:
-                placed += int(self.starter.start(step, index, session, step.next_run(index)))
-            elif not step.avoid.get(index):
-                return placed > 0
-            if placed >= admitted:
-                return True
+        accepting = list(self.starter.limits.accepting(available))
+        startable = step.startable(self.session_manager.earlier_orders.unreachable)
+        for index in self.starter.limits.until_reached(startable):
+            session = self.placer.place_one(step, index, accepting, overdue=overdue)
+            placed += self.start_at(step, index, session, accepting)
+            if placed >= admitted or (session is None and not step.avoid.get(index)):
+                break
         return placed > 0
 
+    def start_at(
+        self,
+        step: StepRun,
+        index: int,
+        session: WorkerSession | None,
+        accepting: list[WorkerSession],
+    ) -> int:
+        """Start a task on the worker that was found for it, and return the number of starts.
+
+        Args:
+            step: step of the task.
+            index: index of the task.
+            session: the worker, None if there is none.
+            accepting: workers that take further starts; the worker is removed once it takes no more.
+        """
+        if session is None:
+            return 0
+        started = self.starter.start(step, index, session, step.next_run(index))
+        if not self.starter.limits.accepts(session):
+            accepting.remove(session)
+        return int(started)
+
     def place_gang(
         self, step: StepRun, available: list[WorkerSession], admitted: int, *, overdue: bool
     ) -> bool:
