--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -132,8 +132,8 @@
         self.metrics.set(Metric.configuration_keys, configuration.key_count)
 
     def configuration_read_at(self) -> float:
-        """Return when the store last answered a read of the configuration, in seconds of the monotonic clock."""
-        return self.operators.last_response_at
+        """Return when the newest read that reached the end of the operators' log was sent, in s of the monotonic clock."""
+        return self.operators.confirmed_at
 
     def render_metrics(self) -> str:
         """Return all metrics as text."""
--- a/marigoldlift/platform/node_settings.py
+++ b/marigoldlift/platform/node_settings.py
@@ -4,6 +4,7 @@
 from types import MappingProxyType
 
 import msgspec
+from loguru import logger
 
 from marigoldlift.errors import SettingsError
 from marigoldlift.platform.addresses import is_port, is_socket_address
@@ -116,11 +117,13 @@
         return number
 
     def duration_ms(self, path: str, default_ms: float) -> float:
-        """Return a duration in s from a field in ms that is at least `MIN_CONFIGURATION_MS`."""
+        """Return a duration in s from a field in ms; a shorter one counts as `MIN_CONFIGURATION_MS`."""
         number = self.number(path, default_ms)
         if number < MIN_CONFIGURATION_MS:
-            self.errors.append(f'{path}: {number:g} is below {MIN_CONFIGURATION_MS}')
-        return number / MS_PER_S
+            logger.warning(
+                '{}: {:g} is below {}, which is used', path, number, MIN_CONFIGURATION_MS
+            )
+        return max(number, MIN_CONFIGURATION_MS) / MS_PER_S
 
     def flag(self, path: str) -> bool:
         """Return a field that has to hold `true` or `false`, false if it is missing."""
--- a/marigoldlift/scheduling/pending.py
+++ b/marigoldlift/scheduling/pending.py
@@ -26,6 +26,28 @@
 PREFERENCE_S = 1.0
 
 
+class ServiceSample:
+    """Listed workers by service, looked up once in a sample."""
+
+    def __init__(self, session_manager: SessionManager) -> None:
+        """Start without lookups."""
+        self.session_manager = session_manager
+        self.by_service: dict[str, list[WorkerSession]] = {}
+        self.is_half_free: dict[str, bool] = {}
+
+    def listed(self, service: str) -> Sequence[WorkerSession]:
+        """Return the listed workers of a service."""
+        if service not in self.by_service:
+            self.by_service[service] = listed_sessions(self.session_manager, service)
+        return self.by_service[service]
+
+    def half_free(self, service: str) -> Sequence[WorkerSession]:
+        """Return the listed workers of a service, none if half or more of it is in use."""
+        if service not in self.is_half_free:
+            self.is_half_free[service] = is_half_free(self.listed(service))
+        return self.listed(service) if self.is_half_free[service] else ()
+
+
 class IdleSpan:
     """A period in which a step was due but nothing of its submission ran.
 
@@ -107,14 +129,14 @@
         idle = {step for step in waiting if is_idle(step, wall_ms)}
         for step in self.spans.keys() - idle:
             self.report(step, self.spans.pop(step), now)
-        half_free: dict[str, Sequence[WorkerSession]] = {}
+        services = ServiceSample(self.session_manager)
         for step in idle:
             span = self.spans.get(step)
             if span is None:
                 self.spans[step] = IdleSpan(now)
                 continue
             span.note(self.reasons.get(step, PendingReason.not_planned), elapsed_s)
-            span.note_placeable(now, placeable=self.is_placeable(step, half_free))
+            span.note_placeable(now, placeable=self.is_placeable(step, services))
 
     def is_overdue(self, step: StepRun) -> bool:
         """Return whether a step could have been placed for so long that it takes any worker from now on."""
@@ -123,7 +145,7 @@
             return False
         return self.clock() - span.placeable_since >= PREFERENCE_S
 
-    def is_placeable(self, step: StepRun, half_free: dict[str, Sequence[WorkerSession]]) -> bool:
+    def is_placeable(self, step: StepRun, services: 'ServiceSample') -> bool:
         """Return whether less than half of the service is in use and the step fits completely.
 
         A step of a workspace that uses half of its cap or more may have to wait for that. Of a step that lasts, any task that
@@ -131,17 +153,14 @@
 
         Args:
             step: the waiting step.
-            half_free: cache of this sample: listed workers by service, empty if half or more of the service is in use.
+            services: listed workers of this sample.
         """
-        if self.caps.may_wait(step):
-            return False
         service = step.job.submission.policy.service
-        if must_run_whole(step):
-            return self.fits(step, 1, listed_sessions(self.session_manager, service))
-        if service not in half_free:
-            sessions = listed_sessions(self.session_manager, service)
-            half_free[service] = sessions if is_half_free(sessions) else ()
-        return self.fits(step, len(step.todo), half_free[service])
+        runs_again = must_run_whole(step)
+        sessions = services.listed(service) if runs_again else services.half_free(service)
+        if not sessions or self.caps.may_wait(step):
+            return False
+        return self.fits(step, 1 if runs_again else len(step.todo), sessions)
 
     def fits(self, step: StepRun, missing: int, sessions: Sequence[WorkerSession]) -> bool:
         """Return whether a number of further tasks of a step fit on workers."""
@@ -173,8 +192,10 @@
 
 
 def must_run_whole(step: StepRun) -> bool:
-    """Return whether a step lasts and was started, so that each of its tasks has to run again however it has ended."""
-    return step.step.long_running and not step.step.gang and step.last_run > 0
+    """Return whether a step lasts and has a waiting task that was started, which has to run again however it has ended."""
+    if not step.step.long_running or step.step.gang:
+        return False
+    return step.first_run > 0 or not step.todo.isdisjoint(step.runs)
 
 
 def is_idle(step: StepRun, wall_ms: float) -> bool:
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -167,7 +167,11 @@
 
     def finish(self, record: Finished) -> None:
         """Keep only the outcome of a submission."""
-        self.jobs.pop(record.submission, None)
+        ended = self.jobs.pop(record.submission, None)
+        if ended is not None and ended.submission.workspace != record.workspace:
+            # After a restart the acceptance of another workspace may be read first.
+            rejected = scoped_name(record.submission, ended.submission.workspace)
+            self.rejected_acceptances.add(rejected)
         self.early_records.pop(record.submission, None)
         self.finished[record.submission] = FinishedJob(
             record.outcome,
