Caps: room is kept for a task that smaller ones would overtake, and a pass stays bounded

Found by review: a workspace at its cap whose first step has larger tasks starts smaller ones of its own for ever, each taking what comes free; a gang that is admitted but finds no workers loses its room in the same pass; each of thousands of waiting steps of one workspace was looked at in each pass. The first step that a cap refuses now keeps the room of one task (a gang that of all), a gang without workers keeps its room until its objective has passed, and a pass leaves a workspace's steps alone after 20 refusals. Both tests fail on the code before.

--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -175,6 +175,9 @@
 
     def place(self, step: StepRun) -> None:
         """Place a step as far as the cap of its workspace admits it; one that it does not admit holds up no other."""
+        if self.caps.is_exhausted(step) and not self.pending.is_overdue(step):
+            self.pending.reasons[step] = self.caps.pending_reason(step)
+            return
         admitted = self.caps.admit(step)
         if admitted:
             waiting = len(step.todo)
@@ -183,9 +186,9 @@
             finally:
                 self.caps.note_placed(step, waiting - len(step.todo))
             admitted = self.caps.admit(step)
+            self.caps.hold(step)
         if step.todo and not admitted:
-            self.caps.reserve(step)
-            self.pending.reasons[step] = self.caps.pending_reason(step)
+            self.pending.reasons[step] = self.caps.refuse(step)
 
     def place_admitted(self, step: StepRun, admitted: int) -> None:
         """Start as many of the admitted tasks of a step as possible, and request tickets for the rest."""
--- a/marigoldlift/scheduling/tests/test_workspace_caps.py
+++ b/marigoldlift/scheduling/tests/test_workspace_caps.py
@@ -11,7 +11,7 @@
 from marigoldlift.orders.api import Worker
 from marigoldlift.orders.runs import UNKNOWN_DEMAND, HeldTasks, Phase, Run, RunTable
 from marigoldlift.scheduling.tasks import JobRun, PendingReason
-from marigoldlift.scheduling.workspace_caps import CONFIGURATION_LAG_S, WorkspaceCaps
+from marigoldlift.scheduling.workspace_caps import CONFIGURATION_LAG_S, MAX_REFUSED, WorkspaceCaps
 from marigoldlift.scheduling.workspace_usage import ResourceUse, WorkspaceUsage, fitting_in_cap
 from marigoldlift.submissions.model import (
     AdvicePolicy,
@@ -230,3 +230,28 @@
     directory.replace(2, [])
     assert directory.find('lab') is None
     assert directory.find_last('lab') is LAB
+
+
+def test_larger_task_is_not_overtaken_for_ever(state, manager, caps):
+    """Guards against a task that never finds room in the cap because smaller ones of its workspace take what comes free."""
+    plain = JobRun(state.jobs['job']).steps[0, 0]
+    large = JobRun(state.jobs['job']).steps[0, 0]
+    large.step = msgspec.structs.replace(large.step, cpu_m=2000)
+    for index in range(3):
+        manager.sessions['w0'].run_table.take(run_of('job', 0, index))
+    caps.begin_pass([large, plain])
+    assert (caps.admit(large), caps.admit(plain)) == (0, 1)
+    caps.refuse(large)
+    assert caps.admit(plain) == 0
+
+
+def test_refused_steps_of_one_workspace_do_not_fill_the_pass(state, caps):
+    """Guards against a pass that is slow for all while thousands of steps of one workspace wait for its cap."""
+    step = JobRun(state.jobs['job']).steps[0, 0]
+    caps.begin_pass([step])
+    for _ in range(MAX_REFUSED):
+        assert not caps.is_exhausted(step)
+        caps.refuse(step)
+    assert caps.is_exhausted(step)
+    caps.begin_pass([step])
+    assert not caps.is_exhausted(step)
--- a/marigoldlift/scheduling/workspace_caps.py
+++ b/marigoldlift/scheduling/workspace_caps.py
@@ -4,6 +4,7 @@
 others nor takes room, questions to the advice, or reservations from them.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from marigoldlift.ids import WorkspaceId
@@ -32,14 +33,19 @@
 #: Share of its cap above which a workspace may be what keeps a step waiting, by the platform's rules.
 BUSY_SHARE = 0.5
 
+#: Steps of a workspace that its cap may refuse in one pass before the others are left to later passes, so that the waiting
+#: work of one workspace does not make the pass slow for all.
+MAX_REFUSED = 20
+
 
 class WorkspaceCaps:
     """Decides how many tasks of a step may be started in the current pass.
 
     Attributes:
         used: what each workspace has running, with what the pass has placed; None until it is needed.
-        reserved: the most urgent gang of each workspace that waits for room or for an answer of the advice; its room is kept from less urgent
-            steps of the same workspace.
+        reserved: the most urgent step of each workspace that waits for room in the cap, or gang that waits for workers or
+            for an answer of the advice; its room is kept from less urgent steps of the same workspace.
+        refused: number of steps that the cap of each workspace has refused in this pass.
         claimed: what the tasks of each workspace need whose questions to the advice are under way.
         starting: gangs of which some members were started before the pass.
     """
@@ -62,6 +68,7 @@
         self.clock = clock
         self.used: UsageByWorkspace | None = None
         self.reserved: dict[WorkspaceId, StepRun] = {}
+        self.refused: Counter[WorkspaceId] = Counter()
         self.claimed: UsageByWorkspace = {}
         self.starting: set[StepRun] = set()
 
@@ -73,6 +80,7 @@
         """
         self.used = None
         self.reserved = {}
+        self.refused.clear()
         self.claimed = {}
         self.starting = {step for step in waiting if is_starting(step)}
 
@@ -109,22 +117,39 @@
         workspace = step.job.submission.workspace
         if workspace == NO_WORKSPACE or not step.is_asking:
             return
-        self.reserve(step)
+        if is_waiting_gang(step):
+            self.reserve(step)
         if self.reserved.get(workspace) is not step:
             use_of(self.claimed, workspace).add_tasks(step.step, tasks)
 
+    def is_exhausted(self, step: StepRun) -> bool:
+        """Return whether the cap has refused so many steps of the workspace that the step is left to a later pass."""
+        return self.refused[step.job.submission.workspace] >= MAX_REFUSED
+
+    def refuse(self, step: StepRun) -> PendingReason:
+        """Keep room for a step that is not admitted, and return why it is not."""
+        self.refused[step.job.submission.workspace] += 1
+        self.reserve(step)
+        return self.pending_reason(step)
+
+    def hold(self, step: StepRun) -> None:
+        """Keep the room of a gang that is admitted but finds no workers, until its objective has passed."""
+        if is_waiting_gang(step) and self.clock() - step.job.since < step.job.objective_s:
+            self.reserve(step)
+
     def pending_reason(self, step: StepRun) -> PendingReason:
         """Return why a step is not admitted."""
         return PendingReason.cap_unknown if self.find_cap(step) is None else PendingReason.cap
 
     def reserve(self, step: StepRun) -> None:
-        """Keep the room of a waiting gang from less urgent steps of its workspace, which might fill it for ever.
+        """Keep room for a waiting step from less urgent ones of its workspace, whose smaller tasks might fill it for ever.
 
-        Only the first gang of a workspace in a pass gets a reservation, and none that is larger than the cap: it cannot run
-        until the cap is raised, and must not hold up others.
+        A gang gets room for all of its tasks, another step for one. Only the first step of a workspace in a pass gets a
+        reservation, and no gang that is larger than the cap: it cannot run until the cap is raised, and must not hold up
+        others.
         """
         workspace = step.job.submission.workspace
-        if workspace == NO_WORKSPACE or workspace in self.reserved or not is_waiting_gang(step):
+        if workspace == NO_WORKSPACE or workspace in self.reserved or is_starting(step):
             return
         if not self.is_too_wide(step):
             self.reserved[workspace] = step
@@ -189,7 +214,7 @@
         if holder is None or holder is step:
             return used
         total = used.plus(ResourceUse())
-        total.add_tasks(holder.step, holder.step.count)
+        total.add_tasks(holder.step, holder.step.count if holder.step.gang else 1)
         return total
 
 
