Advice is asked where a step is likely to fit; polls wait for listed ends to be stored

A gang now asks again once half of its tasks are expected to fit, a step with something running once a quarter of its waiting tasks are, and a question is divided only into calls whose workers cost a quarter of the fixed cost or more. While a slow store had not stored an end, its worker listed it again at once, and was polled 30 times a second: polls now pause for up to 0.15 s for it.

--- a/marigoldlift/orders/polling.py
+++ b/marigoldlift/orders/polling.py
@@ -13,6 +13,9 @@
 POLL_PAUSE_S = 0.03
 RETRY_PAUSE_S = 0.2
 
+#: Longest pause after an answer while listed ends are not stored yet, in s: until then the worker lists them again at once.
+UNSTORED_PAUSE_S = 0.15
+
 
 async def poll_continuously(session: WorkerSession) -> None:
     """Poll a worker until cancelled or until a poll raises; a raised token is announced at once."""
@@ -38,6 +41,10 @@
     answered = await session.poll(POLL_WAIT_MS if waits else 0)
     is_stuck = session.ends.incomplete and not session.ends.grew
     await asyncio.sleep(POLL_PAUSE_S if answered and not is_stuck else RETRY_PAUSE_S)
+    paused_s = POLL_PAUSE_S
+    while waits and session.ends.unstored and paused_s < UNSTORED_PAUSE_S:
+        await asyncio.sleep(POLL_PAUSE_S)
+        paused_s += POLL_PAUSE_S
     return answered
 
 
--- a/marigoldlift/scheduling/candidates.py
+++ b/marigoldlift/scheduling/candidates.py
@@ -9,7 +9,7 @@
 
 from marigoldlift.orders.session import WorkerSession
 
-__all__ = ('AllowedShares', 'choose_candidates', 'split_evenly')
+__all__ = ('AllowedShares', 'choose_candidates', 'is_useful', 'split_evenly', 'tasks_needed')
 
 #: Share of the workers that the advice is assumed to allow before it has judged any, and number of judgements that this
 #: assumption counts as.
@@ -19,6 +19,12 @@
 #: Capacity to ask for, as a multiple of the need; some of it is taken before the answer arrives.
 SPARE_CAPACITY_FACTOR = 2
 
+#: Share of a step's waiting tasks that have to fit for another question while some of its tasks run.
+REFILL_SHARE = 0.25
+
+#: Share of a gang's tasks that have to fit for another question: more room comes free while the advice answers.
+GANG_SHARE = 0.5
+
 #: Maximum number of workers in one question.
 MAX_CANDIDATES = 300
 
@@ -47,6 +53,36 @@
         return allowed / (self.judged.get(queue, 0) + ASSUMED_JUDGEMENTS)
 
 
+def tasks_needed(waiting: int, running: int, *, gang: bool) -> int:
+    """Return how many tasks of a step have to fit for a question to be useful.
+
+    A question takes the same fixed time for one task as for many. While a step has something running, room that comes
+    back worker by worker is collected before the next question.
+
+    Args:
+        waiting: number of tasks that wait.
+        running: number of tasks that run.
+        gang: whether the tasks start only together.
+    """
+    if gang:
+        return max(1, math.ceil(waiting * GANG_SHARE))
+    return max(1, math.ceil(waiting * REFILL_SHARE)) if running else 1
+
+
+def is_useful(placeable: int, unjudged: int, needed: int, share: float) -> bool:
+    """Return whether a question for tickets is likely to place what it has to.
+
+    Tickets expire within seconds, so those of a step that does not fit are lost, and the advice is busy meanwhile.
+
+    Args:
+        placeable: tasks that fit on workers known to be allowed.
+        unjudged: tasks that fit on workers that the advice has not judged for the step.
+        needed: tasks that have to fit.
+        share: expected share of allowed workers.
+    """
+    return placeable + share * unjudged >= needed
+
+
 def choose_candidates(
     room: Mapping[WorkerSession, int],
     unasked: Sequence[WorkerSession],
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -12,12 +12,15 @@
 from marigoldlift.scheduling.candidates import (
     AllowedShares,
     choose_candidates,
+    is_useful,
     split_evenly,
+    tasks_needed,
 )
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.pool import Pool
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tasks import PendingReason, StepRun, Ticket
+from marigoldlift.submissions.model import AdvicePolicy
 
 __all__ = ('TicketManager',)
 
@@ -42,6 +45,9 @@
 #: Minimum number of workers in each call of a divided question; each call costs a fixed time besides.
 MIN_WORKERS_PER_CALL = 15
 
+#: Smallest cost of the workers in a call of a divided question, as a share of its fixed cost.
+SMALLEST_COST_SHARE = 0.25
+
 #: Duration of a question up to which it is not divided, in s.
 UNSPLIT_S = 0.1
 
@@ -63,6 +69,17 @@
     cost_s: float
 
 
+def smallest_part(policy: AdvicePolicy | None) -> int:
+    """Return the minimum number of workers in each call of a divided question.
+
+    Each call costs a fixed time besides, so parts whose workers cost much less than that keep entries busy for little.
+    """
+    if policy is None or not policy.worker_ms:
+        return MIN_WORKERS_PER_CALL
+    fixed = policy.decide_ms / policy.worker_ms
+    return max(MIN_WORKERS_PER_CALL, int(fixed * SMALLEST_COST_SHARE))
+
+
 class TicketManager:
     """Requests tickets before tasks are started, and stores them in the steps."""
 
@@ -123,7 +140,11 @@
             return
         avoided = set() if overdue else self.placer.avoided_by_step(step)
         asked = self.workers_to_ask(
-            step, list(pool.eligible(step.step)), avoided, has_reservation=has_reservation
+            step,
+            list(pool.eligible(step.step)),
+            avoided,
+            has_reservation=has_reservation,
+            is_pressing=overdue or has_reservation or not step.tickets,
         )
         if asked:
             step.ask_after = math.inf
@@ -153,6 +174,7 @@
         avoided: Container[str],
         *,
         has_reservation: bool,
+        is_pressing: bool,
     ) -> list[str]:
         """Return the ids of the workers to request tickets for; empty if no request is useful.
 
@@ -165,6 +187,7 @@
             usable: workers that may get new tasks and have the label that the step requires.
             avoided: ids of the workers that the step currently avoids.
             has_reservation: whether workers are reserved for the step.
+            is_pressing: whether to ask even if the step is not likely to fit.
         """
         room = self.placer.room(step, usable)
         approved = [session for session in room if step.tickets.get(session.worker.id)]
@@ -178,6 +201,10 @@
         missing = len(step.todo) - placeable if step.step.gang else len(step.todo)
         at_least = MAX_WORKERS_PER_CALL if step.tickets else FIRST_CALL_WORKERS
         share = self.shares.share(step.job.submission.policy.queue)
+        unjudged = sum(room[session] for session in unasked)
+        useful_at = tasks_needed(len(step.todo), len(step.active), gang=step.step.gang)
+        if not is_pressing and not is_useful(placeable, unjudged, useful_at, share):
+            return []
         asked = choose_candidates(room, unasked, missing, share, at_least)
         return asked + self.expired(step, approved)
 
@@ -208,7 +235,7 @@
         smallest = math.ceil(len(asked) / MAX_WORKERS_PER_CALL)
         if self.broker.cost_s(policy, len(asked)) <= UNSPLIT_S:
             return split_evenly(asked, smallest)
-        useful = math.ceil(len(asked) / MIN_WORKERS_PER_CALL)
+        useful = math.ceil(len(asked) / smallest_part(policy))
         affordable = int(self.broker.spare() * QUESTION_SHARE)
         return split_evenly(asked, max(smallest, min(useful, affordable)))
 
