Rates of workspaces against their weights

A workspace's weight was parsed and used by nothing: a surge of one caller could not be told from the work of others.

--- a/marigoldlift/workspaces/directory.py
+++ b/marigoldlift/workspaces/directory.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from marigoldlift.ids import WorkspaceId
-from marigoldlift.workspaces.model import Workspace
+from marigoldlift.workspaces.model import ShareLimits, Workspace
 
 __all__ = ('WorkspaceDirectory',)
 
@@ -13,12 +13,14 @@
 
     Attributes:
         version: version of the configuration, -1 before the first one.
+        share_limits: how far a workspace may exceed its weight.
         workspaces: workspaces by name; empty where the configuration names none.
     """
 
     def __init__(self) -> None:
         """Start before the first configuration."""
         self.version = -1
+        self.share_limits = ShareLimits()
         self.workspaces: dict[WorkspaceId, Workspace] = {}
 
     def replace(self, version: int, workspaces: Iterable[Workspace]) -> None:
--- a/marigoldlift/workspaces/model.py
+++ b/marigoldlift/workspaces/model.py
@@ -4,7 +4,7 @@
 
 from marigoldlift.ids import WorkspaceId
 
-__all__ = ('NO_WORKSPACE', 'ResourceCap', 'Workspace')
+__all__ = ('NO_WORKSPACE', 'ResourceCap', 'ShareLimits', 'Workspace')
 
 #: Workspace of submissions whose queue or configuration names none; it has neither weight nor cap.
 NO_WORKSPACE = WorkspaceId('')
@@ -24,6 +24,26 @@
     gpus: int = 0
 
 
+class ShareLimits(msgspec.Struct, frozen=True):
+    """How far a workspace may exceed its weight before its submissions may be refused.
+
+    In any span of `window_s`, it may send `window_s` times its weight, `excess` of that more, and `slack` submissions.
+
+    Attributes:
+        window_s: length of the span, in s.
+        excess: part of the weight by which it may be exceeded.
+        slack: number of submissions by which it may be exceeded.
+    """
+
+    window_s: float = 5
+    excess: float = 0.1
+    slack: float = 20
+
+    def burst(self, weight: float) -> float:
+        """Return how many submissions a workspace may be ahead of its weight."""
+        return self.excess * weight * self.window_s + self.slack
+
+
 class Workspace(msgspec.Struct, frozen=True):
     """One workspace.
 
