Order of service: work beyond a share waits behind work within shares

`Submission.ahead_s` marks a submission that its workspace sent beyond its share; it is stored with the acceptance, so that every leader orders it alike, and 0 in older records. Such work is not urgent any more: it comes last, or, of the highest priority, before work of low priorities that has time. After three times its objective it joins the worthless, so that it is carried to its end.

The order of deployments without workspaces is unchanged (tests in `test_service_order.py`).

--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -295,8 +295,13 @@
 
     @property
     def is_urgent(self) -> bool:
-        """Return whether the queue has the highest priority."""
-        return self.submission.policy.priority == 0
+        """Return whether the queue has the highest priority, and the submission is within its workspace's share."""
+        return self.submission.policy.priority == 0 and not self.is_beyond_share
+
+    @property
+    def is_beyond_share(self) -> bool:
+        """Return whether the workspace had exceeded its share when the submission was accepted."""
+        return self.submission.ahead_s > 0
 
     def is_runnable(self, step: StepRun, wall_ms: float) -> bool:
         """Return whether the occurrence is due and all steps that the step depends on are done."""
--- a/marigoldlift/scheduling/tests/test_service_order.py
+++ b/marigoldlift/scheduling/tests/test_service_order.py
@@ -79,3 +79,39 @@
     assert class_at(job, 2.5) is ServiceClass.late
     job.steps[0, 0].gang_started_at = 2.4
     assert class_at(job, 2.5) is ServiceClass.in_time
+
+
+def test_work_beyond_a_share_waits_behind_work_within_shares():
+    """Guards against a surge that is served before the shares of others, and against one surge that starves another."""
+    step = Step(count=1, estimate_ms=1000)
+    beyond = open_job([step], ahead_s=0.5).steps[0, 0]
+    further = open_job([step], ahead_s=4.0).steps[0, 0]
+    late = open_job([step], priority=2).steps[0, 0]
+    assert service_rank(late, 8, WALL_MS) < service_rank(beyond, 0, WALL_MS)
+    assert service_rank(beyond, 1, WALL_MS) < service_rank(further, 1, WALL_MS)
+
+
+@pytest.mark.parametrize(('waited_s', 'passes'), [(0, True), (0.9, True), (1.1, False)])
+def test_urgent_work_beyond_a_share_takes_half_of_the_time_of_others_at_most(waited_s, passes):
+    """Guards against batch work that is late for a surge of urgent work, and against urgent work that waits for batches."""
+    step = Step(count=1, estimate_ms=1000)
+    surge = open_job([step], priority=0, ahead_s=0.5).steps[0, 0]
+    batch = open_job([step], priority=2, workspace='team').steps[0, 0]
+    assert (service_rank(surge, 0, WALL_MS) < service_rank(batch, waited_s, WALL_MS)) is passes
+    for share in (open_job([step], priority=0), open_job([step])):
+        assert service_rank(share.steps[0, 0], 0, WALL_MS) < service_rank(surge, 0, WALL_MS)
+
+
+def test_order_without_workspaces_does_not_ask_how_much_time_is_left():
+    """Guards against another order in deployments without workspaces."""
+    batch = open_job([Step(count=1, estimate_ms=1000)], priority=2)
+    assert class_at(batch, 0) is ServiceClass.in_time
+
+
+def test_work_beyond_a_share_is_carried_to_its_end():
+    """Guards against accepted work that is passed over for ever, and gangs whose first members wait in vain."""
+    beyond = open_job([Step(count=2, estimate_ms=1000, gang=True)], ahead_s=0.5)
+    assert class_at(beyond, 1) is ServiceClass.beyond_share
+    assert class_at(beyond, 9.1) is ServiceClass.worthless
+    beyond.steps[0, 0].gang_started_at = 1
+    assert class_at(beyond, 1) is ServiceClass.in_time
--- a/marigoldlift/submissions/model.py
+++ b/marigoldlift/submissions/model.py
@@ -106,6 +106,8 @@
         first_due_ms: Unix time at which the first occurrence is due, 0 for at once.
         interval_ms: time between two occurrences, in ms.
         workspace: workspace of the caller that handed it in.
+        ahead_s: 0 within the share of the workspace, else how far that was ahead of its weight, in s. Set by the accepting
+            entry.
     """
 
     id: SubmissionId
@@ -117,3 +119,4 @@
     first_due_ms: float = 0
     interval_ms: float = 0
     workspace: WorkspaceId = NO_WORKSPACE
+    ahead_s: float = 0
