Backlog of each service in the renewals of the leadership

Entries did not know when the cell is full. The leader now measures the time that all workers of a service need for what waits for room, and its renewals can carry it (`Leadership.backlogs`, empty in older records). `LeaderView.backlog` returns it while it is less than 1 s old.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -13,7 +13,7 @@
 from marigoldlift.leadership.tenures import TenureOrder
 from marigoldlift.replication.appender import Appender
 from marigoldlift.replication.replica import Replica
-from marigoldlift.submissions.records import NEW_TENURE, Leadership, Record
+from marigoldlift.submissions.records import NEW_TENURE, Backlog, Leadership, Record
 
 __all__ = ('LEADER_LEASE_S', 'Candidate', 'Election')
 
@@ -86,10 +86,13 @@
         seen_at: when the holder's newest record was read, in seconds of the monotonic clock.
         last_direct_at: when the log was last known to be directly reachable.
         earlier_leaders: latest time at which earlier leaders may have sent orders.
+        measure_backlog: returns the backlog of each service, which renewals tell the other entries.
         may_hand_over: whether the tenure began with direct access to the log; if not, no entry that has direct
             access wants to lead.
     """
 
+    measure_backlog: Callable[[], dict[str, Backlog]] = dict
+
     def __init__(
         self,
         candidate: Candidate,
@@ -269,6 +272,7 @@
             released=released,
             renews=NEW_TENURE if renews is None else renews,
             response_s=self.appender.last_response_s,
+            backlogs=self.measure_backlog(),
         )
         try:
             await self.appender.append(record, RENEWAL_WAIT_S)
--- a/marigoldlift/leadership/leader_view.py
+++ b/marigoldlift/leadership/leader_view.py
@@ -1,10 +1,16 @@
 """What an entry knows of the leader when another entry leads."""
 
 from marigoldlift.leadership.election import Election
-from marigoldlift.submissions.records import Leadership
+from marigoldlift.submissions.records import Backlog, Leadership
 
 __all__ = ('LeaderView',)
 
+#: Age of the leader's newest record above which its backlog counts as unknown, in s: renewals are stored every 0.2 s and
+#: read 0.25 s later.
+MAX_BACKLOG_AGE_S = 1.0
+
+NO_BACKLOG = Backlog()
+
 
 class LeaderView:
     """Newest record of the leader, if another entry leads."""
@@ -23,6 +29,13 @@
         leader = self.other_leader()
         return leader.response_s if leader else 0
 
+    def backlog(self, service: str) -> Backlog:
+        """Return how long the workers of a service need for the work that waits for them; 0 if it is unknown."""
+        leader = self.election.holder
+        if leader is None or self.election.clock() - self.election.seen_at > MAX_BACKLOG_AGE_S:
+            return NO_BACKLOG
+        return leader.backlogs.get(service, NO_BACKLOG)
+
     def other_leader(self) -> Leadership | None:
         """Return the newest record of the leader, None if there is none or this entry leads."""
         if self.election.tenure is not None or self.election.is_vacant():
--- /dev/null
+++ b/marigoldlift/scheduling/backlog.py
@@ -0,0 +1,109 @@
+"""Backlog of each service: how long its workers need for the work that waits for room."""
+
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from operator import attrgetter
+
+from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.service_order import ServiceClass, service_class
+from marigoldlift.scheduling.tasks import PendingReason, StepRun
+from marigoldlift.submissions.records import Backlog
+
+__all__ = ('service_backlogs',)
+
+MS_PER_S = 1000
+
+#: Share of a resource below which the rest counts as too scattered to be used: large tasks leave about so much unused.
+SCATTERED_SHARE = 0.2
+
+#: Reasons for which a step does not wait for room, however full its service is.
+OTHER_REASONS = frozenset((PendingReason.unreachable,))
+
+#: Largest number of services whose backlog is reported; it is a part of each renewal of the leadership.
+MAX_SERVICES = 32
+
+
+#: Processor in thousandths of a core, memory in MB and accelerators, of a step, a worker or a table of runs.
+RESOURCES = (attrgetter('cpu_m'), attrgetter('mem_mb'), attrgetter('gpus'))
+
+
+def service_backlogs(
+    waiting: Iterable[StepRun],
+    reasons: Mapping[StepRun, PendingReason],
+    sessions_of: Callable[[str], Iterable[WorkerSession]],
+    now: float,
+    wall_ms: float,
+) -> dict[str, Backlog]:
+    """Return how long all workers of a service need for what waits for room; those with a backlog only.
+
+    A service has a backlog while too little is free of a resource that the waiting work needs. Left out are steps that
+    run until they are cancelled, and what is so late that it is served after all other work.
+
+    Args:
+        waiting: steps with tasks to start.
+        reasons: why steps were not placed in the last scheduling pass; those that it did not reach have none.
+        sessions_of: returns the sessions with the usable workers of a service.
+        now: time of the monotonic clock in seconds.
+        wall_ms: Unix time in ms.
+    """
+    steps: dict[str, list[StepRun]] = {}
+    for step in waiting:
+        if reasons.get(step) not in OTHER_REASONS and is_waiting(step, wall_ms):
+            rank = service_class(step, now, step.job.counted_since(step, now, wall_ms))
+            if rank is not ServiceClass.worthless:
+                steps.setdefault(step.job.submission.policy.service, []).append(step)
+    backlogs = {
+        service: backlog_of(found, tuple(sessions_of(service))) for service, found in steps.items()
+    }
+    longest = sorted(backlogs, key=lambda service: -backlogs[service].total_s)[:MAX_SERVICES]
+    return {service: backlogs[service] for service in longest if backlogs[service].total_s > 0}
+
+
+def is_waiting(step: StepRun, wall_ms: float) -> bool:
+    """Return whether a step waits to be started, and ends some time."""
+    if step.step.long_running or step.job.outcome is not None or not step.todo:
+        return False
+    return step.job.is_runnable(step, wall_ms)
+
+
+def backlog_of(steps: Sequence[StepRun], sessions: Sequence[WorkerSession]) -> Backlog:
+    """Return the backlog of a service.
+
+    Args:
+        steps: waiting steps.
+        sessions: sessions with the usable workers.
+    """
+    urgent = [step for step in steps if step.job.submission.policy.priority == 0]
+    total_s = time_for(sum_work(steps), sessions)
+    return Backlog(time_for(sum_work(urgent), sessions) if urgent and total_s else 0, total_s)
+
+
+def sum_work(steps: Iterable[StepRun]) -> list[float]:
+    """Return the work of all steps, by resource."""
+    sums: list[float] = [0 for _ in RESOURCES]
+    for step in steps:
+        for index, amount in enumerate(work_of(step)):
+            sums[index] += amount
+    return sums
+
+
+def work_of(step: StepRun) -> Iterator[float]:
+    """Yield the resource-seconds of the waiting tasks of a step; tasks that fill take no processor."""
+    seconds = len(step.todo) * step.step.estimate_ms / MS_PER_S
+    yield 0 if step.step.fills else step.step.cpu_m * seconds
+    yield step.step.mem_mb * seconds
+    yield step.step.gpus * seconds
+
+
+def time_for(amounts: Sequence[float], sessions: Sequence[WorkerSession]) -> float:
+    """Return how long all workers need for an amount of work, by the scarcest resource; 0 if there is room."""
+    workers = [session.worker for session in sessions]
+    tables = [session.run_table for session in sessions]
+    longest_s: float = 0
+    is_full = False
+    for amount, resource in zip(amounts, RESOURCES, strict=True):
+        capacity = sum(map(resource, workers))
+        if amount and capacity:
+            free = sum(unused for unused in map(resource, tables) if unused > 0)
+            is_full |= free < capacity * SCATTERED_SHARE
+            longest_s = max(longest_s, amount / capacity)
+    return longest_s if is_full else 0
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Iterable
+from functools import partial
 
 from loguru import logger
 
 from marigoldlift.errors import LogUnavailableError, SequenceMismatchError
 from marigoldlift.replication.api import Producer
 from marigoldlift.replication.appender import Appender
+from marigoldlift.scheduling.backlog import service_backlogs
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.checks import RunChecks
 from marigoldlift.scheduling.events import RunEvents
@@ -20,12 +23,14 @@
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tickets import TicketManager
-from marigoldlift.submissions.records import Accepted, Cancelled, Progress, Record
+from marigoldlift.submissions.records import Accepted, Backlog, Cancelled, Progress, Record
 from marigoldlift.submissions.state import FINAL_OUTCOMES
 from marigoldlift.supervision import ItemKind
 
 __all__ = ('Dispatcher',)
 
+MS_PER_S = 1000
+
 #: Producer name of the records of all leaders; its epoch is derived from the tenure, so that the log refuses records of
 #: earlier tenures.
 LEADER = 'leader'
@@ -213,6 +218,16 @@
         if self.retention.is_due():
             self.starter.spawn(self.retention.run_round())
 
+    def service_backlogs(self) -> dict[str, Backlog]:
+        """Return how long the workers of each service need for the work that waits for room."""
+        return service_backlogs(
+            self.planner.waiting,
+            self.planner.pending.reasons,
+            partial(self.session_manager.usable, include_quarantined=False),
+            self.clock(),
+            time.time() * MS_PER_S,
+        )
+
     def observe(self, offset: int, record: Record) -> None:
         """Handle a record that was read from the log."""
         match record:
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -9,6 +9,7 @@
 __all__ = (
     'NEW_TENURE',
     'Accepted',
+    'Backlog',
     'Cancelled',
     'Dropped',
     'Finished',
@@ -67,6 +68,18 @@
     unanswered: dict[int, UnansweredStart] = {}
 
 
+class Backlog(msgspec.Struct, array_like=True, frozen=True):
+    """How long the workers of a service need for the work that waits for them.
+
+    Attributes:
+        urgent_s: for work of the highest priority, within shares and beyond, in s.
+        total_s: for all of it, in s.
+    """
+
+    urgent_s: float = 0
+    total_s: float = 0
+
+
 class Record(msgspec.Struct, array_like=True, tag=True):
     """Base of all records of the shared log."""
 
@@ -104,6 +117,7 @@
         address: address at which other entries reach it.
         renews: number of the tenure that it renews or releases; `NEW_TENURE` for a claim, which begins one.
         response_s: how long the sender's last append took, in s.
+        backlogs: services with a backlog.
     """
 
     node: str
@@ -114,6 +128,7 @@
     released: bool = False
     renews: int = NEW_TENURE
     response_s: float = 0
+    backlogs: dict[str, Backlog] = {}
 
 
 class Finished(Record, tag='f'):
