Mark submissions beyond a share at acceptance, and refuse early what a full cell cannot serve

A surge of one workspace was served in the order of deadlines with the work of all others.

`ShareAdmission` counts the acceptances of all entries, marks what is beyond a share, and refuses with 503 what exceeds the limit as well and would be worthless behind the backlog. `Retry-After` says when it would not be, spread by a hash of the id. What is within a share is never refused, nor anything while the log does not answer or the backlog is unknown. The limits are optional settings (`bounds.quota_*`), refusals are logged with workspace, rate, weight and backlog, and counted by reason.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -66,6 +66,7 @@
         self.metrics = Metrics()
         self.advice = PlatformAdvice(self.calls, settings.advice_address, own_address)
         self.node = self.build_node()
+        self.node.workspaces.share_limits = settings.shares
         self.peer_server = PeerRequestHandler(
             self.route, self.advice, self.node.appender, self.node.replica.was_away
         )
--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -20,9 +20,9 @@
 from marigoldlift.scheduling.parts import DispatcherParts
 from marigoldlift.scheduling.registry import Registry
 from marigoldlift.submissions.acceptance import Acceptance
-from marigoldlift.submissions.records import Accepted, Leadership, Outcome, Record
+from marigoldlift.submissions.records import Accepted, Backlog, Leadership, Outcome, Record
 from marigoldlift.submissions.state import CellState
-from marigoldlift.supervision import FaultBoundary
+from marigoldlift.supervision import FaultBoundary, ItemKind
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 from marigoldlift.workspaces.directory import WorkspaceDirectory
@@ -116,10 +116,18 @@
         self.replica.snapshot_observers.append(self.state.retain)
         self.election = Election(candidate, self.appender, self.replica, clock, parts.is_indirect)
         self.election.on_change.append(self.follow_leadership)
-        append_router = AppendRouter(
-            self.appender, self.replica, parts.leader_calls, LeaderView(self.election)
+        self.election.measure_backlog = self.measure_backlog
+        leader_view = LeaderView(self.election)
+        append_router = AppendRouter(self.appender, self.replica, parts.leader_calls, leader_view)
+        self.acceptance = Acceptance(
+            self.state,
+            self.appender,
+            append_router,
+            self.replica,
+            clock,
+            self.workspaces,
+            leader_view,
         )
-        self.acceptance = Acceptance(self.state, self.appender, append_router, self.replica, clock)
         self.state.observers.append(self.observe)
         self.broker = AdviceBroker(parts.advice, candidate.address, clock)
         self.peer_observers: list[Callable[[str], None]] = []
@@ -132,6 +140,8 @@
         if isinstance(record, Accepted):
             self.broker.note_relay(record.submission.relay)
             self.note_peer(record.submission.relay)
+            if self.replica.ready.is_set():
+                self.acceptance.admission.observe(offset, record.submission)
         elif isinstance(record, Leadership):
             self.broker.note_relay(record.address)
             self.note_peer(record.address)
@@ -166,6 +176,14 @@
         self.tenure_tasks.clear()
         self.dispatcher = None
 
+    def measure_backlog(self) -> dict[str, Backlog]:
+        """Return the backlog of each service; none while this entry does not lead, and where there are no workspaces."""
+        if self.dispatcher is None or not self.workspaces.workspaces:
+            return {}
+        with self.faults.contain(ItemKind.round, 'backlog'):
+            return self.dispatcher.service_backlogs()
+        return {}
+
     def dispatcher_parts(self) -> DispatcherParts:
         """Return the components that a dispatcher uses."""
         return DispatcherParts(
@@ -196,6 +214,11 @@
             metrics.set(Metric.log_age, now - self.listing.last_response_at, stream='workers')
         metrics.set(Metric.members, len(self.broker.relays), state='alive')
         metrics.set(Metric.early_cancellations, len(self.state.early_cancellations))
+        backlogs = self.measure_backlog()
+        services = frozenset(worker.service for worker in self.registry.workers.values())
+        for service in services:
+            backlog = backlogs.get(service, Backlog())
+            metrics.set(Metric.service_backlog, backlog.total_s, service=service)
         states = [job.state for job in self.state.jobs.values()]
         states.extend(job.outcome for job in self.state.finished.values())
         for state in Outcome:
--- a/marigoldlift/errors.py
+++ b/marigoldlift/errors.py
@@ -16,6 +16,7 @@
     'RetentionPassedError',
     'SequenceMismatchError',
     'SettingsError',
+    'ShareExceededError',
     'WorkerRefusedError',
     'WorkerUnavailableError',
 )
@@ -80,6 +81,21 @@
     code = 'overloaded'
 
 
+class ShareExceededError(OverloadedError):
+    """A submission beyond its workspace's share that a full cell refuses; nothing was stored.
+
+    Attributes:
+        retry_after_s: time after which the caller should come back, in s.
+    """
+
+    code = 'share_exceeded'
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        """Store the reason and the pause."""
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+
+
 class PlatformError(MarigoldliftError):
     """A service of the platform did not perform a request."""
 
--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -1,5 +1,6 @@
 """HTTP interface for clients: submit and cancel submissions, query their state and a queue's pending count."""
 
+import math
 import string
 from collections.abc import Callable
 from http import HTTPStatus
@@ -10,7 +11,7 @@
 from loguru import logger
 
 from marigoldlift.decoding import JsonDecoder
-from marigoldlift.errors import InvalidInputError, LogUnavailableError
+from marigoldlift.errors import InvalidInputError, LogUnavailableError, ShareExceededError
 from marigoldlift.ids import WorkspaceId
 from marigoldlift.platform.draining_server import has_pipelined_request
 from marigoldlift.platform.configuration import CellConfiguration, Queue
@@ -185,7 +186,10 @@
         except InvalidInputError as fault:
             logger.info('submission invalid: submission={} {}', name, fault)
             return error_reply(HTTPStatus.BAD_REQUEST, str(fault))
-        answer = await self.acceptance.submit(submission, timeout_s(request))
+        try:
+            answer = await self.acceptance.submit(submission, timeout_s(request))
+        except ShareExceededError as refusal:
+            return refused_reply(refusal.retry_after_s)
         return reply(STATUS_OF[answer])
 
 
@@ -212,6 +216,14 @@
     )
 
 
+def refused_reply(retry_after_s: float) -> web.Response:
+    """Build a 503 response that says when the caller should come back."""
+    response = reply(HTTPStatus.SERVICE_UNAVAILABLE)
+    response.headers['Retry-After'] = str(math.ceil(retry_after_s))
+    response.body = msgspec.json.encode({'retry_after_ms': math.ceil(retry_after_s * MS_PER_S)})
+    return response
+
+
 def error_reply(status: HTTPStatus, reason: str) -> web.Response:
     """Build a response that says what is wrong with the request."""
     return reply(status, {'error': reason})
--- a/marigoldlift/platform/node_settings.py
+++ b/marigoldlift/platform/node_settings.py
@@ -6,6 +6,7 @@
 
 from marigoldlift.errors import SettingsError
 from marigoldlift.platform.addresses import is_port, is_socket_address
+from marigoldlift.workspaces.model import ShareLimits
 
 __all__ = ('NodeSettings', 'SETTINGS_VARIABLE', 'parse_node_settings')
 
@@ -14,6 +15,11 @@
 
 MS_PER_S = 1000
 
+#: Shortest and longest span over which the submissions of a workspace are counted, in s; the entries know of each other's
+#: up to 0.5 s late.
+MIN_WINDOW_S = 1
+MAX_WINDOW_S = 3600
+
 #: The only value of `orders`, the way in which workers get their orders, that this program supports.
 SUPPORTED_ORDERS = 'call'
 
@@ -37,6 +43,7 @@
         gang_wait_s: how long a member of a gang waits on its worker for the other members, in s.
         outcome_kept_s: how long the outcome of a submission can be queried, in s.
         grace_s: time from the stop request until the process is killed, in s.
+        shares: how far a workspace may exceed its weight before its submissions may be refused.
     """
 
     node: str
@@ -54,6 +61,7 @@
     gang_wait_s: float
     outcome_kept_s: float
     grace_s: float
+    shares: ShareLimits = ShareLimits()
 
 
 class SettingsLines:
@@ -91,6 +99,10 @@
             return 0
         return number
 
+    def optional_number(self, path: str, default: float) -> float:
+        """Return a field that may be missing or empty, and else has to hold a number of at least 0."""
+        return self.number(path, default) if self.fields.get(path) else default
+
     def address(self, path: str) -> str:
         """Return a required field that has to hold an address of the form IP:PORT."""
         content = self.text(path)
@@ -107,6 +119,21 @@
         return int(first)
 
 
+def parse_share_limits(lines: SettingsLines) -> ShareLimits:
+    """Return how far a workspace may exceed its weight; all fields have defaults."""
+    default = ShareLimits()
+    window_s = lines.optional_number('bounds.quota_window_s', default.window_s)
+    if not MIN_WINDOW_S <= window_s <= MAX_WINDOW_S:
+        lines.errors.append(
+            f'bounds.quota_window_s: {window_s:g} is not between {MIN_WINDOW_S} and {MAX_WINDOW_S}'
+        )
+    return ShareLimits(
+        window_s=window_s,
+        excess=lines.optional_number('bounds.quota_excess', default.excess),
+        slack=lines.optional_number('bounds.quota_slack', default.slack),
+    )
+
+
 def parse_node_settings(text: str) -> NodeSettings:
     """Parse the text of a settings file.
 
@@ -133,6 +160,7 @@
         gang_wait_s=lines.number('bounds.gang_ms') / MS_PER_S,
         outcome_kept_s=lines.number('bounds.status_s'),
         grace_s=lines.number('bounds.grace_s'),
+        shares=parse_share_limits(lines),
     )
     if lines.errors:
         raise SettingsError(tuple(lines.errors))
--- a/marigoldlift/platform/tests/test_front.py
+++ b/marigoldlift/platform/tests/test_front.py
@@ -7,7 +7,7 @@
 from aiohttp import test_utils
 from hypothesis import given, settings, strategies
 
-from marigoldlift.errors import InvalidInputError, LogUnavailableError
+from marigoldlift.errors import InvalidInputError, LogUnavailableError, ShareExceededError
 from marigoldlift.platform.configuration import CellConfiguration, Queue
 from marigoldlift.platform.front import ClientRequestHandler, parse_submission, submission_decoder
 from marigoldlift.platform.servers import listen_draining
@@ -197,3 +197,16 @@
         parse_submission(submission_decoder.decode(body), QUEUE, SubmissionId(NAME), '')
     except InvalidInputError:
         return
+
+
+async def test_refused_caller_is_told_when_to_come_back(front, client, monkeypatch):
+    """Guards against a refusal without a pause, or with one in parts of a second, which the header cannot express."""
+
+    async def refuse(submission, timeout_s):
+        raise ShareExceededError('beyond its share', 1.234)
+
+    monkeypatch.setattr(front.acceptance, 'submit', refuse)
+    headers = {'Host': 'h.example'}
+    async with client.post(f'/q1/{NAME}', data=BODY, headers=headers) as response:
+        assert (response.status, response.headers['Retry-After']) == (503, '2')
+        assert await response.json() == {'retry_after_ms': 1234}
--- a/marigoldlift/platform/tests/test_node_settings.py
+++ b/marigoldlift/platform/tests/test_node_settings.py
@@ -4,6 +4,7 @@
 
 from marigoldlift.errors import SettingsError
 from marigoldlift.platform.node_settings import parse_node_settings
+from marigoldlift.workspaces.model import ShareLimits
 
 GOOD = """node_name=edge-a-1
 zone=a
@@ -52,3 +53,16 @@
         parse_node_settings(GOOD[:cut])
     except SettingsError as error:
         assert error.errors
+
+
+def test_share_limits_are_optional():
+    """Guards against settings without workspaces, whose fields are missing or empty, that are refused."""
+    text = f'{GOOD}bounds.quota_window_s=4\nbounds.quota_slack=\n'
+    assert parse_node_settings(text).shares == ShareLimits(window_s=4)
+
+
+@pytest.mark.parametrize('wrong', ['quota_window_s=0', 'quota_excess=-1', 'quota_slack=nan'])
+def test_wrong_share_limits_are_reported(wrong):
+    """Guards against limits that refuse everything, or divide by zero."""
+    raised = pytest.raises(SettingsError, parse_node_settings, f'{GOOD}bounds.{wrong}\n')
+    assert wrong.partition('=')[0] in raised.value.errors[0]
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -12,8 +12,11 @@
 from marigoldlift.replication.replica import Replica
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.submissions.records import Accepted, Cancelled, Outcome
+from marigoldlift.submissions.share_admission import ServiceLoad, ShareAdmission
 from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState
 from marigoldlift.telemetry.metric_table import Metric
+from marigoldlift.workspaces.directory import WorkspaceDirectory
+from marigoldlift.workspaces.shares import WorkspaceShares
 
 __all__ = ('Acceptance', 'AcceptanceResult')
 
@@ -55,13 +58,28 @@
         append_router: AppendRouter,
         replica: Replica,
         clock: Callable[[], float],
+        workspaces: WorkspaceDirectory,
+        load: ServiceLoad,
     ) -> None:
-        """Create the handler on the entry's replica of the log."""
+        """Create the handler on the entry's replica of the log.
+
+        Args:
+            state: submissions that this entry has read from the log.
+            appender: stores records from this entry.
+            append_router: stores the records of callers.
+            replica: reads the log.
+            clock: monotonic time in seconds.
+            workspaces: weights of the workspaces.
+            load: backlog of each service.
+        """
         self.state = state
         self.appender = appender
         self.append_router = append_router
         self.replica = replica
         self.clock = clock
+        self.admission = ShareAdmission(
+            WorkspaceShares(workspaces, clock), load, state, replica, clock, appender.metrics
+        )
         self.uncertain_submissions: set[SubmissionId] = set()
 
     def store_fails(self) -> bool:
@@ -84,16 +102,32 @@
         Args:
             submission: the submission to accept.
             timeout_s: how long the caller waits, in s.
+
+        Raises:
+            ShareExceededError: it is beyond its workspace's share, and the cell is too full to serve it in time.
         """
         if self.state.state_of(submission.id) is not None:
             return AcceptanceResult.done
         if self.replica.was_away():
-            logger.info('submission refused: submission={} the entry was away', submission.id)
-            return AcceptanceResult.refused
-        if self.store_fails() and submission.id not in self.uncertain_submissions:
-            logger.info('submission refused: submission={} the log fails', submission.id)
-            return AcceptanceResult.refused
-        return await self.store(submission, timeout_s)
+            return self.refuse(submission, 'the entry was away')
+        is_repeated = submission.id in self.uncertain_submissions
+        if self.store_fails() and not is_repeated:
+            return self.refuse(submission, 'the log fails')
+        admitted: Submission | None = self.admission.mark(submission) if is_repeated else None
+        if admitted is None:
+            admitted = await self.admission.admit(submission)
+        if admitted is None:
+            return AcceptanceResult.done
+        answer = await self.store(admitted, timeout_s)
+        if answer is AcceptanceResult.refused:
+            self.admission.withdraw(submission.id)
+        return answer
+
+    def refuse(self, submission: Submission, reason: str) -> AcceptanceResult:
+        """Log and count a submission that is refused without an attempt to store it."""
+        self.appender.metrics.add(Metric.submissions_refused, reason=reason)
+        logger.info('submission refused: submission={} {}', submission.id, reason)
+        return AcceptanceResult.refused
 
     async def store(self, submission: Submission, timeout_s: float) -> AcceptanceResult:
         """Store a submission; a refusal is reported as unknown if an earlier attempt had an unknown outcome."""
@@ -101,6 +135,7 @@
         try:
             await self.append_router.append(Accepted(submission), self.store_timeout_s(timeout_s))
         except AppendRefusedError as refusal:
+            self.appender.metrics.add(Metric.submissions_refused, reason='the log refuses')
             logger.info('submission refused: submission={} {}', submission.id, refusal.reason)
             return AcceptanceResult.unknown if earlier_attempt else AcceptanceResult.refused
         except LogUnavailableError as error:
@@ -109,7 +144,11 @@
             return AcceptanceResult.unknown
         self.uncertain_submissions.discard(submission.id)
         logger.info(
-            'submission accepted: submission={} queue={}', submission.id, submission.policy.queue
+            'submission accepted: submission={} queue={} workspace={} ahead_s={:.2f}',
+            submission.id,
+            submission.policy.queue,
+            submission.workspace,
+            submission.ahead_s,
         )
         return AcceptanceResult.done
 
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -34,6 +34,7 @@
 COUNTER = MetricKind.counter
 GAUGE = MetricKind.gauge
 SUMMARY = MetricKind.summary
+SECONDS = 'seconds'
 
 
 class Metric(Enum):
@@ -71,6 +72,15 @@
     step_idle_with_room = MetricSpec(
         SUMMARY, 'seconds', (), 'Longest part of it with room and a half free service.'
     )
+    submissions_refused = MetricSpec(
+        COUNTER, '', ('reason',), 'Submissions that were refused and not stored.'
+    )
+    submissions_beyond_share = MetricSpec(
+        COUNTER, '', ('workspace',), 'Submissions taken that were beyond the share of a workspace.'
+    )
+    service_backlog = MetricSpec(
+        GAUGE, SECONDS, ('service',), 'Time for all workers to do what waits for room.'
+    )
     submissions_gone = MetricSpec(
         COUNTER, '', (), 'Callers told that there is no such submission.'
     )
@@ -84,7 +94,7 @@
         COUNTER, '', (), 'Entries of the list of workers that describe no worker.'
     )
     leading = MetricSpec(GAUGE, '', (), 'Whether this entry gives the orders: 1 or 0.')
-    log_age = MetricSpec(GAUGE, 'seconds', ('stream',), 'Time since the log last answered a read.')
+    log_age = MetricSpec(GAUGE, SECONDS, ('stream',), 'Time since the log last answered a read.')
     starts = MetricSpec(COUNTER, '', ('outcome',), 'Starts ordered, by answer.')
     configuration_version = MetricSpec(GAUGE, '', (), 'Offset of the last accepted change.')
     members = MetricSpec(GAUGE, '', ('state',), 'Entries known, by state.')
