--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -8,11 +8,11 @@
 from aiohttp import web
 from loguru import logger
 
-from marigoldlift.errors import InvalidInputError, LogUnavailableError
+from marigoldlift.errors import InvalidInputError, LogUnavailableError, ShareExceededError
 from marigoldlift.platform.callers import Gatekeeper, Refusal
 from marigoldlift.platform.configuration import CellConfiguration, ConfigurationFreshness, Queue
 from marigoldlift.platform.draining_server import has_pipelined_request
-from marigoldlift.platform.replies import error_reply, reply
+from marigoldlift.platform.replies import error_reply, refused_reply, reply
 from marigoldlift.platform.submission_parsing import parse_submission, submission_decoder
 from marigoldlift.submissions.acceptance import Acceptance, AcceptanceResult
 from marigoldlift.submissions.access import Caller
@@ -187,7 +187,10 @@
         except InvalidInputError as fault:
             logger.info('submission invalid: submission={} {}', name, fault)
             return error_reply(HTTPStatus.BAD_REQUEST, str(fault))
-        answer = await self.acceptance.submit(submission, timeout_s(request), call.caller)
+        try:
+            answer = await self.acceptance.submit(submission, timeout_s(request), call.caller)
+        except ShareExceededError as exceeded:
+            return refused_reply(exceeded.retry_after_s)
         return reply(STATUS_OF[answer])
 
 
