Run times and speeds of workers are learned from the ends of runs, and used to order and place work

Cause: the estimate of a caller is all that orders and places work, and workers count as equally fast. Change: a leader learns the distribution of the ratio of run time to estimate by queue and step, and the slowness of failure domains, kinds and workers; the order of service, the choice of a worker and the verdict that a submission cannot be in time use it. Off unless the settings or a flag of the cell command say otherwise.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -107,7 +107,10 @@
             leader_calls=PeerCalls(self.calls),
         )
         limits = NodeLimits(
-            settings.longest_lease_s, settings.gang_wait_s, settings.outcome_kept_s
+            settings.longest_lease_s,
+            settings.gang_wait_s,
+            settings.outcome_kept_s,
+            settings.learns_run_times,
         )
         return CellNode(candidate, parts, limits, monotonic_now)
 
--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -45,11 +45,13 @@
         lease_s: longest lease that workers accept, in s.
         gang_wait_s: how long a member of a gang waits for the others, in s.
         outcome_kept_s: minimum time for which the outcome of a submission can be queried, in s.
+        learns_run_times: whether a leader learns run times and speeds of workers, and uses them.
     """
 
     lease_s: float
     gang_wait_s: float
     outcome_kept_s: float
+    learns_run_times: bool = False
 
 
 class NodeParts(msgspec.Struct):
@@ -184,6 +186,7 @@
             metrics=self.parts.metrics,
             faults=self.faults,
             workspaces=self.workspaces,
+            learns_run_times=self.limits.learns_run_times,
         )
 
     def set_gauges(self) -> None:
--- a/marigoldlift/cmdline.py
+++ b/marigoldlift/cmdline.py
@@ -20,6 +20,7 @@
 TRACE_VERB = 'trace'
 ENTRY_USAGE = f'usage: {PROGRAM} {ENTRY_VERB} --settings FILE'
 SETTINGS_FLAG = '--settings'
+RUN_TIMES_FLAG = '--run-times'
 HELP_FLAGS = frozenset(('-h', '--help'))
 
 Runner = Callable[[Sequence[str]], int]
@@ -89,8 +90,11 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     node_settings = importlib.import_module('marigoldlift.platform.node_settings')
     path = os.environ.get(node_settings.SETTINGS_VARIABLE)
-    if len(words) > 1 or not path:
-        print_error(f'usage: {node_settings.SETTINGS_VARIABLE}=FILE {PROGRAM} {CELL_VERB}')
+    learning = run_times_switch(words[1:])
+    if learning is None or not path:
+        print_error(
+            f'usage: {node_settings.SETTINGS_VARIABLE}=FILE {PROGRAM} {CELL_VERB} [{RUN_TIMES_FLAG}=on|off]'
+        )
         return ExitCode.usage
     source = pathlib.Path(path)
     try:
@@ -98,11 +102,19 @@
     except (OSError, UnicodeDecodeError) as fault:
         print_error(f'{path}: {fault}')
         return ExitCode.usage
-    settings = node_settings.parse_node_settings(text)
+    settings = node_settings.parse_node_settings(text, learning)
     importlib.import_module('marigoldlift.cell').run_cell_entry(settings, source, text)
     return ExitCode.done
 
 
+def run_times_switch(words: Sequence[str]) -> str | None:
+    """Return the text in `--run-times=TEXT`, `off` without arguments, or None for any other arguments."""
+    flag, _, text = '='.join(words).partition('=')
+    if not words:
+        return 'off'
+    return text if flag == RUN_TIMES_FLAG and len(words) == 1 else None
+
+
 def settings_path(words: Sequence[str]) -> str | None:
     """Return the path in `--settings FILE` or `--settings=FILE`, or None for any other arguments."""
     joined = '='.join(words)
--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -3,6 +3,8 @@
 import sys
 from enum import Enum
 
+import msgspec
+
 from marigoldlift.orders.api import HeldRun, Worker
 from marigoldlift.submissions.model import Step, TaskRef
 
@@ -11,6 +13,7 @@
     'UNKNOWN_DEMAND',
     'UNLEASED_EXPIRY_S',
     'HeldTasks',
+    'MeasuredSpan',
     'Phase',
     'Run',
     'RunTable',
@@ -38,6 +41,18 @@
     stopping = 'stopping'
 
 
+class MeasuredSpan(msgspec.Struct, frozen=True):
+    """Part of a run whose time is measured, from which the time of the whole run is derived.
+
+    Attributes:
+        since: its beginning, in seconds of the monotonic clock.
+        share_before: share of the work that was done before.
+    """
+
+    since: float
+    share_before: float = 0
+
+
 class Run:
     """A run that occupies resources of a worker.
 
@@ -53,6 +68,8 @@
         tenure: tenure of the earlier leader that has ordered its start, None for this one.
         doubted_at: when the start became one that a later incarnation of the worker, which has not seen the fence, may
             execute; in seconds of the monotonic clock, None if there is no such start.
+        measured: part of the run whose time is measured; None if its beginning is unknown, or it was resumed from a saved
+            state.
     """
 
     __slots__ = (
@@ -62,6 +79,7 @@
         'is_ordered',
         'is_ticketed',
         'listed',
+        'measured',
         'moved_at',
         'percent',
         'phase',
@@ -94,6 +112,7 @@
         self.listed = False
         self.percent: float = 0
         self.checkpoint = ''
+        self.measured: MeasuredSpan | None = None
 
     def order(self, ticket: str) -> None:
         """Record that the start is sent with a ticket, which is empty if the queue uses none."""
@@ -130,6 +149,11 @@
         if self.phase is Phase.sent:
             self.phase = Phase.held
 
+    def note_begun(self, now: float) -> None:
+        """Record that the worker has answered the start, with which the work begins."""
+        if not self.checkpoint:
+            self.measured = MeasuredSpan(now)
+
     def stop(self, now: float) -> None:
         """Record that a stop was sent."""
         self.phase = Phase.stopping
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -23,6 +23,7 @@
     UNKNOWN_DEMAND,
     UNLEASED_EXPIRY_S,
     HeldTasks,
+    MeasuredSpan,
     Phase,
     Run,
     RunTable,
@@ -156,6 +157,7 @@
         self.last_answer_at = self.now()
         self.clock.note(clock_ms, self.last_answer_at)
         known.note_executed(self.last_answer_at)
+        known.note_begun(self.last_answer_at)
         return True
 
     def give_up_runs(self) -> int:
@@ -395,6 +397,8 @@
     if step is not None:
         adopted = Run(held.task, held.run, step, Phase.held, now)
         adopted.confirm(held, now)
+        if not step.gang:
+            adopted.measured = MeasuredSpan(now, held.percent / 100)
         session.run_table.take(adopted)
 
 
--- a/marigoldlift/platform/node_settings.py
+++ b/marigoldlift/platform/node_settings.py
@@ -1,6 +1,7 @@
 """Parser of the settings file of a process on the platform: lines of the form `a.b=value`."""
 
 import math
+from types import MappingProxyType
 
 import msgspec
 
@@ -14,6 +15,9 @@
 
 MS_PER_S = 1000
 
+#: Values of a field that switches something.
+SWITCH = MappingProxyType({'on': True, 'off': False})
+
 #: The only value of `orders`, the way in which workers get their orders, that this program supports.
 SUPPORTED_ORDERS = 'call'
 
@@ -37,6 +41,7 @@
         gang_wait_s: how long a member of a gang waits on its worker for the other members, in s.
         outcome_kept_s: how long the outcome of a submission can be queried, in s.
         grace_s: time from the stop request until the process is killed, in s.
+        learns_run_times: whether run times and speeds of workers are learned and used; optional, off by default.
     """
 
     node: str
@@ -54,6 +59,7 @@
     gang_wait_s: float
     outcome_kept_s: float
     grace_s: float
+    learns_run_times: bool = False
 
 
 class SettingsLines:
@@ -98,6 +104,14 @@
             self.errors.append(f'{path}: {content!r} is not of the form IP:PORT')
         return content
 
+    def switch(self, path: str, default: str) -> bool:
+        """Return a field that has to hold `on` or `off`."""
+        content = self.text(path, default)
+        if content not in SWITCH:
+            self.errors.append(f'{path}: {content!r} is not valid; allowed: {", ".join(SWITCH)}')
+            return False
+        return SWITCH[content]
+
     def port(self, path: str) -> int:
         """Return the first port of a required field that lists ports."""
         first = self.text(path).partition(',')[0]
@@ -107,9 +121,13 @@
         return int(first)
 
 
-def parse_node_settings(text: str) -> NodeSettings:
+def parse_node_settings(text: str, learn_run_times: str = 'off') -> NodeSettings:
     """Parse the text of a settings file.
 
+    Args:
+        text: the text.
+        learn_run_times: value of `learning.run_times` if the file has no such line.
+
     Raises:
         SettingsError: fields are missing or invalid; it lists all of them with path and value.
     """
@@ -133,6 +151,7 @@
         gang_wait_s=lines.number('bounds.gang_ms') / MS_PER_S,
         outcome_kept_s=lines.number('bounds.status_s'),
         grace_s=lines.number('bounds.grace_s'),
+        learns_run_times=lines.switch('learning.run_times', learn_run_times),
     )
     if lines.errors:
         raise SettingsError(tuple(lines.errors))
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -9,6 +9,7 @@
 from marigoldlift.errors import LogUnavailableError, SequenceMismatchError
 from marigoldlift.replication.api import Producer
 from marigoldlift.replication.appender import Appender
+from marigoldlift.runtimes.learner import RunTimes
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.checks import RunChecks
 from marigoldlift.scheduling.events import RunEvents
@@ -17,6 +18,7 @@
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.retention import Retention
+from marigoldlift.scheduling.run_times import RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tickets import TicketManager
@@ -83,7 +85,8 @@
             self.faults,
         )
         self.starter = Starter(self.session_manager, self.progress, self.events)
-        placer = Placer(self.session_manager.health, self.clock)
+        run_times = RunTimes(self.clock) if parts.learns_run_times else None
+        placer = Placer(self.session_manager.health, self.clock, run_times)
         tickets = TicketManager(parts.broker, placer, self.starter, self.clock, self.wake.set)
         self.planner = Planner(
             self.session_manager,
@@ -108,6 +111,8 @@
             self.session_manager,
             parts.outcome_kept_s,
         )
+        if run_times is not None:
+            self.events.run_times = RunTimeRecorder(run_times, self.appender, parts.metrics)
         self.events.open_submissions = self.open_submissions
         self.events.session_manager = self.session_manager
 
@@ -131,6 +136,8 @@
         """End all sessions and cancel orders in flight; workers keep their runs for the next leader."""
         self.session_manager.stop()
         self.starter.cancel()
+        if self.events.run_times is not None:
+            self.events.run_times.cancel()
 
     async def pause(self) -> None:
         """Pause after a pass, then wait for a change, at most one tick."""
@@ -149,6 +156,8 @@
             await asyncio.sleep(TICK_S)
         await self.parts.listing.ready.wait()
         self.log_is_read = True
+        if self.events.run_times is not None:
+            self.events.run_times.restore(self.parts.state.run_times)
         for submission in tuple(self.parts.state.jobs):
             self.open_submissions.open(submission)
         self.session_manager.open_recorded(self.parts.election.earlier_leaders)
@@ -210,6 +219,8 @@
         ):
             with self.faults.contain(ItemKind.round, check.__qualname__):
                 check()
+        if self.events.run_times is not None:
+            self.events.run_times.check()
         if self.retention.is_due():
             self.starter.spawn(self.retention.run_round())
 
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -10,6 +10,7 @@
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
+from marigoldlift.scheduling.run_times import RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager, restarted_worker
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Step
@@ -33,12 +34,14 @@
     Attributes:
         open_submissions: open submissions; set once, before the first session is opened.
         session_manager: sessions with the workers; set once, before the first session is opened.
+        run_times: learns from the ends, None if that is switched off.
         ready: whether the takeover is complete.
         wake: set when a scheduling pass may be able to place something.
     """
 
     open_submissions: OpenSubmissions
     session_manager: SessionManager
+    run_times: RunTimeRecorder | None = None
 
     def __init__(
         self,
@@ -87,6 +90,8 @@
         if step is None:
             self.open_submissions.after_outcome(ended.task.submission, stored)
             return
+        if self.run_times is not None:
+            self.run_times.note_end(step, session, ended, known)
         self.session_manager.health(session.worker.id).record_end(ended.kind, self.clock())
         step.save(ended.task.index, ended.checkpoint)
         step.last_run = max(step.last_run, ended.run)
--- a/marigoldlift/scheduling/parts.py
+++ b/marigoldlift/scheduling/parts.py
@@ -37,6 +37,7 @@
         metrics: metrics of this entry.
         faults: sets aside items whose handling raises.
         workspaces: workspaces of the newest configuration.
+        learns_run_times: whether run times and speeds of workers are learned and used.
     """
 
     state: CellState
@@ -54,3 +55,4 @@
     metrics: Metrics
     faults: FaultBoundary
     workspaces: WorkspaceDirectory
+    learns_run_times: bool = False
--- a/marigoldlift/scheduling/placement.py
+++ b/marigoldlift/scheduling/placement.py
@@ -1,15 +1,22 @@
 """Selection of workers for the tasks of a step."""
 
 import itertools
+import statistics
+import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.runtimes.api import EstimatesAlone, ExpectedTimes
+from marigoldlift.runtimes.decisions import speed_rank
+from marigoldlift.runtimes.speeds import slowest_class
 from marigoldlift.scheduling.worker_health import WorkerHealth
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Step
 
 __all__ = ('Placer', 'fitting_tasks')
 
+MS_PER_S = 1000
+
 #: How long a task avoids the workers on which it has failed, counted from its last failure, in s.
 AVOID_S = 2.5
 
@@ -31,19 +38,30 @@
 
 
 class Placer:
-    """Selects workers with enough free capacity for the tasks of a step."""
+    """Selects workers with enough free capacity for the tasks of a step.
+
+    Attributes:
+        times: expected run times and speeds of workers.
+        is_tight: whether little of the service is free, so that tasks that have time leave the fast workers to others.
+    """
 
     def __init__(
-        self, health_of: Callable[[str], WorkerHealth], clock: Callable[[], float]
+        self,
+        health_of: Callable[[str], WorkerHealth],
+        clock: Callable[[], float],
+        times: ExpectedTimes | None = None,
     ) -> None:
         """Keep the health records and the clock.
 
         Args:
             health_of: returns the failure record of a worker id.
             clock: monotonic clock in seconds.
+            times: expected run times and speeds of workers; None for the estimates alone.
         """
         self.health_of = health_of
         self.clock = clock
+        self.times: ExpectedTimes = times or EstimatesAlone()
+        self.is_tight = False
 
     def placeable_tasks(self, session: WorkerSession, step_run: StepRun) -> int:
         """Return how many more tasks of the step the worker may get, by free capacity and spread limit."""
@@ -60,16 +78,36 @@
         tasks = {session: self.placeable_tasks(session, step_run) for session in sessions}
         return {session: count for session, count in tasks.items() if count}
 
-    def score(self, session: WorkerSession, step_run: StepRun) -> tuple[bool, bool, int]:
+    def score(
+        self, session: WorkerSession, step_run: StepRun, slowest: int | None = None
+    ) -> tuple[bool, bool, int, int]:
         """Return the sort key of a worker; the lowest is preferred.
 
-        Healthy workers come before suspect ones, then workers in the rack of the data, then those with the least free
-        CPU, so that tasks are packed tightly.
+        Healthy workers come before suspect ones, then workers in the rack of the data, then those of the right speed, then
+        those with the least free CPU, so that tasks are packed tightly.
+
+        Args:
+            session: session with the worker.
+            step_run: step to place.
+            slowest: what `slowest_in_time` returns for the step.
         """
         now = self.clock()
         suspect = self.health_of(session.worker.id).is_suspect(now)
         rack = step_run.step.data_rack
-        return (suspect, bool(rack) and rack not in session.worker.labels, session.run_table.cpu_m)
+        return (
+            suspect,
+            bool(rack) and rack not in session.worker.labels,
+            speed_rank(self.times.speed_class(session.worker), slowest),
+            session.run_table.cpu_m,
+        )
+
+    def slowest_in_time(self, step_run: StepRun) -> int | None:
+        """Return the slowest class of workers on which a task is in time if it shall leave faster ones free, else None."""
+        job = step_run.job
+        if not self.is_tight or job.is_urgent or step_run.step.gang or step_run.step.long_running:
+            return None
+        left_s = job.slack_s(step_run, self.clock(), time.time() * MS_PER_S)
+        return slowest_class(job.safe_s[step_run.number], left_s)
 
     def place_one(
         self, step_run: StepRun, index: int, sessions: Sequence[WorkerSession], *, overdue: bool
@@ -84,6 +122,7 @@
         """
         failed_on = step_run.avoid.get(index, {})
         avoided = set() if overdue else self.avoided(failed_on)
+        slowest = self.slowest_in_time(step_run)
         fitting = [
             session
             for session in sessions
@@ -91,7 +130,10 @@
         ]
         return min(
             fitting,
-            key=lambda session: (session.worker.id in failed_on, *self.score(session, step_run)),
+            key=lambda session: (
+                session.worker.id in failed_on,
+                *self.score(session, step_run, slowest),
+            ),
             default=None,
         )
 
@@ -162,19 +204,27 @@
     def group_by_failure_domain(
         self, sessions: Sequence[WorkerSession]
     ) -> list[list[WorkerSession]]:
-        """Group workers by failure domain; a gang within one domain survives a network partition between domains."""
+        """Group workers by failure domain, the fastest first.
+
+        A gang within one domain survives a network partition between domains.
+        """
         groups: dict[str, list[WorkerSession]] = {}
         for session in sessions:
             groups.setdefault(session.worker.failure_domain, []).append(session)
-        return list(groups.values())
+        return sorted(groups.values(), key=self.mean_speed_class)
+
+    def mean_speed_class(self, sessions: Sequence[WorkerSession]) -> int:
+        """Return the class of speed of most workers of a group."""
+        classes = (self.times.speed_class(session.worker) for session in sessions)
+        return round(statistics.fmean(classes))
 
     def pack(
         self, step_run: StepRun, sessions: Sequence[WorkerSession]
     ) -> list[WorkerSession] | None:
         """Return a worker for each task of a gang, None if they don't all fit.
 
-        Healthy workers come first, and among them those that can hold the most tasks, so that the gang uses few
-        workers.
+        Healthy workers come first, then fast ones, since a gang is as slow as its slowest member, and among them those that
+        can hold the most tasks, so that the gang uses few workers.
         """
         needed = step_run.step.count
         now = self.clock()
@@ -182,6 +232,7 @@
             sessions,
             key=lambda candidate: (
                 self.health_of(candidate.worker.id).is_suspect(now),
+                self.times.speed_class(candidate.worker),
                 -self.placeable_tasks(candidate, step_run),
             ),
         )
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -29,6 +29,9 @@
 #: Share of a service's CPU that is reserved for submissions of the highest priority.
 URGENT_SHARE = 0.06
 
+#: Share of free CPU below which tasks that have time leave the fast workers to others.
+TIGHT_SHARE = 0.3
+
 #: Time within which all members of a gang must be started, as a share of the time that a started member waits for them.
 GANG_START_SHARE = 0.4
 
@@ -115,11 +118,14 @@
             wall_ms: Unix time in ms.
         """
         ranked = []
+        times = self.placer.times
+        times.refresh()
         for step in self.waiting:
             if self.faults.is_set_aside(step.job.id):
                 continue
             with self.faults.contain(ItemKind.submission, step.job.id):
                 if self.may_start(step, wall_ms):
+                    step.job.refresh_times(times)
                     ranked.append((service_rank(step, now, wall_ms), step))
         ranked.sort(key=itemgetter(0))
         return [ready for _, ready in ranked]
@@ -172,6 +178,7 @@
             return
         permitted = self.tickets.permitted_workers(step, pool)
         available = permitted if overdue or step.job.is_urgent else self.unreserved(permitted)
+        self.placer.is_tight = pool.free_cpu_m < pool.cpu_m * TIGHT_SHARE
         waiting = len(step.todo)
         place = self.place_gang if step.step.gang else self.place_tasks
         placed = place(step, available, overdue=overdue)
--- a/marigoldlift/scheduling/service_order.py
+++ b/marigoldlift/scheduling/service_order.py
@@ -27,7 +27,7 @@
         in_time: the objective can still be met, the step runs until it is cancelled, or it is a gang whose first members
             wait for the others.
         late: the submission is going to be late.
-        worthless: the submission is so late that it earns nothing any more.
+        worthless: the submission is so late that it earns nothing any more, or is going to be, even with luck.
     """
 
     urgent = 0
@@ -48,7 +48,7 @@
     job = step.job
     if step.step.long_running:
         return ServiceClass.urgent if job.is_urgent else ServiceClass.in_time
-    if now > since + WORTHLESS_FACTOR * job.objective_s:
+    if now + job.least_remaining_s(step) > since + WORTHLESS_FACTOR * job.objective_s:
         return ServiceClass.worthless
     is_late = now + job.remaining_s(step) > since + job.objective_s
     if job.is_urgent:
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -7,6 +7,8 @@
 
 from marigoldlift.orders.api import Worker
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.runtimes.api import EstimatesAlone, ExpectedTimes
+from marigoldlift.runtimes.decisions import JobTimes, expected_times
 from marigoldlift.submissions.model import Step, Submission, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Outcome, StepProgress, UnansweredStart
 from marigoldlift.submissions.state import Job
@@ -264,7 +266,11 @@
         begun: whether any task was started.
         outcome: final outcome, None while there is none.
         steps: steps by occurrence and number.
-        chains_s: estimated time of the longest chain of dependent steps that begins with each step, in s.
+        times_version: version of the expected times that the following rest on; 0 for the estimates of the caller.
+        task_s: expected time of the longest task of each step, in s.
+        safe_s: time that a task of each step hardly exceeds, in s.
+        lucky_chains_s: like `chains_s`, for lucky runs; 0 where nothing is known of them.
+        chains_s: expected time of the longest chain of dependent steps that begins with each step, in s.
         objective_s: time in which it should be complete, in s.
     """
 
@@ -280,9 +286,24 @@
             for number, _ in enumerate(self.submission.steps):
                 stored = job.progress.get((occurrence, number))
                 self.steps[occurrence, number] = StepRun(self, number, occurrence, stored)
-        self.chains_s = chains_s(self.submission.steps)
+        self.times_version = 0
+        self.expect(expected_times(EstimatesAlone(), self.submission))
+
+    def expect(self, times: JobTimes) -> None:
+        """Derive the chains and the objective from the expected times of the tasks."""
+        steps = self.submission.steps
+        self.task_s = times.longest
+        self.safe_s = times.safe
+        self.chains_s = chains_s(steps, times.longest)
+        self.lucky_chains_s = chains_s(steps, times.lucky)
         self.objective_s = objective_s(self.submission, max(self.chains_s, default=0))
 
+    def refresh_times(self, times: ExpectedTimes) -> None:
+        """Use newer expected times, if there are any."""
+        if self.times_version != times.version:
+            self.times_version = times.version
+            self.expect(expected_times(times, self.submission))
+
     @property
     def id(self) -> SubmissionId:
         """Return the id of the submission."""
@@ -324,17 +345,37 @@
         return max(self.since, now + (self.due_ms(step) - wall_ms) / MS_PER_S)
 
     def remaining_s(self, step: StepRun) -> float:
-        """Return the estimated time from the start of a step until the submission is complete, in s."""
+        """Return the expected time from the start of a step until the submission is complete, in s."""
         return self.chains_s[step.number]
 
+    def least_remaining_s(self, step: StepRun) -> float:
+        """Return the time from the start of a step below which the submission is hardly ever complete, in s."""
+        return self.lucky_chains_s[step.number]
+
+    def slack_s(self, step: StepRun, now: float, wall_ms: float) -> float:
+        """Return the time until a task of a step has to be done so that the submission is in time, in s.
+
+        Args:
+            step: the step.
+            now: time of the monotonic clock in seconds.
+            wall_ms: Unix time in ms.
+        """
+        due = self.counted_since(step, now, wall_ms) + self.objective_s
+        following_s = self.chains_s[step.number] - self.task_s[step.number]
+        return due - now - following_s
+
 
-def chains_s(steps: Sequence[Step]) -> list[float]:
-    """Return the estimated time of the longest chain of dependent steps that begins with each step, in s."""
-    chains = [step.estimate_ms / MS_PER_S for step in steps]
+def chains_s(steps: Sequence[Step], times_s: Sequence[float]) -> list[float]:
+    """Return the expected time of the longest chain of dependent steps that begins with each step, in s.
+
+    Args:
+        steps: the steps.
+        times_s: expected time of each step, in s.
+    """
+    chains = list(times_s)
     for number in reversed(range(len(steps))):
         for before in steps[number].after:
-            own_s = steps[before].estimate_ms / MS_PER_S
-            chains[before] = max(chains[before], own_s + chains[number])
+            chains[before] = max(chains[before], times_s[before] + chains[number])
     return chains
 
 
--- a/marigoldlift/submissions/record_codec.py
+++ b/marigoldlift/submissions/record_codec.py
@@ -17,6 +17,7 @@
     Progress,
     Record,
 )
+from marigoldlift.submissions.run_time_records import RunTimesSummary
 
 __all__ = (
     'MAX_KEY_BYTES',
@@ -45,6 +46,7 @@
         Finished: lambda record: f'f/{record.submission}',
         Leadership: lambda record: f'l/{record.node}',
         KnownWorker: lambda record: f'w/{record.worker}',
+        RunTimesSummary: lambda record: 't/run-times',
         Dropped: lambda record: record.key,
     }
 )
@@ -61,7 +63,8 @@
 
 encoder = msgspec.msgpack.Encoder()
 decoder: MsgpackDecoder[Record] = MsgpackDecoder(
-    Accepted | Cancelled | Progress | Finished | Leadership | KnownWorker, MAX_RECORD_BYTES
+    Accepted | Cancelled | Progress | Finished | Leadership | KnownWorker | RunTimesSummary,
+    MAX_RECORD_BYTES,
 )
 
 
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -18,6 +18,7 @@
     StepProgress,
 )
 from marigoldlift.submissions.record_codec import StoredRecord, decode_record
+from marigoldlift.submissions.run_time_records import RunTimesSummary
 
 __all__ = ('FINAL_OUTCOMES', 'CellState', 'FinishedJob', 'Job')
 
@@ -120,6 +121,7 @@
         early_records: records read before the submission that they belong to, in order.
         early_cancellations: cancelled submissions of which no acceptance was read, with the time at which the cancellation
             was read, in seconds of the monotonic clock; an acceptance that follows is cancelled.
+        run_times: newest summary of run times, None if there is none.
         observers: called with the offset and content of each record after it was applied.
     """
 
@@ -135,6 +137,7 @@
         self.early_records: dict[SubmissionId, list[Cancelled | Progress]] = {}
         self.early_cancellations: dict[SubmissionId, float] = {}
         self.workers: dict[str, KnownWorker] = {}
+        self.run_times: RunTimesSummary | None = None
         self.observers: list[Observer] = []
 
     def state_of(self, submission: SubmissionId) -> Outcome | None:
@@ -170,6 +173,8 @@
                 self.finish(record)
             case KnownWorker():
                 self.workers[record.worker] = record
+            case RunTimesSummary():
+                self.run_times = record
 
     def accept(self, offset: int, submission: Submission) -> None:
         """Add a submission, and apply its early records; a known one stays unchanged."""
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -83,6 +83,19 @@
     entries_skipped = MetricSpec(
         COUNTER, '', (), 'Entries of the list of workers that describe no worker.'
     )
+    run_time_ends = MetricSpec(COUNTER, '', (), 'Ends of runs from which run times were learned.')
+    run_time_factor = MetricSpec(
+        GAUGE, '', ('queue',), 'Learned median of the ratio of run time to estimate.'
+    )
+    run_time_error = MetricSpec(
+        GAUGE, '', ('of',), 'Mean distance of run times from the learned median, in doublings.'
+    )
+    run_time_beyond = MetricSpec(
+        GAUGE, '', ('quantile',), 'Share of runs that took longer than a learned quantile.'
+    )
+    slowness = MetricSpec(
+        GAUGE, '', ('failure_domain',), 'How many times as long runs take as elsewhere.'
+    )
     leading = MetricSpec(GAUGE, '', (), 'Whether this entry gives the orders: 1 or 0.')
     log_age = MetricSpec(GAUGE, 'seconds', ('stream',), 'Time since the log last answered a read.')
     starts = MetricSpec(COUNTER, '', ('outcome',), 'Starts ordered, by answer.')
