Speeds of single workers, and times of the longest task of a step, are learned

Change: the level of a worker lasts while its runs end, is judged anew after three surprises and fades only while it is slow and unused; it is part of the stored summary. The longest task of a step has a distribution of its own. A gang takes fast workers of all failure domains before slow ones of one.

--- a/marigoldlift/runtimes/api.py
+++ b/marigoldlift/runtimes/api.py
@@ -1,22 +1,26 @@
 """What the decisions of the scheduler ask about run times and speeds, and the answer without any learning."""
 
-import math
 from typing import Protocol
 
 import msgspec
 
 from marigoldlift.orders.api import Worker
 from marigoldlift.runtimes.quantiles import AS_ESTIMATED, RatioDistribution
-from marigoldlift.submissions.model import Step
 
-__all__ = ('EstimatesAlone', 'ExpectedTimes', 'WorkKey', 'longest_share')
+__all__ = ('EstimatesAlone', 'ExpectedTimes', 'WorkKey')
 
 
 class WorkKey(msgspec.Struct, frozen=True):
-    """Tasks that are expected to behave alike: those of the same step of the submissions of a queue."""
+    """Tasks that are expected to behave alike: those of the same step of the submissions of a queue.
+
+    Attributes:
+        longest: whether the longest of all tasks of a step is meant. The tasks of one submission share much of the error of
+            their estimate, so that it does not follow from the distribution of single tasks.
+    """
 
     queue: str
     step: int
+    longest: bool = False
 
 
 class ExpectedTimes(Protocol):
@@ -67,12 +71,3 @@
 
     def refresh(self) -> None:
         """Keep the answers."""
-
-
-def longest_share(step: Step) -> float:
-    """Return the quantile at which the median of the longest of all tasks of a step lies.
-
-    The members of a gang end together, and count as one.
-    """
-    width = 1 if step.gang else max(1, step.count)
-    return math.pow(0.5, 1 / width)
--- a/marigoldlift/runtimes/decisions.py
+++ b/marigoldlift/runtimes/decisions.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from marigoldlift.runtimes.api import ExpectedTimes, WorkKey, longest_share
+from marigoldlift.runtimes.api import ExpectedTimes, WorkKey
 from marigoldlift.runtimes.quantiles import RatioDistribution
 from marigoldlift.submissions.model import Submission
 
@@ -60,7 +60,8 @@
         key = WorkKey(submission.policy.queue, number)
         estimate_s = step.estimate_ms / MS_PER_S
         ratios = times.ratios(key)
-        longest.append(estimate_s * ratios.quantile(longest_share(step)))
+        longest_ratios = times.ratios(WorkKey(key.queue, number, longest=True))
+        longest.append(estimate_s * longest_ratios.quantile(MEDIAN))
         safe.append(estimate_s * ratios.quantile(SAFE_SHARE))
         lucky.append(estimate_s * ratios.quantile(LUCKY_SHARE) if times.is_known(key) else 0)
     return JobTimes(longest, lucky, safe)
--- a/marigoldlift/runtimes/learner.py
+++ b/marigoldlift/runtimes/learner.py
@@ -15,6 +15,7 @@
 from marigoldlift.runtimes.samples import Measurement, RunSample
 from marigoldlift.runtimes.speeds import SpeedTable, speed_class
 from marigoldlift.runtimes.summary import (
+    MAX_WORKERS,
     is_current,
     restore_histogram,
     restore_levels,
@@ -80,17 +81,15 @@
         self.classes: dict[str, int] = {}
         self.changed_at = clock()
 
-    def note(self, key: WorkKey, estimate_s: float, worker: Worker, sample: RunSample) -> None:
-        """Learn from the end of a run.
+    def note(self, key: WorkKey, estimate_s: float, worker: Worker, sample: RunSample) -> float:
+        """Learn from the end of a run, and return the ratio of its time to the estimate on a worker of the common speed.
 
         Args:
             key: the work.
-            estimate_s: its estimated time, in s; nothing is learned from a run without one.
+            estimate_s: its estimated time, in s, above 0.
             worker: worker of the run.
             sample: its time.
         """
-        if estimate_s <= 0:
-            return
         self.refresh()
         slowness = self.slowness(worker)
         expected = self.ratios(key)
@@ -102,6 +101,12 @@
         for owner in (kept_key(key), whole_queue(key)):
             histogram = self.histogram(owner)
             histogram.add(bucket_of(ratio / slowness), is_censored=not is_whole)
+        return ratio / slowness
+
+    def note_longest(self, key: WorkKey, ratio: float) -> None:
+        """Learn from a step whose tasks are all done, with the highest of their ratios."""
+        histogram = self.histogram(kept_key(WorkKey(key.queue, key.step, longest=True)))
+        histogram.add(bucket_of(ratio), is_censored=False)
 
     def judge_worker(
         self, key: WorkKey, worker: Worker, ratio: float, expected: RatioDistribution
@@ -128,10 +133,18 @@
         return known
 
     def estimate(self, key: WorkKey) -> RatioDistribution:
-        """Return the distribution of a step, shrunk towards that of its queue, which is shrunk towards the estimate."""
-        is_whole = key.step == ALL_STEPS
+        """Return a distribution, shrunk towards a more common one.
+
+        That of the longest task of a step is shrunk towards that of all its tasks, which is shrunk towards that of the
+        queue, which is shrunk towards the estimate.
+        """
         histogram = self.histograms.get(kept_key(key))
-        prior = AS_ESTIMATED if is_whole else self.ratios(whole_queue(key))
+        if key.longest:
+            prior = self.ratios(WorkKey(key.queue, key.step))
+        elif key.step == ALL_STEPS:
+            prior = AS_ESTIMATED
+        else:
+            prior = self.ratios(whole_queue(key))
         if histogram is None:
             return prior
         return estimate_distribution(histogram, prior, PRIOR_RUNS)
@@ -162,8 +175,6 @@
     def summary(self, wall_ms: float) -> RunTimesSummary:
         """Return what the next leader starts with.
 
-        The workers are left out: they change within seconds, and are judged anew after a few runs each.
-
         Args:
             wall_ms: Unix time in ms.
         """
@@ -172,6 +183,7 @@
             list(summarize_histograms(self.histograms)),
             summarize_levels(self.speeds.failure_domains),
             summarize_levels(self.speeds.kinds),
+            summarize_levels(self.speeds.workers, MAX_WORKERS),
         )
 
     def restore(self, summary: RunTimesSummary, wall_ms: float) -> bool:
@@ -179,10 +191,13 @@
         if not is_current(summary, wall_ms):
             return False
         for kept in summary.distributions[-MAX_KEYS:]:
-            self.histograms[WorkKey(kept.queue, kept.step)] = restore_histogram(kept, MEMORY)
+            self.histograms[WorkKey(kept.queue, kept.step, kept.longest)] = restore_histogram(
+                kept, MEMORY
+            )
         now = self.clock()
         restore_levels(self.speeds.failure_domains, summary.failure_domains, now)
         restore_levels(self.speeds.kinds, summary.kinds, now)
+        restore_levels(self.speeds.workers, summary.workers, now)
         self.forget_answers()
         return True
 
@@ -208,4 +223,4 @@
 
 def kept_key(key: WorkKey) -> WorkKey:
     """Return the key under which the runs of a step are kept."""
-    return WorkKey(key.queue, min(key.step, MAX_STEPS - 1))
+    return WorkKey(key.queue, min(key.step, MAX_STEPS - 1), key.longest)
--- a/marigoldlift/runtimes/quantiles.py
+++ b/marigoldlift/runtimes/quantiles.py
@@ -22,6 +22,7 @@
 
     Attributes:
         cumulative: probability of each bucket or a lower one.
+        known: quantiles that were asked for, by share.
     """
 
     __slots__ = ('cumulative', 'known')
@@ -35,11 +36,15 @@
         """Return the ratio that a share of the runs does not exceed; cached, since few shares are asked for."""
         ratio = self.known.get(share)
         if ratio is None:
-            bucket = bisect_left(self.cumulative, share - NEGLIGIBLE)
-            ratio = ratio_of(min(bucket, BUCKETS - 1))
+            ratio = self.find(share)
             self.known[share] = ratio
         return ratio
 
+    def find(self, share: float) -> float:
+        """Return the ratio that a share of the runs does not exceed."""
+        bucket = bisect_left(self.cumulative, share - NEGLIGIBLE)
+        return ratio_of(min(bucket, BUCKETS - 1))
+
     def spread(self) -> float:
         """Return the standard deviation in doublings, as a log-normal distribution with the same quantiles has it."""
         return math.log2(self.quantile(UPPER_SPREAD) / self.quantile(LOWER_SPREAD)) / 2
@@ -58,7 +63,7 @@
         survival = self.survival(ratio)
         if survival < NEGLIGIBLE:
             return ratio
-        return max(ratio, self.quantile(1 - survival * (1 - share)))
+        return max(ratio, self.find(1 - survival * (1 - share)))
 
 
 def point_distribution(ratio: float) -> RatioDistribution:
--- a/marigoldlift/runtimes/ratios.py
+++ b/marigoldlift/runtimes/ratios.py
@@ -20,7 +20,9 @@
 
 
 def bucket_of(ratio: float) -> int:
-    """Return the bucket of a ratio above 0; the bucket `CENTER` holds a ratio of 1."""
+    """Return the bucket of a ratio; the bucket `CENTER` holds a ratio of 1."""
+    if ratio <= 0:
+        return 0
     position = round(math.log2(ratio) * BUCKETS_PER_DOUBLING) + CENTER
     return min(max(position, 0), BUCKETS - 1)
 
--- a/marigoldlift/runtimes/speeds.py
+++ b/marigoldlift/runtimes/speeds.py
@@ -13,19 +13,26 @@
 
 __all__ = ('GroupSpeeds', 'Level', 'SpeedTable', 'kind_of', 'slowest_class', 'speed_class')
 
-#: Largest deviation of one run from the expected time that counts, in doublings; longer tails say little of the worker.
-MAX_STEP = 1.5
+#: Largest deviation of one run from what is known of its group or its worker that counts, in doublings: a few slow workers
+#: must not make their whole group slow, and a run in a long tail says little of its worker.
+MAX_GROUP_STEP = 0.5
+MAX_WORKER_STEP = 1.5
 
 #: Runs of a group that the assumption of the common speed counts as.
-PRIOR_RUNS = 6
+PRIOR_RUNS = 3
 
-#: Runs after which the newest count as much as all earlier ones: few for a worker, which may change at any time.
-GROUP_MEMORY = 96
-WORKER_MEMORY = 8
+#: Largest weight of the earlier runs of a group and of a worker.
+GROUP_MEMORY = 256
+WORKER_MEMORY = 32
 
-#: Time in which what is known of a worker without further ends loses half of its weight, in s; so a worker that was slow,
-#: and is avoided, is tried again.
-WORKER_HALF_LIFE_S = 10
+#: Deviation of a run that is a surprise, in doublings, and number of surprises in the same direction after which a worker
+#: has changed: its earlier runs hardly count any more.
+SURPRISE = 0.8
+SURPRISES = 3
+CHANGED_RUNS = 1
+
+#: Time without further ends in which the slowness of a slow worker is halved, in s; so one that is avoided is tried again.
+SLOW_HALF_LIFE_S = 20
 
 #: Classes of speed for each doubling; differences within a class are noise, and must not loosen the packing.
 CLASSES_PER_DOUBLING = 2
@@ -42,11 +49,21 @@
         doublings: mean deviation in doublings.
         runs: runs that have counted, by their weight.
         updated_at: time of the newest one, in seconds of the monotonic clock.
+        surprises: number of the newest runs that were all surprises in the same direction; negative for faster ones.
     """
 
     doublings: float
     runs: float
     updated_at: float
+    surprises: int = 0
+
+    def note_surprise(self, surprise: float) -> None:
+        """Count a surprise, and forget most of the earlier runs if the worker has changed."""
+        direction = 0 if abs(surprise) < SURPRISE else int(math.copysign(1, surprise))
+        self.surprises = self.surprises * int(self.surprises * direction > 0) + direction
+        if abs(self.surprises) >= SURPRISES:
+            self.surprises = 0
+            self.runs = min(self.runs, CHANGED_RUNS)
 
 
 class GroupSpeeds:
@@ -56,15 +73,21 @@
         levels: levels by name; the least recently updated one comes first.
     """
 
-    def __init__(self, memory: int, most: int) -> None:
+    def __init__(
+        self, memory: int, most: int, max_step: float, *, may_change: bool = False
+    ) -> None:
         """Start without groups.
 
         Args:
             memory: number of runs after which the newest count as much as all earlier ones.
             most: number of groups kept.
+            max_step: largest deviation of one run that counts, in doublings.
+            may_change: whether surprises in the same direction mean that a group has changed.
         """
         self.memory = memory
         self.most = most
+        self.max_step = max_step
+        self.may_change = may_change
         self.levels: dict[str, Level] = {}
 
     def get(self, name: str) -> float:
@@ -84,9 +107,12 @@
         level = self.levels.pop(name, None) or Level(0, 0, now)
         self.put(name, level)
         level.updated_at = now
+        surprise = deviation - level.doublings
+        if self.may_change:
+            level.note_surprise(surprise)
         level.runs = min(level.runs + weight, self.memory)
-        surprise = min(max(deviation - level.doublings, -MAX_STEP), MAX_STEP)
-        level.doublings += surprise * weight / (level.runs + PRIOR_RUNS)
+        step = min(max(surprise, -self.max_step), self.max_step)
+        level.doublings += step * weight / (level.runs + PRIOR_RUNS)
         return deviation - level.doublings
 
     def put(self, name: str, level: Level) -> None:
@@ -105,7 +131,8 @@
     """Slowness of workers, as the sum of what is learned of their failure domain, their kind and themselves.
 
     Attributes:
-        common: level of a worker of the common speed, in doublings.
+        common_group: level of the common failure domain and kind, in doublings.
+        common_worker: level of the common worker beside that.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -115,15 +142,16 @@
             clock: monotonic clock in seconds.
         """
         self.clock = clock
-        self.failure_domains = GroupSpeeds(GROUP_MEMORY, MAX_GROUPS)
-        self.kinds = GroupSpeeds(GROUP_MEMORY, MAX_GROUPS)
-        self.workers = GroupSpeeds(WORKER_MEMORY, MAX_WORKERS)
-        self.common: float = 0
+        self.failure_domains = GroupSpeeds(GROUP_MEMORY, MAX_GROUPS, MAX_GROUP_STEP)
+        self.kinds = GroupSpeeds(GROUP_MEMORY, MAX_GROUPS, MAX_GROUP_STEP)
+        self.workers = GroupSpeeds(WORKER_MEMORY, MAX_WORKERS, MAX_WORKER_STEP, may_change=True)
+        self.common_group: float = 0
+        self.common_worker: float = 0
 
     def rebase(self) -> None:
         """Take the speed of the median failure domain, kind and worker for the common one."""
-        groups = (self.failure_domains, self.kinds, self.workers)
-        self.common = sum(sort.common() for sort in groups)
+        self.common_group = self.failure_domains.common() + self.kinds.common()
+        self.common_worker = self.workers.common()
 
     def note(self, worker: Worker, deviation: float, weight: float) -> None:
         """Add a run.
@@ -136,26 +164,26 @@
         now = self.clock()
         rest = self.failure_domains.note(worker.failure_domain, deviation, weight, now)
         rest = self.kinds.note(kind_of(worker), rest, weight, now)
-        self.fade(worker.id, now)
-        self.workers.note(worker.id, rest, weight, now)
-
-    def fade(self, name: str, now: float) -> None:
-        """Let the runs of a worker count less the longer ago its newest one has ended."""
-        level = self.workers.levels.get(name)
-        if level is not None:
-            remaining = math.exp2((level.updated_at - now) / WORKER_HALF_LIFE_S)
-            level.doublings *= remaining
-            level.runs *= remaining
+        name = incarnation_of(worker)
+        known = self.workers.levels.get(name)
+        if known is not None:
+            known.doublings = self.faded(known, now)
+        self.workers.note(name, rest, weight, now)
+
+    def faded(self, level: Level, now: float) -> float:
+        """Return the deviation of a worker; that of a slow one fades while no run of it ends."""
+        excess = level.doublings - self.common_worker
+        if excess <= 0:
+            return level.doublings
+        age_s = now - level.updated_at
+        return self.common_worker + excess * math.exp2(-age_s / SLOW_HALF_LIFE_S)
 
     def doublings(self, worker: Worker) -> float:
         """Return the slowness of a worker in doublings; 0 for the common speed."""
-        shared = self.failure_domains.get(worker.failure_domain) - self.common
-        shared += self.kinds.get(kind_of(worker))
-        level = self.workers.levels.get(worker.id)
-        if level is None:
-            return shared
-        age_s = self.clock() - level.updated_at
-        return shared + level.doublings * math.exp2(-age_s / WORKER_HALF_LIFE_S)
+        level = self.workers.levels.get(incarnation_of(worker))
+        own = self.faded(level, self.clock()) if level else self.common_worker
+        shared = self.failure_domains.get(worker.failure_domain) + self.kinds.get(kind_of(worker))
+        return shared - self.common_group + own - self.common_worker
 
     def factors(self) -> Iterator[tuple[str, float]]:
         """Yield the failure domains and by which factor they are slower than the common speed."""
@@ -169,6 +197,11 @@
     return worker.labels[0] if worker.labels else ''
 
 
+def incarnation_of(worker: Worker) -> str:
+    """Return the name of one incarnation of a worker; the next one may have another speed."""
+    return f'{worker.id}/{worker.born_ms}'
+
+
 def speed_class(slowness: float) -> int:
     """Return the class of speed of a worker: 0 for the common one, above 0 for slower ones."""
     return round(math.log2(slowness) * CLASSES_PER_DOUBLING)
--- a/marigoldlift/runtimes/summary.py
+++ b/marigoldlift/runtimes/summary.py
@@ -9,13 +9,15 @@
 from marigoldlift.submissions.run_time_records import KeptDistribution, KeptLevel, RunTimesSummary
 
 __all__ = (
+    'MAX_WORKERS',
     'restore_levels',
     'summarize_levels',
 )
 
-#: Distributions and groups in a summary; with all of them it takes 40 KB at most.
+#: Distributions, groups and workers in a summary.
 MAX_DISTRIBUTIONS = 96
 MAX_LEVELS = 64
+MAX_WORKERS = 500
 
 #: Age above which a summary is not used, in s.
 MAX_AGE_S = 600
@@ -56,6 +58,7 @@
             key.step,
             occupied(histogram.counts(histogram.ended)),
             occupied(histogram.counts(histogram.censored)),
+            key.longest,
         )
 
 
@@ -75,11 +78,11 @@
     return histogram
 
 
-def summarize_levels(groups: GroupSpeeds) -> list[KeptLevel]:
+def summarize_levels(groups: GroupSpeeds, most: int = MAX_LEVELS) -> list[KeptLevel]:
     """Return the levels of the groups that were updated last."""
     return [
-        KeptLevel(name, round(level.doublings, 3), round(level.runs, 1))
-        for name, level in list(groups.levels.items())[-MAX_LEVELS:]
+        KeptLevel(name, round(level.doublings, 2), round(level.runs))
+        for name, level in list(groups.levels.items())[-most:]
     ]
 
 
--- a/marigoldlift/scheduling/placement.py
+++ b/marigoldlift/scheduling/placement.py
@@ -1,9 +1,8 @@
 """Selection of workers for the tasks of a step."""
 
 import itertools
-import statistics
 import time
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.runtimes.api import EstimatesAlone, ExpectedTimes
@@ -177,13 +176,32 @@
         usable = [session for session in sessions if session.worker.id not in avoided]
         if not self.has_room(step_run, usable):
             return None
-        groups = self.group_by_rack(usable) if step_run.step.same_rack else []
-        for group in (*groups, *self.group_by_failure_domain(usable), usable):
+        for group in self.gang_groups(step_run, usable):
             places = self.pack(step_run, group)
             if places is not None:
                 return places
         return None
 
+    def gang_groups(
+        self, step_run: StepRun, usable: Sequence[WorkerSession]
+    ) -> Iterator[Sequence[WorkerSession]]:
+        """Yield the groups of workers to try for a gang, the best first.
+
+        A gang is as slow as its slowest member, so that fast workers of all failure domains come before slow ones of a
+        single domain.
+        """
+        classes = [self.times.speed_class(session.worker) for session in usable]
+        by_speed = [
+            [session for session, own in zip(usable, classes, strict=True) if own <= slowest]
+            for slowest in sorted(set(classes))
+        ]
+        if step_run.step.same_rack:
+            yield from itertools.chain.from_iterable(map(self.group_by_rack, by_speed))
+        for fast in by_speed:
+            if self.has_room(step_run, fast):
+                yield from self.group_by_failure_domain(fast)
+                yield fast
+
     def has_room(self, step_run: StepRun, sessions: Iterable[WorkerSession]) -> bool:
         """Return whether all tasks of a step fit at once; stops counting as soon as they do."""
         missing = step_run.step.count
@@ -204,19 +222,11 @@
     def group_by_failure_domain(
         self, sessions: Sequence[WorkerSession]
     ) -> list[list[WorkerSession]]:
-        """Group workers by failure domain, the fastest first.
-
-        A gang within one domain survives a network partition between domains.
-        """
+        """Group workers by failure domain; a gang within one domain survives a network partition between domains."""
         groups: dict[str, list[WorkerSession]] = {}
         for session in sessions:
             groups.setdefault(session.worker.failure_domain, []).append(session)
-        return sorted(groups.values(), key=self.mean_speed_class)
-
-    def mean_speed_class(self, sessions: Sequence[WorkerSession]) -> int:
-        """Return the class of speed of most workers of a group."""
-        classes = (self.times.speed_class(session.worker) for session in sessions)
-        return round(statistics.fmean(classes))
+        return list(groups.values())
 
     def pack(
         self, step_run: StepRun, sessions: Sequence[WorkerSession]
--- a/marigoldlift/scheduling/run_times.py
+++ b/marigoldlift/scheduling/run_times.py
@@ -2,17 +2,18 @@
 
 import time
 from collections.abc import Iterator
+from weakref import WeakKeyDictionary
 
 from loguru import logger
 
 from marigoldlift.errors import PlatformError
-from marigoldlift.orders.api import EndedRun
+from marigoldlift.orders.api import EndedRun, Worker
 from marigoldlift.orders.runs import Run
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.replication.appender import Appender
 from marigoldlift.runtimes.api import WorkKey
 from marigoldlift.runtimes.learner import RunTimes
-from marigoldlift.runtimes.samples import measure
+from marigoldlift.runtimes.samples import Measurement, RunSample, measure
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.run_time_records import RunTimesSummary
 from marigoldlift.supervision import TaskSet
@@ -42,6 +43,7 @@
     Attributes:
         times: the learner.
         new_ends: ends since the last summary.
+        ratios: ratio of run time to estimate of each measured task, by step that is not done.
         stored_at: time of the last summary, in seconds of the monotonic clock.
     """
 
@@ -52,6 +54,7 @@
         self.metrics = metrics
         self.new_ends = 0
         self.stored_at = times.clock()
+        self.ratios: WeakKeyDictionary[StepRun, list[float]] = WeakKeyDictionary()
         self.tasks = TaskSet()
 
     def note_end(
@@ -63,11 +66,21 @@
         if not is_near(step, session):
             return
         sample = measure(ended.kind, known, work_began_at(step, known), self.times.clock())
-        if sample is not None:
-            self.new_ends += 1
-            key = WorkKey(step.job.submission.policy.queue, step.number)
-            estimate_s = step.step.estimate_ms / MS_PER_S
-            self.times.note(key, estimate_s, session.worker, sample)
+        if sample is not None and step.step.estimate_ms > 0:
+            self.learn(step, session.worker, sample)
+
+    def learn(self, step: StepRun, worker: Worker, sample: RunSample) -> None:
+        """Learn from the time of a run, and from the longest one once all tasks of the step are done."""
+        self.new_ends += 1
+        key = WorkKey(step.job.submission.policy.queue, step.number)
+        ratio = self.times.note(key, step.step.estimate_ms / MS_PER_S, worker, sample)
+        if sample.measurement is not Measurement.whole:
+            return
+        ratios = self.ratios.setdefault(step, [])
+        ratios.append(ratio)
+        if step.step.gang or len(ratios) == step.step.count:
+            self.times.note_longest(key, max(ratios))
+            self.ratios.pop(step)
 
     def restore(self, summary: RunTimesSummary | None) -> None:
         """Start with the summary of an earlier leader, if there is one."""
@@ -140,8 +153,11 @@
     own = known.measured.since if known.measured else 0
     if not step.step.gang:
         return own
-    runs = (session.run_table.runs.get(step.task(index)) for index, session in step.active.items())
-    return max((run.measured.since for run in runs if run and run.measured), default=own)
+    members = [
+        session.run_table.runs.get(step.task(index)) for index, session in step.active.items()
+    ]
+    present = (run.measured for run in members if run is not None)
+    return max((measured.since for measured in present if measured is not None), default=own)
 
 
 def first_of(factors: dict[str, float]) -> Iterator[tuple[str, float]]:
--- a/marigoldlift/submissions/run_time_records.py
+++ b/marigoldlift/submissions/run_time_records.py
@@ -13,16 +13,18 @@
     Attributes:
         ended: pairs of bucket and weight of the runs that were done.
         censored: the same of runs of which only a lower bound is known.
+        longest: whether they are those of the longest task of each step.
     """
 
     queue: str
     step: int
     ended: list[tuple[int, float]]
     censored: list[tuple[int, float]] = []
+    longest: bool = False
 
 
 class KeptLevel(msgspec.Struct, array_like=True, frozen=True):
-    """Deviation of a failure domain or kind of workers, in doublings of the time, and the weight of its runs."""
+    """Deviation of a failure domain, a kind of workers or a worker, in doublings of the time, and the weight of its runs."""
 
     name: str
     doublings: float
@@ -36,9 +38,11 @@
         at_ms: Unix time at which it was made, in ms.
         failure_domains: speeds of the failure domains.
         kinds: speeds of the kinds of workers.
+        workers: speeds of workers.
     """
 
     at_ms: float
     distributions: list[KeptDistribution] = []
     failure_domains: list[KeptLevel] = []
     kinds: list[KeptLevel] = []
+    workers: list[KeptLevel] = []
