Tasks with time leave the fast workers free from 30% use on; tests of placement, switch and summary

Cause: at half load the urgent tasks of the model still ran on slow workers, since others had taken the fast ones.

--- a/marigoldlift/platform/tests/test_node_settings.py
+++ b/marigoldlift/platform/tests/test_node_settings.py
@@ -35,6 +35,22 @@
     assert settings.seeds == ('10.1.0.13:8166', '10.2.0.30:8166')
 
 
+@pytest.mark.parametrize(
+    ('line', 'default', 'expected'),
+    [('', 'off', False), ('', 'on', True), ('on', 'off', True), ('off', 'on', False)],
+)
+def test_learning_is_switched_by_the_file_before_the_command(line, default, expected):
+    """Guards against a switch that cannot be turned in the file, or that is on unasked."""
+    text = f'{GOOD}learning.run_times={line}\n' if line else GOOD
+    assert parse_node_settings(text, default).learns_run_times is expected
+
+
+def test_switch_takes_only_its_values():
+    """Guards against a misspelt switch that counts as off without a word."""
+    raised = pytest.raises(SettingsError, parse_node_settings, f'{GOOD}learning.run_times=yes\n')
+    assert raised.value.errors == ("learning.run_times: 'yes' is not valid; allowed: on, off",)
+
+
 def test_all_errors_are_reported_at_once():
     """Guards against an invalid file whose errors are reported one at a time, or as a traceback."""
     broken = GOOD.replace('gang_ms=3000', 'gang_ms=soon').replace('front=10.1.0.13:', 'front=')
--- a/marigoldlift/runtimes/tests/test_learner.py
+++ b/marigoldlift/runtimes/tests/test_learner.py
@@ -12,6 +12,12 @@
 from marigoldlift.runtimes.samples import Measurement, RunSample, measure
 from marigoldlift.runtimes.tests.conftest import KEY
 from marigoldlift.submissions.model import Step, TaskRef
+from marigoldlift.submissions.record_codec import decode_record, encode_record
+from marigoldlift.submissions.run_time_records import (
+    KeptDistribution,
+    KeptLevel,
+    RunTimesSummary,
+)
 
 HOSTILE = WorkKey('hostile', 0)
 WALL_MS = 1_700_000_000_000
@@ -150,6 +156,19 @@
     assert not RunTimes(site.clock).restore(summary, WALL_MS + 3_600_000)
 
 
+@pytest.mark.parametrize('number', [float('nan'), float('inf'), -1, 1e30])
+def test_malformed_summary_changes_nothing(site, number):
+    """Guards against a record with odd numbers that makes each new leader fail, or misjudge work and workers."""
+    pairs = [(48, number), (-3, 1), (10_000, 1)]
+    levels = [KeptLevel('north', 3, number), KeptLevel('east', number * 10, 5)]
+    kept = KeptDistribution(KEY.queue, KEY.step, pairs, pairs)
+    summary = RunTimesSummary(WALL_MS, [kept], levels, levels, levels)
+    site.times.restore(decode_record(encode_record(summary)), WALL_MS)
+    site.times.restore(RunTimesSummary(number), WALL_MS)
+    assert site.median() == 1
+    assert not any(map(site.times.speed_class, site.workers))
+
+
 def test_memory_is_bounded(site):
     """Guards against queues that come and go and fill the memory of an entry."""
     for number in range(MAX_KEYS):
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -29,8 +29,8 @@
 #: Share of a service's CPU that is reserved for submissions of the highest priority.
 URGENT_SHARE = 0.06
 
-#: Share of free CPU below which tasks that have time leave the fast workers to others.
-TIGHT_SHARE = 0.3
+#: Share of free CPU below which tasks that have time leave the fast workers to others; above it the fast ones hold all work.
+TIGHT_SHARE = 0.7
 
 #: Time within which all members of a gang must be started, as a share of the time that a started member waits for them.
 GANG_START_SHARE = 0.4
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -90,9 +90,12 @@
         up: whether it answers calls and runs tasks.
         hangs: whether its tasks make no progress.
         fails: whether its tasks end as failed.
+        slowness: how many times as long its tasks take.
         ends_page: largest number of ends in one status.
     """
 
+    slowness: float = 1
+
     def __init__(
         self,
         name: str,
@@ -392,7 +395,7 @@
         """Start a run and return the worker's clock in ms."""
         addressed = self.workers[worker.id]
         step = addressed.checker.submissions[order.task.submission].steps[order.task.step]
-        duration_s = self.duration_of(order.task)
+        duration_s = self.duration_of(order.task) * addressed.slowness
         sent_at = asyncio.get_running_loop().time()
         sent = SentOrder(order, addressed.born_ms, order.until_ms - addressed.clock_ms())
         unanswered = addressed.checker.unanswered
