Open submissions are assessed anew only when the factors of their work have changed

Cause: each renewal of the answers, twice a second, made every waiting submission derive its chains anew, and an estimate of no number would have raised at the end of its run. Change: distributions are derived anew only for queues with ends; a new version begins if a factor differs. Ratios are bounded. The periodic report is contained like the other checks.

--- a/marigoldlift/runtimes/api.py
+++ b/marigoldlift/runtimes/api.py
@@ -7,7 +7,7 @@
 from marigoldlift.orders.api import Worker
 from marigoldlift.runtimes.quantiles import AS_ESTIMATED, RatioDistribution
 
-__all__ = ('EstimatesAlone', 'ExpectedTimes', 'WorkKey')
+__all__ = ('EstimatesAlone', 'ExpectedTimes', 'Factors', 'WorkKey')
 
 
 class WorkKey(msgspec.Struct, frozen=True):
@@ -23,11 +23,25 @@
     longest: bool = False
 
 
+class Factors(msgspec.Struct, frozen=True):
+    """Factors by which the time of a step differs from its estimate, on a worker of the common speed.
+
+    Attributes:
+        longest: for the longest of its tasks.
+        safe: for a time that a task hardly exceeds.
+        lucky: for a time below which a task is hardly ever done; 0 while too little is known to rule anything out.
+    """
+
+    longest: float = 1
+    safe: float = 1
+    lucky: float = 0
+
+
 class ExpectedTimes(Protocol):
     """Expected run times.
 
     Attributes:
-        version: changes whenever an answer may have changed.
+        version: changes whenever the factors of any work have changed.
     """
 
     version: int
@@ -35,8 +49,8 @@
     def ratios(self, key: WorkKey) -> RatioDistribution:
         """Return the distribution of run time to estimate on a worker of the common speed."""
 
-    def is_known(self, key: WorkKey) -> bool:
-        """Return whether enough runs have ended for a verdict that rests on them alone."""
+    def factors(self, key: WorkKey) -> Factors:
+        """Return the factors of a step."""
 
     def slowness(self, worker: Worker) -> float:
         """Return how many times as long a worker takes as one of the common speed."""
@@ -57,9 +71,9 @@
         """Return that runs take as long as estimated."""
         return AS_ESTIMATED
 
-    def is_known(self, key: WorkKey) -> bool:
-        """Return that nothing is known."""
-        return False
+    def factors(self, key: WorkKey) -> Factors:
+        """Return that the estimates are right, and that nothing can be ruled out."""
+        return Factors()
 
     def slowness(self, worker: Worker) -> float:
         """Return that the worker has the common speed."""
--- a/marigoldlift/runtimes/decisions.py
+++ b/marigoldlift/runtimes/decisions.py
@@ -25,12 +25,6 @@
 
 MEDIAN = 0.5
 
-#: Quantile of the run time that a worker has to meet to count as fast enough.
-SAFE_SHARE = 0.9
-
-#: Quantile at which even a lucky run lies.
-LUCKY_SHARE = 0.1
-
 #: Rank above those of all workers on which a task that may wait is in time.
 TOO_SLOW = 1000
 
@@ -40,31 +34,26 @@
 
 
 class JobTimes(msgspec.Struct, frozen=True):
-    """Expected times of the tasks of each step of a submission, in s, on workers of the common speed.
-
-    Attributes:
-        longest: time of the longest task.
-        lucky: time of a lucky run, 0 where too little is known to rule anything out.
-        safe: time that most runs do not exceed.
-    """
+    """Expected times of the tasks of each step of a submission, in s; see `Factors`."""
 
     longest: Sequence[float]
-    lucky: Sequence[float]
     safe: Sequence[float]
+    lucky: Sequence[float]
 
 
 def expected_times(times: ExpectedTimes, submission: Submission) -> JobTimes:
     """Return the expected times of the steps of a submission."""
-    longest, lucky, safe = [], [], []
-    for number, step in enumerate(submission.steps):
-        key = WorkKey(submission.policy.queue, number)
-        estimate_s = step.estimate_ms / MS_PER_S
-        ratios = times.ratios(key)
-        longest_ratios = times.ratios(WorkKey(key.queue, number, longest=True))
-        longest.append(estimate_s * longest_ratios.quantile(MEDIAN))
-        safe.append(estimate_s * ratios.quantile(SAFE_SHARE))
-        lucky.append(estimate_s * ratios.quantile(LUCKY_SHARE) if times.is_known(key) else 0)
-    return JobTimes(longest, lucky, safe)
+    estimates_s = [step.estimate_ms / MS_PER_S for step in submission.steps]
+    factors = [
+        times.factors(WorkKey(submission.policy.queue, number))
+        for number, _ in enumerate(estimates_s)
+    ]
+    pairs = list(zip(estimates_s, factors, strict=True))
+    return JobTimes(
+        longest=[estimate_s * factor.longest for estimate_s, factor in pairs],
+        safe=[estimate_s * factor.safe for estimate_s, factor in pairs],
+        lucky=[estimate_s * factor.lucky for estimate_s, factor in pairs],
+    )
 
 
 def speed_rank(own_class: int, slowest: int | None) -> int:
--- a/marigoldlift/runtimes/learner.py
+++ b/marigoldlift/runtimes/learner.py
@@ -5,13 +5,13 @@
 
 from marigoldlift.orders.api import Worker
 from marigoldlift.runtimes.accuracy import Accuracy
-from marigoldlift.runtimes.api import WorkKey
+from marigoldlift.runtimes.api import Factors, WorkKey
 from marigoldlift.runtimes.quantiles import (
     AS_ESTIMATED,
     RatioDistribution,
     estimate_distribution,
 )
-from marigoldlift.runtimes.ratios import RatioHistogram, bucket_of
+from marigoldlift.runtimes.ratios import HIGHEST_RATIO, LOWEST_RATIO, RatioHistogram, bucket_of
 from marigoldlift.runtimes.samples import Measurement, RunSample
 from marigoldlift.runtimes.speeds import SpeedTable, speed_class
 from marigoldlift.runtimes.summary import (
@@ -44,11 +44,20 @@
 #: Number of the distribution of all steps of a queue.
 ALL_STEPS = -1
 
-#: Shortest pause between two changes of the answers, in s; all open submissions are assessed anew after one.
-CHANGE_PAUSE_S = 0.5
+#: Answers kept; all are derived anew beyond it.
+MAX_ANSWERS = 2000
+
+#: Shortest pause between two renewals of the answers, in s; each takes 0.1 ms for each distribution that has changed.
+RENEWAL_PAUSE_S = 0.5
 
 MEDIAN = 0.5
 
+#: Quantile of the run time that a worker has to meet to count as fast enough.
+SAFE_SHARE = 0.9
+
+#: Quantile at which a lucky run lies.
+LUCKY_SHARE = 0.1
+
 
 class RunTimes:
     """Distributions of the ratio of run time to estimate by queue and step, and speeds of workers.
@@ -57,13 +66,15 @@
     is judged by it.
 
     Attributes:
-        version: changes whenever an answer may have changed.
+        version: changes whenever the factors of any work have changed.
         histograms: observed ratios; the least recently updated one comes first.
         speeds: speeds of the workers.
         accuracy: errors of the learned times.
-        fresh: distributions by key, as of the current version.
-        classes: classes of speed by worker id, as of the current version.
-        changed_at: time of the current version, in seconds of the monotonic clock.
+        touched: queues of which runs have ended since the answers were renewed.
+        fresh: distributions by queue and key.
+        known: factors that were asked for, by key.
+        classes: classes of speed by worker id.
+        renewed_at: when the answers were renewed, in seconds of the monotonic clock.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -77,9 +88,11 @@
         self.histograms: dict[WorkKey, RatioHistogram] = {}
         self.speeds = SpeedTable(clock)
         self.accuracy = Accuracy()
-        self.fresh: dict[WorkKey, RatioDistribution] = {}
+        self.touched: set[str] = set()
+        self.fresh: dict[str, dict[WorkKey, RatioDistribution]] = {}
+        self.known: dict[WorkKey, Factors] = {}
         self.classes: dict[str, int] = {}
-        self.changed_at = clock()
+        self.renewed_at = clock()
 
     def note(self, key: WorkKey, estimate_s: float, worker: Worker, sample: RunSample) -> float:
         """Learn from the end of a run, and return the ratio of its time to the estimate on a worker of the common speed.
@@ -93,7 +106,7 @@
         self.refresh()
         slowness = self.slowness(worker)
         expected = self.ratios(key)
-        ratio = sample.took_s / estimate_s
+        ratio = min(max(sample.took_s / estimate_s, LOWEST_RATIO), HIGHEST_RATIO)
         is_whole = sample.measurement is Measurement.whole
         if is_whole:
             self.accuracy.note(ratio / slowness, expected)
@@ -118,6 +131,7 @@
 
     def histogram(self, key: WorkKey) -> RatioHistogram:
         """Return the histogram of a key as the most recently updated one."""
+        self.touched.add(key.queue)
         histogram = self.histograms.pop(key, None) or RatioHistogram(MEMORY)
         self.histograms[key] = histogram
         if len(self.histograms) > MAX_KEYS:
@@ -126,12 +140,31 @@
 
     def ratios(self, key: WorkKey) -> RatioDistribution:
         """Return the distribution of run time to estimate on a worker of the common speed."""
-        known = self.fresh.get(key)
+        of_queue = self.fresh.setdefault(key.queue, {})
+        known = of_queue.get(key)
         if known is None:
             known = self.estimate(key)
-            self.fresh[key] = known
+            of_queue[key] = known
+        return known
+
+    def factors(self, key: WorkKey) -> Factors:
+        """Return the factors of a step."""
+        kept = kept_key(key)
+        known = self.known.get(kept)
+        if known is None:
+            known = self.find_factors(kept)
+            self.known[kept] = known
         return known
 
+    def find_factors(self, key: WorkKey) -> Factors:
+        """Derive the factors of a step from its distributions."""
+        ratios = self.ratios(key)
+        return Factors(
+            longest=self.ratios(WorkKey(key.queue, key.step, longest=True)).quantile(MEDIAN),
+            safe=ratios.quantile(SAFE_SHARE),
+            lucky=ratios.quantile(LUCKY_SHARE) if self.is_known(key) else 0,
+        )
+
     def estimate(self, key: WorkKey) -> RatioDistribution:
         """Return a distribution, shrunk towards a more common one.
 
@@ -166,7 +199,7 @@
             self.classes[worker.id] = known
         return known
 
-    def factors(self) -> Iterator[tuple[str, float]]:
+    def medians(self) -> Iterator[tuple[str, float]]:
         """Yield the queues and the learned median of their ratios; the queue with the newest end comes first."""
         for key in reversed(self.histograms):
             if key.step == ALL_STEPS:
@@ -198,22 +231,32 @@
         restore_levels(self.speeds.failure_domains, summary.failure_domains, now)
         restore_levels(self.speeds.kinds, summary.kinds, now)
         restore_levels(self.speeds.workers, summary.workers, now)
-        self.forget_answers()
+        self.touched.update(key.queue for key in self.histograms)
+        self.version += 1
+        self.renew()
         return True
 
     def refresh(self) -> None:
         """Renew the answers if the pause is over."""
         now = self.clock()
-        if now - self.changed_at >= CHANGE_PAUSE_S:
-            self.changed_at = now
-            self.forget_answers()
+        if now - self.renewed_at >= RENEWAL_PAUSE_S:
+            self.renewed_at = now
+            self.renew()
 
-    def forget_answers(self) -> None:
-        """Begin a new version of the answers."""
-        self.version += 1
-        self.fresh.clear()
+    def renew(self) -> None:
+        """Derive the answers anew where runs have ended; a new version begins only if factors have changed."""
         self.classes.clear()
         self.speeds.rebase()
+        for queue in self.touched:
+            self.fresh.pop(queue, None)
+        renewed = {key: self.find_factors(key) for key in self.known if key.queue in self.touched}
+        self.touched.clear()
+        if any(self.known[key] != factors for key, factors in renewed.items()):
+            self.version += 1
+        self.known.update(renewed)
+        if len(self.known) > MAX_ANSWERS:
+            self.known.clear()
+            self.fresh.clear()
 
 
 def whole_queue(key: WorkKey) -> WorkKey:
--- a/marigoldlift/runtimes/ratios.py
+++ b/marigoldlift/runtimes/ratios.py
@@ -4,7 +4,7 @@
 from array import array
 from collections.abc import Iterator, Sequence
 
-__all__ = ('BUCKETS', 'RatioHistogram', 'bucket_of', 'ratio_of')
+__all__ = ('BUCKETS', 'HIGHEST_RATIO', 'LOWEST_RATIO', 'RatioHistogram', 'bucket_of', 'ratio_of')
 
 #: Resolution: the ratios of neighbouring buckets differ by 9%.
 BUCKETS_PER_DOUBLING = 8
@@ -12,6 +12,9 @@
 #: Largest ratio either way, in doublings; an estimate that is wrong by more counts as wrong by this much.
 MAX_DOUBLINGS = 6
 
+HIGHEST_RATIO = math.pow(2, MAX_DOUBLINGS)
+LOWEST_RATIO = 1 / HIGHEST_RATIO
+
 CENTER = BUCKETS_PER_DOUBLING * MAX_DOUBLINGS
 BUCKETS = 2 * CENTER + 1
 
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -216,11 +216,10 @@
             self.session_manager.check,
             self.checks.check_runs,
             self.planner.sample_idle,
+            self.events.check_run_times,
         ):
             with self.faults.contain(ItemKind.round, check.__qualname__):
                 check()
-        if self.events.run_times is not None:
-            self.events.run_times.check()
         if self.retention.is_due():
             self.starter.spawn(self.retention.run_round())
 
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -136,6 +136,11 @@
         self.open_submissions.close_if_done(step.job)
         self.wake.set()
 
+    def check_run_times(self) -> None:
+        """Report and store the learned run times if that is due."""
+        if self.run_times is not None:
+            self.run_times.check()
+
     def run_found(self, session: WorkerSession, held: HeldRun) -> Step | None:
         """Adopt a run that an earlier leader has started.
 
--- a/marigoldlift/scheduling/run_times.py
+++ b/marigoldlift/scheduling/run_times.py
@@ -103,7 +103,7 @@
     def report(self) -> None:
         """Log what was learned, and set the gauges."""
         accuracy = self.times.accuracy
-        queues = dict(self.times.factors())
+        queues = dict(self.times.medians())
         domains = dict(self.times.speeds.factors())
         for queue, factor in queues.items():
             self.metrics.set(Metric.run_time_factor, factor, queue=queue)
