--- a/marigoldlift/runtimes/quantiles.py
+++ b/marigoldlift/runtimes/quantiles.py
@@ -21,14 +21,16 @@
     """Probabilities of the ratio by bucket.
 
     Attributes:
+        probabilities: probability of each bucket.
         cumulative: probability of each bucket or a lower one.
         known: quantiles that were asked for, by share.
     """
 
-    __slots__ = ('cumulative', 'known')
+    __slots__ = ('cumulative', 'known', 'probabilities')
 
     def __init__(self, probabilities: Sequence[float]) -> None:
         """Sum up the probabilities, which add up to 1."""
+        self.probabilities = probabilities
         self.cumulative = list(itertools.accumulate(probabilities))
         self.known: dict[float, float] = {}
 
@@ -49,11 +51,6 @@
         """Return the standard deviation in doublings, as a log-normal distribution with the same quantiles has it."""
         return math.log2(self.quantile(UPPER_SPREAD) / self.quantile(LOWER_SPREAD)) / 2
 
-    def probability(self, bucket: int) -> float:
-        """Return the probability of one bucket."""
-        below = self.cumulative[bucket - 1] if bucket else 0
-        return self.cumulative[bucket] - below
-
     def survival(self, ratio: float) -> float:
         """Return the share of the runs that exceed a ratio."""
         return 1 - self.cumulative[bucket_of(ratio)]
@@ -90,18 +87,17 @@
         prior_weight: number of runs that the prior counts as.
     """
     ended = [
-        count + prior_weight * prior.probability(bucket)
-        for bucket, count in enumerate(histogram.counts(histogram.ended))
+        weight / histogram.scale + prior_weight * assumed
+        for weight, assumed in zip(histogram.ended, prior.probabilities, strict=True)
     ]
-    at_risk = sum(ended) + sum(histogram.counts(histogram.censored))
+    at_risk = sum(ended) + sum(histogram.censored) / histogram.scale
     surviving: float = 1
     probabilities = []
-    for count, left in zip(ended, histogram.counts(histogram.censored), strict=True):
-        hazard = min(1, count / at_risk) if count else 0
-        ending = surviving * hazard
+    for count, weight in zip(ended, histogram.censored, strict=True):
+        ending = surviving * min(1, count / at_risk) if count else 0
         probabilities.append(ending)
         surviving -= ending
-        at_risk -= count + left
+        at_risk -= count + weight / histogram.scale
     # What the longest censored runs leave open lies beyond all that were seen.
     probabilities[highest_bucket(ended, histogram.censored)] += surviving
     return RatioDistribution(probabilities)
--- a/marigoldlift/runtimes/summary.py
+++ b/marigoldlift/runtimes/summary.py
@@ -1,6 +1,5 @@
 """Compact summary of what a leader has learned, which the next leader starts with."""
 
-import math
 from collections.abc import Iterable, Iterator, Mapping
 
 from marigoldlift.runtimes.api import WorkKey
@@ -15,7 +14,7 @@
 )
 
 #: Distributions, groups and workers in a summary.
-MAX_DISTRIBUTIONS = 96
+MAX_DISTRIBUTIONS = 64
 MAX_LEVELS = 64
 MAX_WORKERS = 500
 
@@ -25,11 +24,13 @@
 #: Share of their weight with which the runs of an earlier leader count: what has changed since then is learned sooner.
 RESTORED_SHARE = 0.5
 
-#: Largest weight of a bucket and of a group that a summary may hold.
-MAX_WEIGHT = 10_000
+#: Numbers of a summary are integers, which take 1 to 3 bytes.
+HUNDREDTHS = 100
 
-#: Largest deviation of a group that a summary may hold, in doublings.
-MAX_DEVIATION = 6
+#: Largest weight of a bucket, in hundredths, and of a group, and largest deviation, in hundredths of a doubling, that a summary
+#: may hold.
+MAX_WEIGHT = 100_000
+MAX_DEVIATION = 600
 
 #: Longest name that a summary may hold, in characters.
 MAX_NAME = 200
@@ -62,33 +63,34 @@
         )
 
 
-def occupied(weights: Iterable[float]) -> list[tuple[int, float]]:
+def occupied(weights: Iterable[float]) -> list[tuple[int, int]]:
     """Return the buckets with a weight that matters."""
-    rounded = ((bucket, round(weight, 2)) for bucket, weight in enumerate(weights))
+    rounded = ((bucket, round(weight * HUNDREDTHS)) for bucket, weight in enumerate(weights))
     return [(bucket, weight) for bucket, weight in rounded if weight > 0]
 
 
 def restore_histogram(kept: KeptDistribution, memory: int) -> RatioHistogram:
-    """Return the histogram of a kept distribution; buckets or weights that are no valid numbers are skipped."""
+    """Return the histogram of a kept distribution; buckets or weights out of range are skipped."""
     histogram = RatioHistogram(memory)
     for weights, pairs in ((histogram.ended, kept.ended), (histogram.censored, kept.censored)):
         for bucket, weight in pairs:
             if 0 <= bucket < BUCKETS and 0 < weight <= MAX_WEIGHT:
-                weights[bucket] = weight * RESTORED_SHARE
+                weights[bucket] = weight * RESTORED_SHARE / HUNDREDTHS
     return histogram
 
 
 def summarize_levels(groups: GroupSpeeds, most: int = MAX_LEVELS) -> list[KeptLevel]:
     """Return the levels of the groups that were updated last."""
     return [
-        KeptLevel(name, round(level.doublings, 2), round(level.runs))
+        KeptLevel(name, round(level.doublings * HUNDREDTHS), round(level.runs))
         for name, level in list(groups.levels.items())[-most:]
     ]
 
 
 def restore_levels(groups: GroupSpeeds, kept: Iterable[KeptLevel], now: float) -> None:
-    """Add kept levels to groups; one that holds no valid numbers is skipped."""
+    """Add kept levels to groups; one with numbers out of range is skipped."""
     for level in kept:
-        is_valid = math.isfinite(level.doublings) and 0 < level.runs <= MAX_WEIGHT
-        if is_valid and abs(level.doublings) <= MAX_DEVIATION and len(level.name) <= MAX_NAME:
-            groups.put(level.name, Level(level.doublings, level.runs * RESTORED_SHARE, now))
+        is_valid = 0 < level.runs <= MAX_WEIGHT and abs(level.deviation) <= MAX_DEVIATION
+        if is_valid and len(level.name) <= MAX_NAME:
+            runs = level.runs * RESTORED_SHARE
+            groups.put(level.name, Level(level.deviation / HUNDREDTHS, runs, now))
--- a/marigoldlift/submissions/run_time_records.py
+++ b/marigoldlift/submissions/run_time_records.py
@@ -11,24 +11,29 @@
     """Observed ratios of run time to estimate of one step of the submissions of a queue.
 
     Attributes:
-        ended: pairs of bucket and weight of the runs that were done.
+        ended: pairs of bucket and weight, in hundredths, of the runs that were done.
         censored: the same of runs of which only a lower bound is known.
         longest: whether they are those of the longest task of each step.
     """
 
     queue: str
     step: int
-    ended: list[tuple[int, float]]
-    censored: list[tuple[int, float]] = []
+    ended: list[tuple[int, int]]
+    censored: list[tuple[int, int]] = []
     longest: bool = False
 
 
 class KeptLevel(msgspec.Struct, array_like=True, frozen=True):
-    """Deviation of a failure domain, a kind of workers or a worker, in doublings of the time, and the weight of its runs."""
+    """Speed of a failure domain, a kind of workers or a worker.
+
+    Attributes:
+        deviation: deviation from the expected time, in hundredths of a doubling.
+        runs: weight of its runs.
+    """
 
     name: str
-    doublings: float
-    runs: float
+    deviation: int
+    runs: int
 
 
 class RunTimesSummary(Record, tag='t'):
