--- a/marigoldlift/scheduling/tests/test_service_order.py
+++ b/marigoldlift/scheduling/tests/test_service_order.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from marigoldlift.runtimes.decisions import JobTimes
 from marigoldlift.scheduling.service_order import ServiceClass, service_class, service_rank
 from marigoldlift.scheduling.tasks import JobRun
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
@@ -43,6 +44,17 @@
     assert class_at(job, 7.9, number=1) is ServiceClass.in_time
 
 
+def test_learned_times_replace_the_estimates():
+    """Guards against work that holds its place though even a lucky run ends after all use, or that counts as late too early."""
+    job = open_job([Step(count=1, estimate_ms=2000)])
+    assert class_at(job, 3.5) is ServiceClass.late
+    job.expect(JobTimes(longest=[20], safe=[25], lucky=[0]))
+    assert class_at(job, 3.5) is ServiceClass.in_time
+    job.expect(JobTimes(longest=[2], safe=[3], lucky=[14]))
+    assert class_at(job, 0.9) is ServiceClass.in_time
+    assert class_at(job, 1.1) is ServiceClass.worthless
+
+
 def test_urgent_work_comes_first_also_when_late():
     """Guards against urgent submissions that give way to others."""
     step = Step(count=1, estimate_ms=1000)
