Learned times reach the submissions that wait; a gang is timed by its slowest member

Cause: the version of the answers rose only with factors that some submission had asked for, and none asks before the version rises, so that the order of service kept the estimates. The time of a gang was taken for that of the member that reported first, also if that one has a fast worker. The verdict that nothing can be in time any more left out that the fastest worker is faster than the common one. Evidence: test_waiting_submission_follows_what_is_learned fails before the change (objective 3 s instead of 9 s).

--- a/marigoldlift/runtimes/learner.py
+++ b/marigoldlift/runtimes/learner.py
@@ -84,7 +84,7 @@
             clock: monotonic clock in seconds.
         """
         self.clock = clock
-        self.version = 0
+        self.version = 1
         self.histograms: dict[WorkKey, RatioHistogram] = {}
         self.speeds = SpeedTable(clock)
         self.accuracy = Accuracy()
@@ -94,14 +94,23 @@
         self.classes: dict[str, int] = {}
         self.renewed_at = clock()
 
-    def note(self, key: WorkKey, estimate_s: float, worker: Worker, sample: RunSample) -> float:
+    def note(
+        self,
+        key: WorkKey,
+        estimate_s: float,
+        worker: Worker,
+        sample: RunSample,
+        *,
+        is_gang: bool = False,
+    ) -> float:
         """Learn from the end of a run, and return the ratio of its time to the estimate on a worker of the common speed.
 
         Args:
             key: the work.
             estimate_s: its estimated time, in s, above 0.
-            worker: worker of the run.
+            worker: worker of the run, or of the slowest member of a gang.
             sample: its time.
+            is_gang: whether other workers have part in the time, so that it does not judge this one.
         """
         self.refresh()
         slowness = self.slowness(worker)
@@ -110,6 +119,7 @@
         is_whole = sample.measurement is Measurement.whole
         if is_whole:
             self.accuracy.note(ratio / slowness, expected)
+        if is_whole and not is_gang:
             self.judge_worker(key, worker, ratio, expected)
         for owner in (kept_key(key), whole_queue(key)):
             histogram = self.histogram(owner)
@@ -162,7 +172,9 @@
         return Factors(
             longest=self.ratios(WorkKey(key.queue, key.step, longest=True)).quantile(MEDIAN),
             safe=ratios.quantile(SAFE_SHARE),
-            lucky=ratios.quantile(LUCKY_SHARE) if self.is_known(key) else 0,
+            lucky=ratios.quantile(LUCKY_SHARE) * self.speeds.fastest()
+            if self.is_known(key)
+            else 0,
         )
 
     def estimate(self, key: WorkKey) -> RatioDistribution:
@@ -257,6 +269,7 @@
         if len(self.known) > MAX_ANSWERS:
             self.known.clear()
             self.fresh.clear()
+            self.version += 1
 
 
 def whole_queue(key: WorkKey) -> WorkKey:
--- a/marigoldlift/runtimes/speeds.py
+++ b/marigoldlift/runtimes/speeds.py
@@ -133,6 +133,7 @@
     Attributes:
         common_group: level of the common failure domain and kind, in doublings.
         common_worker: level of the common worker beside that.
+        fastest_class: class of speed of the fastest worker.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -147,11 +148,18 @@
         self.workers = GroupSpeeds(WORKER_MEMORY, MAX_WORKERS, MAX_WORKER_STEP, may_change=True)
         self.common_group: float = 0
         self.common_worker: float = 0
+        self.fastest_class = 0
 
     def rebase(self) -> None:
         """Take the speed of the median failure domain, kind and worker for the common one."""
         self.common_group = self.failure_domains.common() + self.kinds.common()
         self.common_worker = self.workers.common()
+        lowest = min((level.doublings for level in self.workers.levels.values()), default=0)
+        self.fastest_class = math.floor((lowest - self.common_worker) * CLASSES_PER_DOUBLING)
+
+    def fastest(self) -> float:
+        """Return the slowness of the fastest worker, by its class."""
+        return math.exp2(self.fastest_class / CLASSES_PER_DOUBLING)
 
     def note(self, worker: Worker, deviation: float, weight: float) -> None:
         """Add a run.
--- a/marigoldlift/runtimes/tests/test_learner.py
+++ b/marigoldlift/runtimes/tests/test_learner.py
@@ -11,8 +11,10 @@
 from marigoldlift.runtimes.quantiles import AS_ESTIMATED
 from marigoldlift.runtimes.samples import Measurement, RunSample, measure
 from marigoldlift.runtimes.tests.conftest import KEY
-from marigoldlift.submissions.model import Step, TaskRef
+from marigoldlift.scheduling.tasks import JobRun
+from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId, TaskRef
 from marigoldlift.submissions.record_codec import decode_record, encode_record
+from marigoldlift.submissions.state import Job
 from marigoldlift.submissions.run_time_records import (
     KeptDistribution,
     KeptLevel,
@@ -51,6 +53,19 @@
     assert site.median(WorkKey('other', 0)) == 1
 
 
+def test_waiting_submission_follows_what_is_learned(site):
+    """Guards against learned times that never reach the submissions that wait."""
+    policy = Policy(KEY.queue, 'service', 1, 3, 2.0, 1000)
+    step = Step(count=1, estimate_ms=1000)
+    job = JobRun(Job(Submission(SubmissionId('job'), '', (step,), policy, 'e0'), 0, 0))
+    job.refresh_times(site.times)
+    assert job.objective_s == pytest.approx(3)
+    site.end_runs(64, 4)
+    job.refresh_times(site.times)
+    assert job.objective_s == pytest.approx(9, rel=0.1)
+    assert job.least_remaining_s(job.steps[0, 0]) == pytest.approx(4, rel=0.1)
+
+
 def test_tail_is_kept(site):
     """Guards against a point where a distribution with a heavy tail is needed."""
     rng = random.Random(1)
--- a/marigoldlift/scheduling/run_times.py
+++ b/marigoldlift/scheduling/run_times.py
@@ -67,13 +67,14 @@
             return
         sample = measure(ended.kind, known, work_began_at(step, known), self.times.clock())
         if sample is not None and step.step.estimate_ms > 0:
-            self.learn(step, session.worker, sample)
+            self.learn(step, self.slowest_of(step, session), sample)
 
     def learn(self, step: StepRun, worker: Worker, sample: RunSample) -> None:
         """Learn from the time of a run, and from the longest one once all tasks of the step are done."""
         self.new_ends += 1
         key = WorkKey(step.job.submission.policy.queue, step.number)
-        ratio = self.times.note(key, step.step.estimate_ms / MS_PER_S, worker, sample)
+        estimate_s = step.step.estimate_ms / MS_PER_S
+        ratio = self.times.note(key, estimate_s, worker, sample, is_gang=step.step.gang)
         if sample.measurement is not Measurement.whole:
             return
         ratios = self.ratios.setdefault(step, [])
@@ -82,6 +83,13 @@
             self.times.note_longest(key, max(ratios))
             self.ratios.pop(step)
 
+    def slowest_of(self, step: StepRun, session: WorkerSession) -> Worker:
+        """Return the worker of a run, or of the slowest member of a gang, which the others wait for."""
+        if not step.step.gang:
+            return session.worker
+        members = {other.worker.id: other.worker for other in step.active.values()}
+        return max((session.worker, *members.values()), key=self.times.slowness)
+
     def restore(self, summary: RunTimesSummary | None) -> None:
         """Start with the summary of an earlier leader, if there is one."""
         if summary is not None:
