--- a/marigoldlift/orders/reports.py
+++ b/marigoldlift/orders/reports.py
@@ -8,7 +8,7 @@
 from marigoldlift.orders.api import EndedRun, HeldRun, WorkerStatus
 from marigoldlift.orders.ends import EndList
 from marigoldlift.orders.observer import RunObserver
-from marigoldlift.orders.runs import UNKNOWN_DEMAND, Phase, Run, RunTable
+from marigoldlift.orders.runs import UNKNOWN_DEMAND, MeasuredSpan, Phase, Run, RunTable
 from marigoldlift.submissions.model import Step, TaskRef
 from marigoldlift.supervision import ItemKind
 
@@ -46,8 +46,11 @@
             self.observer.capacity_changed()
 
     def release_ended(self, known: Run, now: float) -> None:
-        """Remove a run that has ended, unless a later incarnation of the worker may start it again."""
-        if known.is_repeated and known.may_start_later(now):
+        """Remove a run that has ended, unless a later incarnation of the worker may have started it again.
+
+        Only a poll that is sent once no copy can be executed any more proves that there is none.
+        """
+        if known.is_repeated and known.may_outlive_lease(now):
             known.keep()
         else:
             self.release(known.task)
@@ -123,6 +126,8 @@
         if step is not None:
             adopted = Run(held.task, held.run, step, Phase.held, now)
             adopted.confirm(held, now)
+            if not step.gang:
+                adopted.measured = MeasuredSpan(now, held.percent / 100)
             self.run_table.take(adopted)
 
     def find_demand(self, held: HeldRun) -> Step | None:
--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -3,6 +3,8 @@
 import sys
 from enum import Enum
 
+import msgspec
+
 from marigoldlift.orders.api import HeldRun, Worker
 from marigoldlift.submissions.model import Step, TaskRef
 
@@ -11,6 +13,8 @@
     'UNKNOWN_DEMAND',
     'UNLEASED_EXPIRY_S',
     'HeldTasks',
+    'MeasuredSpan',
+    'Order',
     'Phase',
     'Run',
     'RunTable',
@@ -38,6 +42,26 @@
     stopping = 'stopping'
 
 
+class Order(Enum):
+    """Whether the start of a run was sent, and whether with a ticket."""
+
+    unsent = 'unsent'
+    plain = 'plain'
+    ticketed = 'ticketed'
+
+
+class MeasuredSpan(msgspec.Struct, frozen=True):
+    """Part of a run whose time is measured, from which the time of the whole run is derived.
+
+    Attributes:
+        since: its beginning, in seconds of the monotonic clock.
+        share_before: share of the work that was done before.
+    """
+
+    since: float
+    share_before: float = 0
+
+
 class Run:
     """A run that occupies resources of a worker.
 
@@ -48,24 +72,25 @@
         listed: a status poll of the session's own incarnation of the worker has listed it.
         fence: lowest fencing token that, once the worker has seen it, makes it reject the unanswered start; None if
             none was raised after the start.
-        is_ordered: whether its start was sent.
+        ordered: whether its start was sent, and with a ticket, which no later incarnation of the worker accepts.
         is_repeated: whether the start may have been sent more than once, so that a copy of it may be left although one was
             executed.
-        is_ticketed: whether the start carries a ticket, which no later incarnation of the worker accepts.
         tenure: tenure of the earlier leader that has ordered its start, None for this one.
         doubted_at: when the start became one that a later incarnation of the worker, which has not seen the fence, may
             execute; in seconds of the monotonic clock, None if there is no such start.
+        measured: part of the run whose time is measured; None if its beginning is unknown, or it was resumed from a saved
+            state.
     """
 
     __slots__ = (
         'checkpoint',
         'doubted_at',
         'fence',
-        'is_ordered',
         'is_repeated',
-        'is_ticketed',
         'listed',
+        'measured',
         'moved_at',
+        'ordered',
         'percent',
         'phase',
         'run',
@@ -90,19 +115,18 @@
         self.stop_sent_at: float | None = None
         self.unanswered = phase is Phase.sent
         self.fence: int | None = None
-        self.is_ordered = False
+        self.ordered = Order.unsent
         self.is_repeated = False
-        self.is_ticketed = False
         self.tenure: int | None = None
         self.doubted_at: float | None = None
         self.listed = False
         self.percent: float = 0
         self.checkpoint = ''
+        self.measured: MeasuredSpan | None = None
 
     def order(self, ticket: str) -> None:
         """Record that the start is sent with a ticket, which is empty if the queue uses none."""
-        self.is_ordered = True
-        self.is_ticketed = bool(ticket)
+        self.ordered = Order.ticketed if ticket else Order.plain
         self.tenure = None
 
     def adopt(self, tenure: int, token: int, ordered_at: float) -> None:
@@ -113,7 +137,7 @@
             token: token that, once the worker has seen it, makes it reject the order.
             ordered_at: latest time of the order, in seconds of the monotonic clock.
         """
-        self.is_ordered = True
+        self.ordered = Order.plain
         self.tenure = tenure
         self.fence = token
         self.doubted_at = ordered_at
@@ -137,6 +161,11 @@
         if self.phase is Phase.sent:
             self.phase = Phase.held
 
+    def note_begun(self, now: float) -> None:
+        """Record that the worker has answered the start, with which the work begins."""
+        if not self.checkpoint:
+            self.measured = MeasuredSpan(now)
+
     def stop(self, now: float) -> None:
         """Record that a stop was sent."""
         self.phase = Phase.stopping
@@ -144,7 +173,7 @@
 
     def mark_uncertain(self, token: int, now: float) -> None:
         """Mark the start as unanswered until a status poll under at least this token shows its outcome."""
-        if self.is_ordered and self.unanswered and self.fence is None and not self.is_ticketed:
+        if self.ordered is Order.plain and self.unanswered and self.fence is None:
             self.doubted_at = now
         self.unanswered = True
         self.fence = token
@@ -176,8 +205,9 @@
         return self.since < sent_at and self.fence is not None and token >= self.fence
 
     def repeat(self) -> None:
-        """Record that the start is to be sent again."""
+        """Record that the start is to be sent again, now by this leader: its copies may be executed from then on."""
         self.is_repeated = True
+        self.tenure = None
         self.fence = None
 
     def keep(self) -> None:
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -141,6 +141,7 @@
         self.last_answer_at = self.now()
         self.clock.note(clock_ms, self.last_answer_at)
         known.note_executed(self.last_answer_at)
+        known.note_begun(self.last_answer_at)
         return True
 
     def give_up_runs(self) -> int:
@@ -167,11 +168,11 @@
                 since each raise makes the worker refuse the starts under way.
         """
         logger.info(
-            'start in doubt: task={} run={} worker={} ticketed={} {}',
+            'start in doubt: task={} run={} worker={} ordered={} {}',
             known.task.name,
             known.run,
             self.worker.id,
-            known.is_ticketed,
+            known.ordered.value,
             fault,
         )
         if self.run_table.runs.get(known.task) is known:
--- a/marigoldlift/orders/tests/test_runs.py
+++ b/marigoldlift/orders/tests/test_runs.py
@@ -3,7 +3,15 @@
 import pytest
 
 from marigoldlift.orders.api import Worker
-from marigoldlift.orders.runs import HeldTasks, Phase, Run, RunTable
+from marigoldlift.orders.runs import (
+    LATE_ORDER_S,
+    UNLEASED_EXPIRY_S,
+    HeldTasks,
+    Phase,
+    Run,
+    RunTable,
+)
+from marigoldlift.scheduling.session_manager import has_ended_with
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 
 WORKER = Worker('w', '10.0.0.1:80', 'a', 'service', True, 1, 8000, 8000, 0, ())
@@ -51,3 +59,20 @@
     assert [held_tasks.is_held(run_of(index).task) for index in range(3)] == [False, True, False]
     replaced.pop(run_of(0).task)
     replaced.pop(run_of(2).task)
+
+
+def test_repeated_start_counts_as_this_leaders():
+    """Guards against a start elsewhere while a copy is left: its bound was that of the leader who had sent it first."""
+    known = run_of(0)
+    known.adopt(tenure=3, token=4, ordered_at=0)
+    known.repeat()
+    assert known.tenure is None
+
+
+def test_restart_noticed_late_proves_nothing():
+    """Guards against a second run of a task whose late start was executed by an incarnation that is noticed after the bound."""
+    known = run_of(0)
+    known.adopt(tenure=3, token=4, ordered_at=0)
+    known.listed = True
+    assert not has_ended_with(known, LATE_ORDER_S + 1)
+    assert has_ended_with(known, UNLEASED_EXPIRY_S + 1)
--- a/marigoldlift/platform/node_settings.py
+++ b/marigoldlift/platform/node_settings.py
@@ -22,6 +22,9 @@
 MIN_WINDOW_S = 1
 MAX_WINDOW_S = 3600
 
+#: Values of a field that switches something.
+SWITCH = MappingProxyType({'on': True, 'off': False})
+
 #: The only value of `orders`, the way in which workers get their orders, that this program supports.
 SUPPORTED_ORDERS = 'call'
 
@@ -64,6 +67,7 @@
         strict_key_withdrawal: whether that holds for entries that do not reach the store, too.
         needs_keys: whether callers need keys even if the configuration names no workspaces.
         shares: how far a workspace may exceed its weight before its submissions may be refused.
+        learns_run_times: whether run times and speeds of workers are learned and used; optional, off by default.
     """
 
     node: str
@@ -87,6 +91,7 @@
     strict_key_withdrawal: bool
     needs_keys: bool
     shares: ShareLimits = ShareLimits()
+    learns_run_times: bool = False
 
 
 class SettingsLines:
@@ -151,6 +156,14 @@
             self.errors.append(f'{path}: {content!r} is not of the form IP:PORT')
         return content
 
+    def switch(self, path: str, default: str) -> bool:
+        """Return a field that has to hold `on` or `off`."""
+        content = self.text(path, default)
+        if content not in SWITCH:
+            self.errors.append(f'{path}: {content!r} is not valid; allowed: {", ".join(SWITCH)}')
+            return False
+        return SWITCH[content]
+
     def port(self, path: str) -> int:
         """Return the first port of a required field that lists ports."""
         first = self.text(path).partition(',')[0]
@@ -175,9 +188,13 @@
     )
 
 
-def parse_node_settings(text: str) -> NodeSettings:
+def parse_node_settings(text: str, learn_run_times: str = 'off') -> NodeSettings:
     """Parse the text of a settings file.
 
+    Args:
+        text: the text.
+        learn_run_times: value of `learning.run_times` if the file has no such line.
+
     Raises:
         SettingsError: fields are missing or invalid; it lists all of them with path and value.
     """
@@ -207,6 +224,7 @@
         strict_key_withdrawal=lines.flag('bounds.strict_revoke'),
         needs_keys=KEYS_CONTRACT in lines.text('contracts', '').split(','),
         shares=parse_share_limits(lines),
+        learns_run_times=lines.switch('learning.run_times', learn_run_times),
     )
     if lines.errors:
         raise SettingsError(tuple(lines.errors))
--- a/marigoldlift/scheduling/placement.py
+++ b/marigoldlift/scheduling/placement.py
@@ -1,15 +1,21 @@
 """Selection of workers for the tasks of a step."""
 
 import itertools
-from collections.abc import Callable, Iterable, Mapping, Sequence
+import time
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.runtimes.api import EstimatesAlone, ExpectedTimes
+from marigoldlift.runtimes.decisions import speed_rank
+from marigoldlift.runtimes.speeds import slowest_class
 from marigoldlift.scheduling.worker_health import WorkerHealth
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Step
 
 __all__ = ('Placer', 'fitting_tasks')
 
+MS_PER_S = 1000
+
 #: How long a task avoids the workers on which it has failed, counted from its last failure, in s.
 AVOID_S = 2.5
 
@@ -31,19 +37,30 @@
 
 
 class Placer:
-    """Selects workers with enough free capacity for the tasks of a step."""
+    """Selects workers with enough free capacity for the tasks of a step.
+
+    Attributes:
+        times: expected run times and speeds of workers.
+        is_tight: whether little of the service is free, so that tasks that have time leave the fast workers to others.
+    """
 
     def __init__(
-        self, health_of: Callable[[str], WorkerHealth], clock: Callable[[], float]
+        self,
+        health_of: Callable[[str], WorkerHealth],
+        clock: Callable[[], float],
+        times: ExpectedTimes | None = None,
     ) -> None:
         """Keep the health records and the clock.
 
         Args:
             health_of: returns the failure record of a worker id.
             clock: monotonic clock in seconds.
+            times: expected run times and speeds of workers; None for the estimates alone.
         """
         self.health_of = health_of
         self.clock = clock
+        self.times: ExpectedTimes = times or EstimatesAlone()
+        self.is_tight = False
 
     def placeable_tasks(self, session: WorkerSession, step_run: StepRun) -> int:
         """Return how many more tasks of the step the worker may get, by free capacity and spread limit."""
@@ -60,16 +77,36 @@
         tasks = {session: self.placeable_tasks(session, step_run) for session in sessions}
         return {session: count for session, count in tasks.items() if count}
 
-    def score(self, session: WorkerSession, step_run: StepRun) -> tuple[bool, bool, int]:
+    def score(
+        self, session: WorkerSession, step_run: StepRun, slowest: int | None = None
+    ) -> tuple[bool, bool, int, int]:
         """Return the sort key of a worker; the lowest is preferred.
 
-        Healthy workers come before suspect ones, then workers in the rack of the data, then those with the least free
-        CPU, so that tasks are packed tightly.
+        Healthy workers come before suspect ones, then workers in the rack of the data, then those of the right speed, then
+        those with the least free CPU, so that tasks are packed tightly.
+
+        Args:
+            session: session with the worker.
+            step_run: step to place.
+            slowest: what `slowest_in_time` returns for the step.
         """
         now = self.clock()
         suspect = self.health_of(session.worker.id).is_suspect(now)
         rack = step_run.step.data_rack
-        return (suspect, bool(rack) and rack not in session.worker.labels, session.run_table.cpu_m)
+        return (
+            suspect,
+            bool(rack) and rack not in session.worker.labels,
+            speed_rank(self.times.speed_class(session.worker), slowest),
+            session.run_table.cpu_m,
+        )
+
+    def slowest_in_time(self, step_run: StepRun) -> int | None:
+        """Return the slowest class of workers on which a task is in time if it shall leave faster ones free, else None."""
+        job = step_run.job
+        if not self.is_tight or job.is_urgent or step_run.step.gang or step_run.step.long_running:
+            return None
+        left_s = job.slack_s(step_run, self.clock(), time.time() * MS_PER_S)
+        return slowest_class(job.safe_s[step_run.number], left_s)
 
     def place_one(
         self, step_run: StepRun, index: int, sessions: Sequence[WorkerSession], *, overdue: bool
@@ -84,6 +121,7 @@
         """
         failed_on = step_run.avoid.get(index, {})
         avoided = set() if overdue else self.avoided(failed_on)
+        slowest = self.slowest_in_time(step_run)
         fitting = [
             session
             for session in sessions
@@ -91,7 +129,10 @@
         ]
         return min(
             fitting,
-            key=lambda session: (session.worker.id in failed_on, *self.score(session, step_run)),
+            key=lambda session: (
+                session.worker.id in failed_on,
+                *self.score(session, step_run, slowest),
+            ),
             default=None,
         )
 
@@ -135,13 +176,32 @@
         usable = [session for session in sessions if session.worker.id not in avoided]
         if not self.has_room(step_run, usable):
             return None
-        groups = self.group_by_rack(usable) if step_run.step.same_rack else []
-        for group in (*groups, *self.group_by_failure_domain(usable), usable):
+        for group in self.gang_groups(step_run, usable):
             places = self.pack(step_run, group)
             if places is not None:
                 return places
         return None
 
+    def gang_groups(
+        self, step_run: StepRun, usable: Sequence[WorkerSession]
+    ) -> Iterator[Sequence[WorkerSession]]:
+        """Yield the groups of workers to try for a gang, the best first.
+
+        A gang is as slow as its slowest member, so that fast workers of all failure domains come before slow ones of a
+        single domain.
+        """
+        classes = [self.times.speed_class(session.worker) for session in usable]
+        by_speed = [
+            [session for session, own in zip(usable, classes, strict=True) if own <= slowest]
+            for slowest in sorted(set(classes))
+        ]
+        if step_run.step.same_rack:
+            yield from itertools.chain.from_iterable(map(self.group_by_rack, by_speed))
+        for fast in by_speed:
+            if self.has_room(step_run, fast):
+                yield from self.group_by_failure_domain(fast)
+                yield fast
+
     def has_room(self, step_run: StepRun, sessions: Iterable[WorkerSession]) -> bool:
         """Return whether all tasks of a step fit at once; stops counting as soon as they do."""
         missing = step_run.step.count
@@ -173,8 +233,8 @@
     ) -> list[WorkerSession] | None:
         """Return a worker for each task of a gang, None if they don't all fit.
 
-        Healthy workers come first, and among them those that can hold the most tasks, so that the gang uses few
-        workers.
+        Healthy workers come first, then fast ones, since a gang is as slow as its slowest member, and among them those that
+        can hold the most tasks, so that the gang uses few workers.
         """
         needed = step_run.step.count
         now = self.clock()
@@ -182,6 +242,7 @@
             sessions,
             key=lambda candidate: (
                 self.health_of(candidate.worker.id).is_suspect(now),
+                self.times.speed_class(candidate.worker),
                 -self.placeable_tasks(candidate, step_run),
             ),
         )
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -10,7 +10,7 @@
 from marigoldlift.orders.api import Worker, WorkerCalls
 from marigoldlift.orders.observer import RunObserver
 from marigoldlift.orders.polling import poll_continuously
-from marigoldlift.orders.runs import HeldTasks, Run
+from marigoldlift.orders.runs import HeldTasks, Order, Run
 from marigoldlift.orders.session import SUSPECT_S, WorkerSession, give_up_late_starts
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.earlier_orders import EarlierOrders
@@ -326,7 +326,7 @@
 
 def has_ended_with(known: Run, now: float) -> bool:
     """Return whether a run has certainly ended with the incarnation of its worker."""
-    return (known.listed or not known.is_ordered) and not known.may_start_later(now)
+    return (known.listed or known.ordered is Order.unsent) and not known.may_outlive_lease(now)
 
 
 def restarted_worker(worker: Worker, born_ms: int) -> Worker:
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -139,7 +139,7 @@
             return self.repeated(submission.id, caller)
         answer = await self.store(admitted, timeout_s)
         if answer is AcceptanceResult.refused:
-            self.admission.withdraw(submission.id)
+            self.admission.withdraw(submission)
         return answer
 
     def refuse(self, submission: Submission, reason: str) -> AcceptanceResult:
--- a/marigoldlift/submissions/share_admission.py
+++ b/marigoldlift/submissions/share_admission.py
@@ -18,6 +18,7 @@
 from marigoldlift.scheduling.service_order import WORTHLESS_FACTOR
 from marigoldlift.scheduling.tasks import chains_s, objective_s
 from marigoldlift.submissions.model import Submission, SubmissionId
+from marigoldlift.submissions.record_codec import scoped_name
 from marigoldlift.submissions.records import Backlog
 from marigoldlift.submissions.state import CellState
 from marigoldlift.telemetry.metric_table import Metric
@@ -26,6 +27,8 @@
 
 __all__ = ('ServiceLoad', 'ShareAdmission', 'refusal_s', 'retry_after_s', 'spare_s')
 
+MS_PER_S = 1000
+
 #: How long a refusal waits for the log to tell whether the submission was accepted before, in s; the log usually answers
 #: in 4 ms. Without an answer the submission is not refused here.
 CHECK_S = 0.3
@@ -37,6 +40,9 @@
 #: Shortest time after which a refused caller is asked to come back, in s; entries know the backlog that late.
 MIN_RETRY_S = 0.25
 
+#: Longest such time, in s: the load may have passed much sooner than the backlog says.
+MAX_RETRY_S = 10
+
 #: Number of values of the hash that spreads callers.
 HASH_RANGE = 4_294_967_296
 
@@ -52,11 +58,11 @@
     """A submission that was counted before it was read from the log.
 
     Attributes:
-        submission: the submission with its mark.
+        ahead_s: its mark.
         counted_at: in seconds of the monotonic clock.
     """
 
-    submission: Submission
+    ahead_s: float
     counted_at: float
 
 
@@ -66,7 +72,8 @@
     The mark is a part of the stored submission, so that all entries and each later leader order it alike.
 
     Attributes:
-        counted: submissions that this entry has counted and not read from the log yet, the oldest first.
+        counted: submissions that this entry has counted and not read from the log yet, by id within their workspace, the
+            oldest first.
     """
 
     def __init__(
@@ -94,7 +101,7 @@
         self.replica = replica
         self.clock = clock
         self.metrics = metrics
-        self.counted: dict[SubmissionId, CountedSubmission] = {}
+        self.counted: dict[str, CountedSubmission] = {}
 
     async def admit(self, submission: Submission) -> Submission | None:
         """Return the submission with its mark, or None if the log holds it already.
@@ -112,7 +119,7 @@
 
     def refusal_of(self, submission: Submission) -> float:
         """Return after which time a submission that is to be refused may come back, in s; 0 if it is not refused."""
-        if submission.id in self.counted:
+        if name_of(submission) in self.counted:
             return 0
         standing = self.shares.standing(submission.workspace)
         return refusal_s(standing, self.backlog_s(submission), spare_s(submission))
@@ -157,9 +164,9 @@
     def mark(self, submission: Submission) -> Submission:
         """Return a submission with its mark, and count it; a repeated one is counted once."""
         self.forget_old()
-        known = self.counted.get(submission.id)
+        known = self.counted.get(name_of(submission))
         if known is not None:
-            return known.submission
+            return msgspec.structs.replace(submission, ahead_s=known.ahead_s)
         standing = self.shares.standing(submission.workspace)
         if not standing.weight:
             return submission
@@ -168,18 +175,18 @@
             marked = msgspec.structs.replace(submission, ahead_s=standing.ahead_s)
             self.metrics.add(Metric.submissions_beyond_share, workspace=submission.workspace)
         self.shares.count(marked.workspace, marked.ahead_s)
-        self.counted[marked.id] = CountedSubmission(marked, self.clock())
+        self.counted[name_of(marked)] = CountedSubmission(marked.ahead_s, self.clock())
         return marked
 
-    def withdraw(self, name: SubmissionId) -> None:
+    def withdraw(self, submission: Submission) -> None:
         """Take back the count of a submission that is not stored and will not be."""
-        known = self.counted.pop(name, None)
+        known = self.counted.pop(name_of(submission), None)
         if known is not None:
-            self.shares.withdraw(known.submission.workspace, known.submission.ahead_s)
+            self.shares.withdraw(submission.workspace, known.ahead_s)
 
     def observe(self, offset: int, submission: Submission) -> None:
         """Count an acceptance that was read from the log, unless it was counted here or repeats an earlier one."""
-        if self.counted.pop(submission.id, None) is not None:
+        if self.counted.pop(name_of(submission), None) is not None:
             return
         job = self.state.jobs.get(submission.id)
         if job is not None and job.offset == offset:
@@ -194,6 +201,11 @@
             self.counted.pop(name)
 
 
+def name_of(submission: Submission) -> str:
+    """Return the id of a submission within its workspace; another workspace may use the same id."""
+    return scoped_name(submission.id, submission.workspace)
+
+
 def refusal_s(standing: Standing, backlog_s: float, spare_time_s: float) -> float:
     """Return after which time a refused submission may come back, in s; 0 if it is not refused.
 
@@ -214,7 +226,7 @@
 def retry_after_s(name: SubmissionId, pause_s: float) -> float:
     """Return when a refused caller should come back, in s: callers are spread over once more the pause."""
     spread = zlib.crc32(name.encode()) / HASH_RANGE
-    return max(MIN_RETRY_S, pause_s) * (1 + spread)
+    return min(MAX_RETRY_S, max(MIN_RETRY_S, pause_s)) * (1 + spread)
 
 
 def spare_s(submission: Submission) -> float:
@@ -224,5 +236,6 @@
     """
     if submission.first_due_ms or any(step.long_running for step in submission.steps):
         return math.inf
-    longest_chain_s = max(chains_s(submission.steps), default=0)
+    estimates_s = [step.estimate_ms / MS_PER_S for step in submission.steps]
+    longest_chain_s = max(chains_s(submission.steps, estimates_s), default=0)
     return WORTHLESS_FACTOR * objective_s(submission, longest_chain_s) - longest_chain_s
--- a/marigoldlift/submissions/tests/test_share_admission.py
+++ b/marigoldlift/submissions/tests/test_share_admission.py
@@ -111,7 +111,7 @@
         cell.admission.observe(offset, marked)
     assert cell.admission.shares.usages[SURGE].sent == pytest.approx(1)
     cell.admission.mark(submission('refused'))
-    cell.admission.withdraw(SubmissionId('refused'))
+    cell.admission.withdraw(submission('refused'))
     assert cell.admission.shares.usages[SURGE].sent == pytest.approx(1)
 
 
@@ -123,3 +123,13 @@
     cell = FakeCell(backlog_s=10)
     await cell.send(SENT)
     assert await cell.admission.admit(msgspec.structs.replace(submission('later'), **fields))
+
+
+async def test_repeated_id_keeps_only_its_mark():
+    """Guards against an older policy, or the submission of another workspace, that is stored for a repeated id."""
+    cell = FakeCell(backlog_s=0)
+    first = cell.admission.mark(submission('one'))
+    newer = msgspec.structs.replace(submission('one'), content='newer')
+    assert cell.admission.mark(newer) == msgspec.structs.replace(newer, ahead_s=first.ahead_s)
+    foreign = msgspec.structs.replace(newer, workspace='other')
+    assert cell.admission.mark(foreign).workspace == 'other'
