--- a/marigoldlift/scheduling/cap_report.py
+++ b/marigoldlift/scheduling/cap_report.py
@@ -18,8 +18,9 @@
 MAX_REPORTED = 5
 MAX_GAUGES = 60
 
-#: States of a workspace in the metrics: lower bound of the share of its cap that is in use, the highest first.
-STATES = ((1.0, 'full'), (0.5, 'above_half'), (0, 'below_half'))
+#: States of a workspace in the metrics: lower bound of the share of its cap that is in use, the highest first. A whole task
+#: more rarely fits above nine tenths.
+STATES = ((0.9, 'full'), (0.5, 'above_half'), (0, 'below_half'))
 
 
 def report_waiting(
--- a/marigoldlift/scheduling/tests/test_workspace_caps.py
+++ b/marigoldlift/scheduling/tests/test_workspace_caps.py
@@ -10,6 +10,7 @@
 from marigoldlift.leadership.earlier_leaders import EarlierLeaders
 from marigoldlift.orders.api import Worker
 from marigoldlift.orders.runs import UNKNOWN_DEMAND, HeldTasks, Phase, Run, RunTable
+from marigoldlift.scheduling.cap_report import set_cap_gauges
 from marigoldlift.scheduling.tasks import JobRun, PendingReason
 from marigoldlift.scheduling.workspace_caps import CONFIGURATION_LAG_S, WorkspaceCaps
 from marigoldlift.scheduling.workspace_usage import ResourceUse, WorkspaceUsage, fitting_in_cap
@@ -23,6 +24,8 @@
 )
 from marigoldlift.submissions.records import Outcome, Progress, StepProgress, UnansweredStart
 from marigoldlift.submissions.state import CellState, Job
+from marigoldlift.telemetry.metric_table import Metric
+from marigoldlift.telemetry.metrics import Metrics
 from marigoldlift.workspaces.directory import WorkspaceDirectory
 from marigoldlift.workspaces.model import ResourceCap, Workspace
 
@@ -225,6 +228,18 @@
     assert (caps.pending_reason(step) is PendingReason.cap_unknown) == (not admitted)
 
 
+def test_gauges_show_the_share_of_the_cap(directory, manager, caps):
+    """Guards against a workspace at its cap that operators cannot tell from one without work."""
+    directory.replace(2, [LAB, Workspace('club', cap=LAB.cap), Workspace('free')])
+    for index in range(3):
+        manager.sessions['w0'].run_table.take(run_of('job', 0, index, Step(count=3, cpu_m=1300)))
+    metrics = Metrics()
+    set_cap_gauges(caps, metrics)
+    assert metrics.numbers[Metric.workspace_cap_share] == {('lab',): 0.975, ('club',): 0}
+    assert metrics.number(Metric.workspaces, state='full') == 1
+    assert metrics.number(Metric.workspaces, state='below_half') == 1
+
+
 def test_withdrawn_workspace_keeps_its_last_cap(directory):
     """Guards against accepted work that runs without its limit, or never, once its workspace was withdrawn."""
     directory.replace(2, [])
