Check a start once more after its placement is stored

A placement waits for the store, up to seconds in an outage; a cap that was lowered meanwhile has been in force for longer than an older one may be used by then.

--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -62,6 +62,10 @@
         """Return whether this tenure may send orders now."""
         return self.election.tenure == self.tenure and self.election.may_act()
 
+    def still_admits(self, step: StepRun) -> bool:
+        """Return whether the cap of a step's workspace still admits a start that was placed."""
+        return self.open_submissions.planner.caps.still_admits(step)
+
     def handling_failed(self, kind: ItemKind, name: str, fault: Exception) -> None:
         """Log and count an exception that a listed run or end has caused."""
         self.faults.note(kind, name, fault)
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -29,6 +29,9 @@
     def may_act(self) -> bool:
         """Return whether this tenure may send orders now."""
 
+    def still_admits(self, step: StepRun) -> bool:
+        """Return whether the cap of a step's workspace still admits a start that was placed."""
+
     def step_requeued(self, step: StepRun) -> None:
         """Queue a step again after one of its tasks was requeued."""
 
@@ -129,6 +132,8 @@
             return False
         if step.active.get(ordered.task.index) is not session or ordered.phase is not Phase.sent:
             return False
+        if not self.events.still_admits(step):
+            return False
         return step.job.submission.policy.advice is None or step.holds_ticket(
             session.worker.id, self.clock()
         )
--- a/marigoldlift/scheduling/workspace_caps.py
+++ b/marigoldlift/scheduling/workspace_caps.py
@@ -29,6 +29,10 @@
 #: after 3 s.
 CONFIGURATION_LAG_S = 1.0
 
+#: How long after a change of the configuration starts are checked once more before they are ordered, in s; a placement
+#: waits for the store before that, and an outage takes 5 s.
+RECHECK_S = 10
+
 #: Share of its cap above which a workspace may be what keeps a step waiting, by the platform's rules.
 BUSY_SHARE = 0.5
 
@@ -42,6 +46,8 @@
             steps of the same workspace.
         claimed: what the tasks of each workspace need whose questions to the advice are under way.
         starting: gangs of which some members were started before the pass.
+        version: version of the configuration in the last pass.
+        changed_at: when the first pass with that version began, in seconds of the monotonic clock.
     """
 
     def __init__(
@@ -64,6 +70,8 @@
         self.reserved: dict[WorkspaceId, StepRun] = {}
         self.claimed: UsageByWorkspace = {}
         self.starting: set[StepRun] = set()
+        self.version = directory.version
+        self.changed_at = clock()
 
     def begin_pass(self, waiting: Iterable[StepRun]) -> None:
         """Begin a pass; what runs is derived anew once a step of a workspace asks.
@@ -71,6 +79,9 @@
         Args:
             waiting: steps with tasks to start.
         """
+        if self.version != self.directory.version:
+            self.version = self.directory.version
+            self.changed_at = self.clock()
         self.used = None
         self.reserved = {}
         self.claimed = {}
@@ -91,6 +102,20 @@
             return len(step.todo)
         return tasks_to_start(step, fitting_in_cap(cap, self.used_beside(step), step.step))
 
+    def still_admits(self, step: StepRun) -> bool:
+        """Return whether a start that the pass has placed may still be ordered: its cap may have been lowered since.
+
+        Members of a gang are ordered all the same, since those that were ordered already wait for them.
+        """
+        if step.job.submission.workspace == NO_WORKSPACE or step.step.gang:
+            return True
+        is_settled = self.clock() - self.changed_at > RECHECK_S
+        cap = self.find_cap(step)
+        if cap is None or (is_settled and self.version == self.directory.version):
+            return cap is not None
+        used = self.usage.derive(self.starting).get(step.job.submission.workspace)
+        return used is None or used.tasks == 1 or used.share(cap) <= 1
+
     def room_to_ask(self, step: StepRun, admitted: int) -> int:
         """Return for how many of its admitted tasks a step without tickets may ask the advice.
 
--- a/tests/cell/test_workspace_caps.py
+++ b/tests/cell/test_workspace_caps.py
@@ -87,6 +87,30 @@
     run_scenario(scenario)
 
 
+def test_cap_is_lowered_while_placements_are_stored(run_scenario):
+    """Guards against starts that were placed under an older cap and ordered seconds later, once the store has answered."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 2)
+        cell.set_cap('lab', cpu_m=8000)
+        progress = cell.leader().node.dispatcher.progress
+        store = progress.store_now
+
+        async def store_slowly(job):
+            await asyncio.sleep(CAP_APPLY_S + 1)
+            await store(job)
+
+        progress.store_now = store_slowly
+        await cell.submit(cell.leader(), 'job', TASKS, 'lab')
+        await asyncio.sleep(0.5)
+        progress.store_now = store
+        cell.set_cap('lab', cpu_m=2000)
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario)
+
+
 def test_cap_holds_back_no_others_and_gangs_run_whole(run_scenario):
     """Guards against work that waits behind a workspace at its cap, and against a gang that its own tasks keep out."""
 
