Old records of superseded leaders do not count from when a restarted entry reads them

An earlier leader's last effective renewal was sent before the next tenure began, so its orders end 4 s after that. Renewals carry the age of their tenure, and a reader limits all earlier tenures by it.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -152,6 +152,7 @@
     def begin_tenure(self, offset: int) -> None:
         """Become the leader."""
         self.tenure = offset
+        self.earlier_leaders.superseded_at = self.clock()
         self.may_hand_over = not self.is_indirect()
         logger.info('leadership begins: tenure={}', offset)
         self.notify_observers()
@@ -269,6 +270,7 @@
             released=released,
             renews=NEW_TENURE if renews is None else renews,
             response_s=self.appender.last_response_s,
+            age_s=0 if renews is None else self.sent_at - self.earlier_leaders.superseded_at,
         )
         try:
             await self.appender.append(record, RENEWAL_WAIT_S)
--- a/marigoldlift/leadership/tests/test_earlier.py
+++ b/marigoldlift/leadership/tests/test_earlier.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from marigoldlift.leadership.earlier_leaders import (
@@ -54,3 +55,19 @@
     for tenure in range(2 * TENURES_KEPT):
         earlier.note_end('c1', tenure)
     assert len(earlier.tenures) == TENURES_KEPT
+
+
+async def test_old_record_of_a_superseded_leader_does_not_count_from_when_it_is_read():
+    """Guards against tasks of a lost worker that wait 4 s longer, since a restarted leader reads old records anew."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(100)
+    earlier = EarlierLeaders('c', loop.time)
+    earlier.note(record('a1'), 1)
+    earlier.note(msgspec.structs.replace(record('b1'), renews=2, age_s=3), 2)
+    assert earlier.active_until == {'a1': 101, 'b1': 104}
+    assert (earlier.ended_by(1), earlier.ended_by(2)) == (101, 104)
+    await asyncio.sleep(10)
+    earlier.note(msgspec.structs.replace(record('a1'), renews=1, age_s=50), 1)
+    earlier.note(record('d1'), 3)
+    earlier.note(msgspec.structs.replace(record('b1'), renews=2, age_s=13), 2)
+    assert earlier.active_until == {'a1': 101, 'b1': 114, 'd1': 114}
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -104,6 +104,7 @@
         address: address at which other entries reach it.
         renews: number of the tenure that it renews or releases; `NEW_TENURE` for a claim, which begins one.
         response_s: how long the sender's last append took, in s.
+        age_s: time since the sender read that its tenure has begun, in s; 0 if that is not known.
     """
 
     node: str
@@ -114,6 +115,7 @@
     released: bool = False
     renews: int = NEW_TENURE
     response_s: float = 0
+    age_s: float = 0
 
 
 class Finished(Record, tag='f'):
