A start that waited for the store is not sent to a worker that became silent meanwhile

A placement that takes 2.5 s to be stored is followed by a start to a worker that has not answered for that time; it stays without an answer, and the task waits 12 s for late copies. The start is now dropped before it is sent, and the task placed anew.

--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -88,7 +88,11 @@
 
     def answers(self) -> bool:
         """Return whether the worker has answered recently enough to get new work."""
-        return self.synced and self.now() - self.last_answer_at < SUSPECT_S
+        return self.synced and self.is_heard()
+
+    def is_heard(self) -> bool:
+        """Return whether the worker has answered recently."""
+        return self.now() - self.last_answer_at < SUSPECT_S
 
     def knows_earlier_runs(self) -> bool:
         """Return whether every run of earlier leaders is known, as running or with its end."""
@@ -246,7 +250,7 @@
 
         The lease of a lost worker so ends as early as its last answered poll allows.
         """
-        if self.poll_failed or now - self.last_answer_at >= SUSPECT_S:
+        if self.poll_failed or not self.is_heard():
             return None
         if self.ends.is_stalled(now):
             return None
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -159,6 +159,8 @@
             return False
         if step.active.get(ordered.task.index) is not session or ordered.phase is not Phase.sent:
             return False
+        if not session.is_heard():
+            return False
         return step.job.submission.policy.advice is None or step.holds_ticket(
             session.worker.id, self.clock()
         )
