A leader that loses its tenure to another claim says that it has ended

It stores nothing about its end, so that tasks of lost workers wait until its claim would have expired, 4 s later. It now stores a release of the lost tenure, which has no other effect; a takeover that has begun counts it too, since the earlier of two bounds holds.

--- a/marigoldlift/leadership/earlier_leaders.py
+++ b/marigoldlift/leadership/earlier_leaders.py
@@ -61,8 +61,9 @@
 
     def note_until(self, life: str, tenure: int, until: float) -> None:
         """Record how long an incarnation may send orders in its newest tenure."""
-        self.newest_tenures[life] = tenure
-        self.active_until[life] = self.limited(tenure, until)
+        if tenure >= self.newest_tenures.get(life, tenure):
+            self.newest_tenures[life] = tenure
+            self.active_until[life] = self.limited(tenure, until)
         self.note_tenure(tenure, until)
 
     def note_age(self, tenure: int, age_s: float) -> None:
--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -141,6 +141,7 @@
         if mine and not record.released and not self.retired:
             self.confirm(record, offset)
         elif self.tenure is not None:
+            self.tenures.unreleased = self.tenure
             self.end_tenure(record.node)
 
     def confirm(self, record: Leadership, offset: int) -> None:
@@ -212,6 +213,7 @@
     async def run(self) -> None:
         """Claim, renew and hand over until cancelled."""
         while True:
+            await release_lost_tenure(self)
             if self.should_hand_over():
                 await self.hand_over('reaches the log only through another entry')
             elif self.should_renew():
@@ -289,6 +291,17 @@
             await self.hand_over('released')
 
 
+async def release_lost_tenure(election: Election) -> None:
+    """Store that an entry sends no more orders in a tenure that another one has ended.
+
+    Without the record, later leaders take its orders as possible until its last renewal has expired.
+    """
+    tenure = election.tenures.unreleased
+    if tenure is not None:
+        election.tenures.unreleased = None
+        await election.write(renews=tenure, released=True)
+
+
 def tenure_of(record: Leadership, offset: int) -> int:
     """Return the number of the tenure that a record at an offset begins, renews or releases."""
     return offset if record.renews == NEW_TENURE else record.renews
--- a/marigoldlift/leadership/tenures.py
+++ b/marigoldlift/leadership/tenures.py
@@ -14,12 +14,15 @@
     Attributes:
         offset: offset of the newest record that was read.
         newest: number of the newest tenure that has begun.
+        unreleased: number of a tenure of this entry that another entry has ended, until that is stored; None if there is
+            none.
     """
 
     def __init__(self) -> None:
         """Start without records."""
         self.offset = -1
         self.newest = NEW_TENURE
+        self.unreleased: int | None = None
 
     def admit(self, record: Leadership, offset: int, *, is_held: bool) -> bool:
         """Return whether a record takes effect, and note the tenure that it begins or renews.
--- a/marigoldlift/leadership/tests/test_election.py
+++ b/marigoldlift/leadership/tests/test_election.py
@@ -248,3 +248,15 @@
             await asyncio.sleep(1)
         assert second.election.tenure == tenure
         assert second.election.may_act()
+
+
+async def test_leader_that_loses_a_race_of_claims_says_that_it_has_ended(log):
+    """Guards against tasks of a lost worker that wait 4 s for orders of an entry that led for some milliseconds."""
+    async with running(log) as members:
+        first = leader(members)
+        second, third = (member for member in members if member is not first)
+        await second.election.write(renews=None)
+        await asyncio.sleep(1)
+        assert leader(members) is second
+        ended_at = third.election.earlier_leaders.active_until[first.election.candidate.life]
+        assert ended_at < asyncio.get_running_loop().time()
--- a/marigoldlift/scheduling/earlier_orders.py
+++ b/marigoldlift/scheduling/earlier_orders.py
@@ -93,7 +93,8 @@
             return False
         if name in self.listed:
             return now > deadlines.listed
-        return now > deadlines.gone
+        # An earlier leader may have told since the takeover that it sends no more orders.
+        return now > min(deadlines.gone, self.leaders.ended_at() + self.lease_expiry_s)
 
     def adopt_starts(self, steps: Iterable[StepRun]) -> None:
         """Count the starts that earlier leaders have left without an answer as runs with an unknown outcome."""
