--- a/marigoldlift/leadership/tenures.py
+++ b/marigoldlift/leadership/tenures.py
@@ -15,6 +15,8 @@
         offset: offset of the newest record that was read.
         newest: number of the newest tenure that has begun.
         saw_begin: whether this entry has read the claim that began it, as one that started later has not.
+        unreleased: number of a tenure of this entry that another entry has ended, until that is stored; None if there is
+            none.
     """
 
     def __init__(self) -> None:
@@ -22,6 +24,7 @@
         self.offset = -1
         self.newest = NEW_TENURE
         self.saw_begin = False
+        self.unreleased: int | None = None
 
     def admit(self, record: Leadership, offset: int, *, is_held: bool) -> bool:
         """Return whether a record takes effect, and note the tenure that it begins or renews.
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -126,6 +126,7 @@
         renews: number of the tenure that it renews or releases; `NEW_TENURE` for a claim, which begins one.
         response_s: how long the sender's last append took, in s.
         backlogs: services with a backlog.
+        age_s: time since the sender read that its tenure has begun, in s; 0 if that is not known.
     """
 
     node: str
@@ -137,6 +138,7 @@
     renews: int = NEW_TENURE
     response_s: float = 0
     backlogs: dict[str, Backlog] = {}
+    age_s: float = 0
 
 
 class Finished(Record, tag='f'):
