--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -303,13 +303,10 @@
 
 
 def may_get_work(session: WorkerSession, now: float) -> bool:
-    """Return whether a worker is ready, answers, has listed all its ends, and is not paused after a refusal.
-
-    A worker that lists full pages of ends gets no starts: none are acknowledged while one is under way.
-    """
+    """Return whether a worker is ready, answers, has listed all its ends, and is not paused after a refusal."""
     if not session.worker.ready or not session.knows_earlier_runs() or now < session.full_until:
         return False
-    if session.ends.incomplete or session.ends.is_stalled(now):
+    if session.ends.is_stalled(now):
         return False
     return now - session.last_answer_at < SUSPECT_S
 
