--- a/marigoldlift/scheduling/cap_report.py
+++ b/marigoldlift/scheduling/cap_report.py
@@ -51,13 +51,14 @@
     """Log what a workspace has running, its cap, and what waits for it."""
     used = caps.used_by(steps[0])
     cap = caps.find_cap(steps[0])
+    too_wide = [step.name for step in steps if cap and caps.is_too_wide(step)]
     logger.info(
         'steps wait for the cap of their workspace: workspace={} steps={} tasks={} too_wide={} running={}'
         ' cpu_m={} mem_mb={} gpus={} cap={}',
         steps[0].job.submission.workspace,
         len(steps),
         waiting_tasks(steps),
-        [step.name for step in steps if caps.is_too_wide(step)][:MAX_REPORTED],
+        too_wide[:MAX_REPORTED],
         used.tasks,
         used.cpu_m,
         used.mem_mb,
