--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -76,6 +76,7 @@
         self.metrics = Metrics()
         self.advice = PlatformAdvice(self.calls, settings.advice_address, own_address)
         self.node = self.build_node()
+        self.node.workspaces.share_limits = settings.shares
         self.peer_server = PeerRequestHandler(
             self.route, self.advice, self.node.appender, self.node.replica.was_away
         )
@@ -119,7 +120,10 @@
             leader_calls=PeerCalls(self.calls),
         )
         limits = NodeLimits(
-            settings.longest_lease_s, settings.gang_wait_s, settings.outcome_kept_s
+            settings.longest_lease_s,
+            settings.gang_wait_s,
+            settings.outcome_kept_s,
+            settings.learns_run_times,
         )
         return CellNode(candidate, parts, limits, monotonic_now)
 
--- a/marigoldlift/platform/node_settings.py
+++ b/marigoldlift/platform/node_settings.py
@@ -8,6 +8,7 @@
 
 from marigoldlift.errors import SettingsError
 from marigoldlift.platform.addresses import is_port, is_socket_address
+from marigoldlift.workspaces.model import ShareLimits
 
 __all__ = ('NodeSettings', 'SETTINGS_VARIABLE', 'parse_node_settings')
 
@@ -16,6 +17,14 @@
 
 MS_PER_S = 1000
 
+#: Shortest and longest span over which the submissions of a workspace are counted, in s; the entries know of each other's
+#: up to 0.5 s late.
+MIN_WINDOW_S = 1
+MAX_WINDOW_S = 3600
+
+#: Values of a field that switches something.
+SWITCH = MappingProxyType({'on': True, 'off': False})
+
 #: The only value of `orders`, the way in which workers get their orders, that this program supports.
 SUPPORTED_ORDERS = 'call'
 
@@ -57,6 +66,8 @@
         key_withdrawal_s: time after which a withdrawn key must not be accepted, in s.
         strict_key_withdrawal: whether that holds for entries that do not reach the store, too.
         needs_keys: whether callers need keys even if the configuration names no workspaces.
+        shares: how far a workspace may exceed its weight before its submissions may be refused.
+        learns_run_times: whether run times and speeds of workers are learned and used; optional, off by default.
     """
 
     node: str
@@ -79,6 +90,8 @@
     key_withdrawal_s: float
     strict_key_withdrawal: bool
     needs_keys: bool
+    shares: ShareLimits = ShareLimits()
+    learns_run_times: bool = False
 
 
 class SettingsLines:
@@ -132,6 +145,10 @@
             self.errors.append(f'{path}: {content!r} is neither true nor false')
         return FLAGS.get(content, False)
 
+    def optional_number(self, path: str, default: float) -> float:
+        """Return a field that may be missing or empty, and else has to hold a number of at least 0."""
+        return self.number(path, default) if self.fields.get(path) else default
+
     def address(self, path: str) -> str:
         """Return a required field that has to hold an address of the form IP:PORT."""
         content = self.text(path)
@@ -139,6 +156,14 @@
             self.errors.append(f'{path}: {content!r} is not of the form IP:PORT')
         return content
 
+    def switch(self, path: str, default: str) -> bool:
+        """Return a field that has to hold `on` or `off`."""
+        content = self.text(path, default)
+        if content not in SWITCH:
+            self.errors.append(f'{path}: {content!r} is not valid; allowed: {", ".join(SWITCH)}')
+            return False
+        return SWITCH[content]
+
     def port(self, path: str) -> int:
         """Return the first port of a required field that lists ports."""
         first = self.text(path).partition(',')[0]
@@ -148,9 +173,28 @@
         return int(first)
 
 
-def parse_node_settings(text: str) -> NodeSettings:
+def parse_share_limits(lines: SettingsLines) -> ShareLimits:
+    """Return how far a workspace may exceed its weight; all fields have defaults."""
+    default = ShareLimits()
+    window_s = lines.optional_number('bounds.quota_window_s', default.window_s)
+    if not MIN_WINDOW_S <= window_s <= MAX_WINDOW_S:
+        lines.errors.append(
+            f'bounds.quota_window_s: {window_s:g} is not between {MIN_WINDOW_S} and {MAX_WINDOW_S}'
+        )
+    return ShareLimits(
+        window_s=window_s,
+        excess=lines.optional_number('bounds.quota_excess', default.excess),
+        slack=lines.optional_number('bounds.quota_slack', default.slack),
+    )
+
+
+def parse_node_settings(text: str, learn_run_times: str = 'off') -> NodeSettings:
     """Parse the text of a settings file.
 
+    Args:
+        text: the text.
+        learn_run_times: value of `learning.run_times` if the file has no such line.
+
     Raises:
         SettingsError: fields are missing or invalid; it lists all of them with path and value.
     """
@@ -179,6 +223,8 @@
         key_withdrawal_s=lines.duration_ms('bounds.revoke_ms', DEFAULT_KEY_WITHDRAWAL_MS),
         strict_key_withdrawal=lines.flag('bounds.strict_revoke'),
         needs_keys=KEYS_CONTRACT in lines.text('contracts', '').split(','),
+        shares=parse_share_limits(lines),
+        learns_run_times=lines.switch('learning.run_times', learn_run_times),
     )
     if lines.errors:
         raise SettingsError(tuple(lines.errors))
--- a/marigoldlift/platform/tests/test_node_settings.py
+++ b/marigoldlift/platform/tests/test_node_settings.py
@@ -4,6 +4,7 @@
 
 from marigoldlift.errors import SettingsError
 from marigoldlift.platform.node_settings import parse_node_settings
+from marigoldlift.workspaces.model import ShareLimits
 
 GOOD = """node_name=edge-a-1
 zone=a
@@ -35,13 +36,31 @@
     assert settings.seeds == ('10.1.0.13:8166', '10.2.0.30:8166')
 
 
+@pytest.mark.parametrize(
+    ('line', 'default', 'expected'),
+    [('', 'off', False), ('', 'on', True), ('on', 'off', True), ('off', 'on', False)],
+)
+def test_learning_is_switched_by_the_file_before_the_command(line, default, expected):
+    """Guards against a switch that cannot be turned in the file, or that is on unasked."""
+    text = f'{GOOD}learning.run_times={line}\n' if line else GOOD
+    assert parse_node_settings(text, default).learns_run_times is expected
+
+
 def test_all_errors_are_reported_at_once():
     """Guards against an invalid file whose errors are reported one at a time, or as a traceback."""
     broken = GOOD.replace('gang_ms=3000', 'gang_ms=soon').replace('front=10.1.0.13:', 'front=')
     broken = broken.replace('orders=call', 'orders=pigeon').replace('node_name=edge-a-1\n', '')
+    broken += 'learning.run_times=yes\n'
     raised = pytest.raises(SettingsError, parse_node_settings, broken)
     reported = '\n'.join(raised.value.errors)
-    for expected in ('node_name: missing', "'soon'", "'8161'", "'pigeon'", 'allowed: call'):
+    for expected in (
+        'node_name: missing',
+        "'soon'",
+        "'8161'",
+        "'pigeon'",
+        'allowed: call',
+        "'yes'",
+    ):
         assert expected in reported
 
 
@@ -65,3 +84,16 @@
     broken = f'{GOOD}bounds.strict_revoke=maybe\n'
     raised = pytest.raises(SettingsError, parse_node_settings, broken)
     assert raised.value.errors == ("bounds.strict_revoke: 'maybe' is neither true nor false",)
+
+
+def test_share_limits_are_optional():
+    """Guards against settings without workspaces, whose fields are missing or empty, that are refused."""
+    text = f'{GOOD}bounds.quota_window_s=4\nbounds.quota_slack=\n'
+    assert parse_node_settings(text).shares == ShareLimits(window_s=4)
+
+
+@pytest.mark.parametrize('wrong', ['quota_window_s=0', 'quota_excess=-1', 'quota_slack=nan'])
+def test_wrong_share_limits_are_reported(wrong):
+    """Guards against limits that refuse everything, or divide by zero."""
+    raised = pytest.raises(SettingsError, parse_node_settings, f'{GOOD}bounds.{wrong}\n')
+    assert wrong.partition('=')[0] in raised.value.errors[0]
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -9,21 +9,21 @@
 from marigoldlift.errors import LogUnavailableError, SequenceMismatchError
 from marigoldlift.replication.api import Producer
 from marigoldlift.replication.appender import Appender
+from marigoldlift.runtimes.learner import RunTimes
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.checks import RunChecks
 from marigoldlift.scheduling.events import RunEvents
 from marigoldlift.scheduling.parts import DispatcherParts
-from marigoldlift.scheduling.pending import PendingSteps
+from marigoldlift.scheduling.pending import build_pending
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.retention import Retention
+from marigoldlift.scheduling.run_times import RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tickets import TicketManager
-from marigoldlift.scheduling.workspace_caps import WorkspaceCaps
-from marigoldlift.scheduling.workspace_usage import WorkspaceUsage
-from marigoldlift.submissions.records import Accepted, Cancelled, Progress, Record
+from marigoldlift.submissions.records import Accepted, Backlog, Cancelled, Progress, Record
 from marigoldlift.submissions.state import FINAL_OUTCOMES
 from marigoldlift.supervision import ItemKind
 
@@ -86,10 +86,9 @@
             self.faults,
         )
         self.starter = Starter(self.session_manager, self.progress, self.events)
-        placer = Placer(self.session_manager.health, self.clock)
+        run_times = RunTimes(self.clock) if parts.learns_run_times else None
+        placer = Placer(self.session_manager.health, self.clock, run_times)
         tickets = TicketManager(parts.broker, placer, self.starter, self.clock, self.wake.set)
-        self.usage = WorkspaceUsage(parts.state, self.session_manager)
-        caps = WorkspaceCaps(parts.workspaces, self.usage, self.clock)
         self.planner = Planner(
             self.session_manager,
             placer,
@@ -97,7 +96,7 @@
             self.starter,
             self.clock,
             parts.gang_wait_s,
-            PendingSteps(placer, self.session_manager, self.clock, parts.metrics, caps),
+            build_pending(parts, self.session_manager, placer),
             self.faults,
         )
         self.open_submissions = OpenSubmissions(
@@ -113,6 +112,8 @@
             self.session_manager,
             parts.outcome_kept_s,
         )
+        if run_times is not None:
+            self.events.run_times = RunTimeRecorder(run_times, self.appender, parts.metrics)
         self.events.open_submissions = self.open_submissions
         self.events.session_manager = self.session_manager
 
@@ -136,6 +137,8 @@
         """End all sessions and cancel orders in flight; workers keep their runs for the next leader."""
         self.session_manager.stop()
         self.starter.cancel()
+        if self.events.run_times is not None:
+            self.events.run_times.cancel()
 
     async def pause(self) -> None:
         """Pause after a pass, then wait for a change, at most one tick."""
@@ -154,12 +157,15 @@
             await asyncio.sleep(TICK_S)
         await self.parts.listing.ready.wait()
         self.log_is_read = True
+        if self.events.run_times is not None:
+            with self.faults.contain(ItemKind.round, 'run times'):
+                self.events.run_times.restore(self.parts.state.run_times)
         for submission in tuple(self.parts.state.jobs):
             self.open_submissions.open(submission)
         self.session_manager.open_recorded(self.parts.election.earlier_leaders)
         for job in self.open_submissions.jobs.values():
             self.session_manager.earlier_orders.adopt_starts(job.steps.values())
-        self.usage.earlier_runs.begin()
+        self.planner.caps.usage.earlier_runs.begin()
         deadline = self.clock() + TAKEOVER_WAIT_S
         while self.clock() < deadline and not self.session_manager.all_runs_known():
             await asyncio.sleep(MIN_PASS_PAUSE_S)
@@ -213,12 +219,19 @@
             self.session_manager.check,
             self.checks.check_runs,
             self.planner.sample_idle,
+            self.events.check_run_times,
         ):
             with self.faults.contain(ItemKind.round, check.__qualname__):
                 check()
         if self.retention.is_due():
             self.starter.spawn(self.retention.run_round())
 
+    def service_backlogs(self) -> dict[str, Backlog]:
+        """Return how long the workers of each service need for the work that waits for room."""
+        if not self.planner.has_passed:
+            return {}
+        return self.planner.pending.backlogs(self.planner.waiting)
+
     def observe(self, offset: int, record: Record) -> None:
         """Handle a record that was read from the log."""
         match record:
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -10,6 +10,7 @@
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
+from marigoldlift.scheduling.run_times import RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager, restarted_worker
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Step
@@ -23,6 +24,9 @@
 #: Outcome of a start that the worker has confirmed.
 STARTED = 'started'
 
+#: Name under which exceptions of the learning of run times are logged.
+LEARNING = 'run times'
+
 #: Minimum time between two restarts of the tenure after refused tokens, in s.
 CLAIM_PAUSE_S = 1.0
 
@@ -33,12 +37,14 @@
     Attributes:
         open_submissions: open submissions; set once, before the first session is opened.
         session_manager: sessions with the workers; set once, before the first session is opened.
+        run_times: learns from the ends, None if that is switched off.
         ready: whether the takeover is complete.
         wake: set when a scheduling pass may be able to place something.
     """
 
     open_submissions: OpenSubmissions
     session_manager: SessionManager
+    run_times: RunTimeRecorder | None = None
 
     def __init__(
         self,
@@ -62,6 +68,10 @@
         """Return whether this tenure may send orders now."""
         return self.election.tenure == self.tenure and self.election.may_act()
 
+    def still_admits(self, step: StepRun) -> bool:
+        """Return whether the cap of a step's workspace still admits a start that was placed."""
+        return self.open_submissions.planner.caps.still_admits(step)
+
     def handling_failed(self, kind: ItemKind, name: str, fault: Exception) -> None:
         """Log and count an exception that a listed run or end has caused."""
         self.faults.note(kind, name, fault)
@@ -87,6 +97,10 @@
         if step is None:
             self.open_submissions.after_outcome(ended.task.submission, stored)
             return
+        if self.run_times is not None:
+            # Whether an end is handled must not depend on what can be learned from it.
+            with self.faults.contain(ItemKind.round, LEARNING):
+                self.run_times.note_end(step, session, ended, known)
         self.session_manager.health(session.worker.id).record_end(ended.kind, self.clock())
         step.save(ended.task.index, ended.checkpoint)
         step.last_run = max(step.last_run, ended.run)
@@ -131,6 +145,11 @@
         self.open_submissions.close_if_done(step.job)
         self.wake.set()
 
+    def check_run_times(self) -> None:
+        """Report and store the learned run times if that is due."""
+        if self.run_times is not None:
+            self.run_times.check()
+
     def run_found(self, session: WorkerSession, held: HeldRun) -> Step | None:
         """Adopt a run that an earlier leader has started.
 
--- a/marigoldlift/scheduling/pending.py
+++ b/marigoldlift/scheduling/pending.py
@@ -1,18 +1,26 @@
 """Idle times of steps: how long a step that is due has nothing running, and why."""
 
+import time
 from collections.abc import Callable, Iterable, Sequence
+from functools import partial
 
 from loguru import logger
 
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.backlog import service_backlogs
+from marigoldlift.scheduling.parts import DispatcherParts
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.tasks import PendingReason, StepRun
 from marigoldlift.scheduling.workspace_caps import WorkspaceCaps
+from marigoldlift.scheduling.workspace_usage import WorkspaceUsage
+from marigoldlift.submissions.records import Backlog
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 
-__all__ = ('PendingSteps',)
+__all__ = ('PendingSteps', 'build_pending')
+
+MS_PER_S = 1000
 
 #: Idle time from which a step is logged, in s; a step that waits for a single advice call stays below it.
 MIN_REPORTED_IDLE_S = 1.0
@@ -138,6 +146,20 @@
             span.note(self.reasons.get(step, PendingReason.not_planned), elapsed_s)
             span.note_placeable(now, placeable=self.is_placeable(step, services))
 
+    def backlogs(self, waiting: Iterable[StepRun]) -> dict[str, Backlog]:
+        """Return how long the workers of each service need for what waits for room.
+
+        Args:
+            waiting: steps with tasks to start.
+        """
+        return service_backlogs(
+            waiting,
+            self.reasons,
+            partial(self.session_manager.usable, include_quarantined=False),
+            self.clock(),
+            time.time() * MS_PER_S,
+        )
+
     def is_overdue(self, step: StepRun) -> bool:
         """Return whether a step could have been placed for so long that it takes any worker from now on."""
         span = self.spans.get(step)
@@ -191,6 +213,21 @@
             )
 
 
+def build_pending(
+    parts: DispatcherParts, session_manager: SessionManager, placer: Placer
+) -> PendingSteps:
+    """Return the pending steps of a tenure, with the caps of their workspaces.
+
+    Args:
+        parts: dependencies of the tenure.
+        session_manager: sessions with the workers.
+        placer: counts how many tasks fit on a worker.
+    """
+    usage = WorkspaceUsage(parts.state, session_manager)
+    caps = WorkspaceCaps(parts.workspaces, usage, parts.clock)
+    return PendingSteps(placer, session_manager, parts.clock, parts.metrics, caps)
+
+
 def must_run_whole(step: StepRun) -> bool:
     """Return whether a step lasts and has a waiting task that was started, which has to run again however it has ended."""
     if not step.step.long_running or step.step.gang:
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -30,6 +30,9 @@
 #: Share of a service's CPU that is reserved for submissions of the highest priority.
 URGENT_SHARE = 0.06
 
+#: Share of free CPU below which tasks that have time leave the fast workers to others; above it the fast ones hold all work.
+TIGHT_SHARE = 0.7
+
 #: Time within which all members of a gang must be started, as a share of the time that a started member waits for them.
 GANG_START_SHARE = 0.4
 
@@ -43,6 +46,7 @@
         reserved: ids of the workers that are reserved for a waiting gang in the current pass.
         reserving_step: step of that gang.
         failed_placements: steps that could not be placed in the current pass.
+        has_passed: whether a pass has ended; before, what runs is not known.
     """
 
     def __init__(
@@ -81,6 +85,7 @@
         self.reserving_step: StepRun | None = None
         self.failed_placements = 0
         self.wait_report = WaitReport(placer, clock)
+        self.has_passed = False
         self.pending = pending
         self.caps = pending.caps
 
@@ -111,6 +116,7 @@
                     candidate
                 ):
                     self.place(candidate)
+        self.has_passed = True
         if self.wait_report.is_due():
             self.wait_report.report(ready, self.pool)
             report_waiting(self.caps, ready, self.pending.reasons)
@@ -123,11 +129,15 @@
             wall_ms: Unix time in ms.
         """
         ranked = []
+        times = self.placer.times
+        with self.faults.contain(ItemKind.round, 'run times'):
+            times.refresh()
         for step in self.waiting:
             if self.faults.is_set_aside(step.job.id):
                 continue
             with self.faults.contain(ItemKind.submission, step.job.id):
                 if self.may_start(step, wall_ms):
+                    step.job.refresh_times(times)
                     ranked.append((service_rank(step, now, wall_ms), step))
         ranked.sort(key=itemgetter(0))
         return [ready for _, ready in ranked]
@@ -201,6 +211,7 @@
             return
         permitted = self.tickets.permitted_workers(step, pool)
         available = permitted if overdue or step.job.is_urgent else self.unreserved(permitted)
+        self.placer.is_tight = pool.free_cpu_m < pool.cpu_m * TIGHT_SHARE
         waiting = len(step.todo)
         place = self.place_gang if step.step.gang else self.place_tasks
         placed = place(step, available, admitted, overdue=overdue)
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -34,6 +34,9 @@
     def capacity_changed(self) -> None:
         """Request a scheduling pass."""
 
+    def still_admits(self, step: StepRun) -> bool:
+        """Return whether the cap of a step's workspace still admits a start that was placed."""
+
     def step_requeued(self, step: StepRun) -> None:
         """Queue a step again after one of its tasks was requeued."""
 
@@ -159,6 +162,8 @@
             return False
         if step.active.get(ordered.task.index) is not session or ordered.phase is not Phase.sent:
             return False
+        if not self.events.still_admits(step):
+            return False
         return step.job.submission.policy.advice is None or step.holds_ticket(
             session.worker.id, self.clock()
         )
--- a/marigoldlift/scheduling/tests/test_service_order.py
+++ b/marigoldlift/scheduling/tests/test_service_order.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from marigoldlift.runtimes.decisions import JobTimes
 from marigoldlift.scheduling.service_order import ServiceClass, service_class, service_rank
 from marigoldlift.scheduling.tasks import JobRun
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
@@ -43,6 +44,17 @@
     assert class_at(job, 7.9, number=1) is ServiceClass.in_time
 
 
+def test_learned_times_replace_the_estimates():
+    """Guards against work that holds its place though even a lucky run ends after all use, or that counts as late too early."""
+    job = open_job([Step(count=1, estimate_ms=2000)])
+    assert class_at(job, 3.5) is ServiceClass.late
+    job.expect(JobTimes(longest=[20], safe=[25], lucky=[0]))
+    assert class_at(job, 3.5) is ServiceClass.in_time
+    job.expect(JobTimes(longest=[2], safe=[3], lucky=[14]))
+    assert class_at(job, 0.9) is ServiceClass.in_time
+    assert class_at(job, 1.1) is ServiceClass.worthless
+
+
 def test_urgent_work_comes_first_also_when_late():
     """Guards against urgent submissions that give way to others."""
     step = Step(count=1, estimate_ms=1000)
@@ -79,3 +91,40 @@
     assert class_at(job, 2.5) is ServiceClass.late
     job.steps[0, 0].gang_started_at = 2.4
     assert class_at(job, 2.5) is ServiceClass.in_time
+
+
+def test_work_beyond_a_share_waits_behind_work_within_shares():
+    """Guards against a surge that is served before the shares of others, and against one surge that starves another."""
+    step = Step(count=1, estimate_ms=1000)
+    beyond = open_job([step], ahead_s=0.5).steps[0, 0]
+    further = open_job([step], ahead_s=4.0).steps[0, 0]
+    late = open_job([step], priority=2).steps[0, 0]
+    assert service_rank(late, 8, WALL_MS) < service_rank(beyond, 0, WALL_MS)
+    assert service_rank(beyond, 1, WALL_MS) < service_rank(further, 1, WALL_MS)
+
+
+@pytest.mark.parametrize('waited_s', [0, 1.1, 2.1, 8])
+def test_urgent_work_beyond_a_share_waits_behind_work_of_others(waited_s):
+    """Guards against work within shares, also when it is late, that waits behind the surge of another workspace."""
+    step = Step(count=1, estimate_ms=1000)
+    surge = open_job([step], priority=0, ahead_s=0.5).steps[0, 0]
+    for priority in (0, 2):
+        batch = open_job([step], priority=priority, workspace='team').steps[0, 0]
+        assert service_rank(batch, waited_s, WALL_MS) < service_rank(surge, waited_s, WALL_MS)
+
+
+def test_work_beyond_a_share_comes_before_worthless_work():
+    """Guards against accepted work that still has a use and waits behind work that has none any more."""
+    step = Step(count=1, estimate_ms=1000)
+    beyond = open_job([step], ahead_s=0.5).steps[0, 0]
+    worthless = open_job([step]).steps[0, 0]
+    assert service_rank(beyond, 1, WALL_MS) < service_rank(worthless, 20, WALL_MS)
+
+
+def test_work_beyond_a_share_is_carried_to_its_end():
+    """Guards against accepted work that is passed over for ever, and gangs whose first members wait in vain."""
+    beyond = open_job([Step(count=2, estimate_ms=1000, gang=True)], ahead_s=0.5)
+    assert class_at(beyond, 1) is ServiceClass.beyond_share
+    assert class_at(beyond, 9.1) is ServiceClass.worthless
+    beyond.steps[0, 0].gang_started_at = 1
+    assert class_at(beyond, 1) is ServiceClass.in_time
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -26,6 +26,7 @@
     decode_record,
     scoped_name,
 )
+from marigoldlift.submissions.run_time_records import RunTimesSummary
 
 __all__ = ('FINAL_OUTCOMES', 'CellState', 'FinishedJob', 'Job')
 
@@ -44,6 +45,7 @@
             acceptance that follows is cancelled if its workspace is that of the cancellation.
         rejected_acceptances: names of acceptances whose id another workspace had used before; their records are to be
             dropped.
+        run_times: newest summary of run times, None if there is none.
         observers: called with the offset and content of each record after it was applied.
     """
 
@@ -60,6 +62,7 @@
         self.early_cancellations: dict[str, float] = {}
         self.rejected_acceptances: set[str] = set()
         self.workers: dict[str, KnownWorker] = {}
+        self.run_times: RunTimesSummary | None = None
         self.observers: list[Observer] = []
 
     def state_of(self, submission: SubmissionId) -> Outcome | None:
@@ -106,6 +109,8 @@
                 self.finish(record)
             case KnownWorker():
                 self.workers[record.worker] = record
+            case RunTimesSummary():
+                self.run_times = record
 
     def accept(self, offset: int, submission: Submission) -> None:
         """Add a submission, and apply its early records; a known one stays unchanged."""
--- a/marigoldlift/workspaces/directory.py
+++ b/marigoldlift/workspaces/directory.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from marigoldlift.ids import WorkspaceId
-from marigoldlift.workspaces.model import Workspace
+from marigoldlift.workspaces.model import ShareLimits, Workspace
 
 __all__ = ('WorkspaceDirectory',)
 
@@ -17,6 +17,7 @@
 
     Attributes:
         version: version of the configuration, -1 before the first one.
+        share_limits: how far a workspace may exceed its weight.
         workspaces: workspaces by name; empty where the configuration names none.
         withdrawn: workspaces that an earlier version named and the newest does not, as they were last; the oldest are
             forgotten beyond `MAX_WITHDRAWN`.
@@ -27,6 +28,7 @@
     def __init__(self) -> None:
         """Start before the first configuration."""
         self.version = -1
+        self.share_limits = ShareLimits()
         self.workspaces: dict[WorkspaceId, Workspace] = {}
         self.withdrawn: dict[WorkspaceId, Workspace] = {}
         self.read_at: Callable[[], float] = always_up_to_date
