Try a scheduling pass on copies of the leader's state

Operators could not ask where a submission would go before handing it in. TrialPlanner is the Planner of the pass, run on copies of sessions, steps, caps and limits, with a starter and a ticket manager that record instead of sending; the report names places, order of service, and what rules the other workers out. Two calls move out of Planner and TicketManager so that the trial can replace them.

--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from operator import itemgetter
 
-from loguru import logger
-
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.cap_report import report_waiting, set_cap_gauges
 from marigoldlift.scheduling.pending import PendingSteps
@@ -218,14 +216,7 @@
         rest = admitted - waiting + len(step.todo)
         self.count_placed(service, step, admitted - rest)
         if placed:
-            logger.info(
-                'step placed: step={} run={} active={} todo={} age_s={:.2f}',
-                step.name,
-                step.last_run,
-                len(step.active),
-                len(step.todo),
-                self.clock() - step.job.since,
-            )
+            self.starter.log_placed(step)
         if rest and step.gang_started_at is None:
             asked = rest if available else self.caps.room_to_ask(step, rest)
             self.failed_placements += int(bool(available) and not placed)
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -89,6 +89,17 @@
         self.spawn(self.send(step, session, ordered, self.limits.begin(session)))
         return True
 
+    def log_placed(self, step: StepRun) -> None:
+        """Log that tasks of a step were placed."""
+        logger.info(
+            'step placed: step={} run={} active={} todo={} age_s={:.2f}',
+            step.name,
+            step.last_run,
+            len(step.active),
+            len(step.todo),
+            self.clock() - step.job.since,
+        )
+
     def repeat(self, step: StepRun, session: WorkerSession, ordered: Run) -> None:
         """Send the start of a run again, unless its worker gets no more tasks of the step."""
         service = step.job.submission.policy.service
--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -152,8 +152,12 @@
         )
         if asked:
             step.ask_after = math.inf
-            calls = [self.plan_call(step, part) for part in self.split(step, asked)]
-            self.starter.spawn(self.ask(step, calls))
+            self.begin_question(step, asked)
+
+    def begin_question(self, step: StepRun, asked: Sequence[str]) -> None:
+        """Book the calls of a question, and make them in the background."""
+        calls = [self.plan_call(step, part) for part in self.split(step, asked)]
+        self.starter.spawn(self.ask(step, calls))
 
     def plan_call(self, step: StepRun, workers: Sequence[str]) -> PlannedCall:
         """Book a call that names the workers."""
--- a/marigoldlift/workspaces/shares.py
+++ b/marigoldlift/workspaces/shares.py
@@ -4,6 +4,7 @@
 the work of others need not wait for it.
 """
 
+import copy
 import math
 from collections.abc import Callable
 
@@ -131,6 +132,12 @@
             may_be_refused=is_beyond and is_over,
         )
 
+    def preview(self, workspace: WorkspaceId) -> Standing:
+        """Return what `standing` would, on a copy of the usage."""
+        preview = copy.copy(self)
+        preview.usages = {name: copy.copy(usage) for name, usage in self.usages.items()}
+        return preview.standing(workspace)
+
     def count(self, workspace: WorkspaceId, ahead_s: float) -> None:
         """Count an accepted submission.
 
--- /dev/null
+++ b/tests/cell/test_placement.py
@@ -0,0 +1,198 @@
+"""Answers where a submission would go, compared with what then happens."""
+
+import asyncio
+import random
+from collections import Counter
+
+import pytest
+
+from marigoldlift.scheduling.explanation import Ruling, StepReason
+from marigoldlift.scheduling.placement_report import explain_job, trial_job
+from marigoldlift.submissions.model import AdvicePolicy, Step, Submission, SubmissionId
+from marigoldlift.workspaces.model import NO_WORKSPACE
+from tests.cell.actions import cut_off, set_task_duration
+from tests.cell.model import policy
+
+SETTLED_S = 2.0
+LONG_TASK_S = 60
+ADVICE = AdvicePolicy(450, 6.5, 2000)
+
+
+def planner_of(cell):
+    """Return the planner of the leader."""
+    return cell.leader().node.dispatcher.planner
+
+
+def explain(cell, steps, workspace=NO_WORKSPACE, **policy_fields):
+    """Return the answer for a submission that is not handed in."""
+    planned = Submission(
+        SubmissionId('trial'), '', steps, policy(**policy_fields), 'e0', workspace=workspace
+    )
+    planner = planner_of(cell)
+    return explain_job(planner, trial_job(planned, planner.clock()), 'e0').steps
+
+
+def explained_places(step):
+    """Return the number of tasks by worker in an answer."""
+    return Counter({place.worker: place.tasks for place in step.places})
+
+
+def random_steps(rng):
+    """Return one or two steps of random demands."""
+    first = Step(
+        count=rng.randint(1, 6),
+        cpu_m=rng.choice((500, 1500, 3000, 7000)),
+        gang=rng.random() < 0.4,
+        spread_limit=rng.choice((0, 0, 1, 2)),
+        fills=rng.random() < 0.1,
+        estimate_ms=rng.choice((200, 5000)),
+    )
+    return (first, Step(count=2, cpu_m=1000, after=(0,)))[: rng.randint(1, 2)]
+
+
+def watch_first_pass(planner, name):
+    """Return a dict that gets the places and reasons of the steps of a submission after the first pass with it."""
+    seen = {}
+    run_pass = planner.run_pass
+
+    def watched():
+        steps = [step for step in planner.waiting if step.job.id == name]
+        run_pass()
+        for step in [] if seen else steps:
+            active = Counter(session.worker.id for session in step.active.values())
+            reason = planner.pending.reasons.get(step)
+            seen[step.number] = (active, reason and reason.value)
+
+    planner.run_pass = watched
+    return seen
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_answer_is_what_then_happens(run_scenario, seed):
+    """Guards against an answer that differs from the decision: workers, number of tasks, reason of what waits."""
+    rng = random.Random(seed)
+
+    async def scenario(cell):
+        cell.set_cap('lab', cpu_m=9000)
+        await asyncio.sleep(SETTLED_S)
+        set_task_duration(cell, LONG_TASK_S)
+        for number in range(14):
+            steps = random_steps(rng)
+            workspace = rng.choice(('lab', NO_WORKSPACE))
+            priority = rng.randint(0, 2)
+            name = f'job{number}'
+            answer = explain(cell, steps, workspace, priority=priority)
+            seen = watch_first_pass(planner_of(cell), name)
+            await cell.submit(cell.leader(), name, steps, workspace, priority=priority)
+            await asyncio.sleep(0.3)
+            assert len(seen) == len(answer)
+            for told, (places, reason) in zip(answer, seen.values(), strict=True):
+                assert explained_places(told) == places, (number, told)
+                if told.reason not in {kind.value for kind in StepReason}:
+                    assert told.reason == reason
+            job = cell.leader().node.dispatcher.open_submissions.jobs[name]
+            assert not any(step.places for step in explain_job(planner_of(cell), job, 'e0').steps)
+
+    run_scenario(scenario, seed)
+
+
+def state_of(cell):
+    """Return what a pass would change: runs, steps, tickets, reservations, limits, bookings, counts and the log."""
+    node = cell.leader().node
+    dispatcher = node.dispatcher
+    planner = dispatcher.planner
+    sessions = planner.session_manager.sessions
+    steps = [
+        step for job in dispatcher.open_submissions.jobs.values() for step in job.steps.values()
+    ]
+    tables = [session.run_table for session in sessions.values()]
+    kept = (
+        [(table.changes, list(map(fields_of, table.runs.values()))) for table in tables],
+        [(step.name, fields_of(step)) for step in steps],
+        [fields_of(step.job) for step in steps],
+        planner.waiting,
+        planner.reserved,
+        planner.pending.reasons,
+        [(step.name, fields_of(span)) for step, span in planner.pending.spans.items()],
+        planner.caps.reserved,
+        planner.caps.refused,
+        planner.placer.is_tight,
+        planner.session_manager.held_tasks.holders,
+        list(map(fields_of, planner.session_manager.health_records.values())),
+        planner.starter.limits.counts,
+        planner.starter.tasks.tasks,
+        list(map(fields_of, node.broker.relays.values())),
+        list(map(fields_of, node.acceptance.admission.shares.usages.values())),
+        dispatcher.progress.changed,
+        cell.advice.asked,
+        cell.log.records,
+        node.parts.metrics.render(),
+    )
+    return list(map(repr, kept))
+
+
+def fields_of(target):
+    """Return the fields of an object, with slots or without."""
+    names = getattr(target, '__slots__', None) or vars(target)
+    return {name: getattr(target, name) for name in names}
+
+
+def test_answer_changes_nothing(run_scenario):
+    """Guards against runs, tickets, questions, reservations, counts or records that an answer leaves behind."""
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLED_S)
+        set_task_duration(cell, LONG_TASK_S)
+        cell.set_cap('lab', cpu_m=6000)
+        steps = (Step(count=5, cpu_m=3000), Step(count=3, cpu_m=6000, gang=True))
+        await cell.submit(cell.leader(), 'lab', steps, 'lab')
+        await cell.submit(cell.leader(), 'gang', steps, advice=ADVICE)
+        await asyncio.sleep(1)
+        before = state_of(cell)
+        for workspace in ('lab', NO_WORKSPACE):
+            for advice in (ADVICE, None):
+                explain(cell, steps, workspace, priority=0, advice=advice)
+        for job in cell.leader().node.dispatcher.open_submissions.jobs.values():
+            explain_job(planner_of(cell), job, 'e0')
+        assert state_of(cell) == before
+
+    run_scenario(scenario)
+
+
+def test_advice_is_named_instead_of_asked(run_scenario):
+    """Guards against an answer that names workers without a ticket, or that uses up calls to the advice."""
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLED_S)
+        (told,) = explain(cell, (Step(count=2, cpu_m=1000),), advice=ADVICE)
+        assert (told.reason, told.places) == (StepReason.needs_advice.value, [])
+        assert set(told.to_ask) == set(cell.workers)
+        assert told.ruled_out == {Ruling.no_ticket.value: 4}
+        assert not cell.advice.asked
+
+    run_scenario(scenario)
+
+
+def test_each_ruled_out_worker_is_counted_once(run_scenario):
+    """Guards against workers that are missing from the answer, or are counted under the wrong cause."""
+
+    async def scenario(cell):
+        await asyncio.sleep(SETTLED_S)
+        set_task_duration(cell, LONG_TASK_S)
+        await cell.submit(cell.leader(), 'filler', (Step(count=1, cpu_m=8000),), priority=0)
+        await asyncio.sleep(0.5)
+        cut_off(cell, 'w3')
+        await asyncio.sleep(1.6)
+        first, second = explain(
+            cell, (Step(count=3, cpu_m=1000, spread_limit=1), Step(count=1, after=(0,)))
+        )
+        assert (first.position, first.service_class) == (1, 'in_time')
+        counted = Counter(first.ruled_out)
+        assert counted.total() + len(first.places) == len(cell.workers)
+        assert counted[Ruling.not_answering.value] == 1
+        assert counted[Ruling.cpu.value] == 1
+        assert (second.reason, second.position) == (StepReason.predecessors.value, 0)
+        (labelled,) = explain(cell, (Step(count=1, cpu_m=1000, requires='none'),))
+        assert labelled.ruled_out == {Ruling.not_answering.value: 1, Ruling.label.value: 3}
+
+    run_scenario(scenario)
