Add the command place and its path at the entries' peer port

marigoldlift place asks any entry, which asks the leader it knows of, where an open submission or a submission file would be placed now.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -24,6 +24,7 @@
     DrainingServer,
     PeerCalls,
     PeerRequestHandler,
+    PlacementRequests,
     listen,
     listen_draining,
     ready_handler,
@@ -97,6 +98,9 @@
         self.front = ClientRequestHandler(
             self.node.acceptance, own_address, self.freshness, self.metrics
         )
+        self.peer_server.explain = PlacementRequests(
+            self.node, lambda: self.front.configuration, self.calls
+        ).answer
         self.stopping = asyncio.Event()
 
     def build_node(self) -> CellNode:
--- a/marigoldlift/client/verbs.py
+++ b/marigoldlift/client/verbs.py
@@ -11,10 +11,12 @@
 
 from marigoldlift.client import tables
 from marigoldlift.client.http import HttpCall, parse_addresses
+from marigoldlift.client.placement_table import draw_placement
 from marigoldlift.client.plans import CallPlan, Output, Plan, TextPlan
 from marigoldlift.configuration.decoding import decode_json
 from marigoldlift.errors import InvalidInputError
 from marigoldlift.operators import messages
+from marigoldlift.scheduling.explanation import PLACEMENT_PATH, Explanation
 from marigoldlift.settings.loader import load_settings
 from marigoldlift.util import MS_PER_S
 from marigoldlift.version import VERSION
@@ -195,6 +197,32 @@
         call = HttpCall('GET', f'{OPERATOR}/explain/{quote_segment(handle)}')
         return plan(call, address, output, messages.ExplainReply, tables.draw_explanation)
 
+    @raw_arguments
+    def place(
+        self,
+        submission: str = '',
+        *,
+        entry: str,
+        queue: str = '',
+        file: str = '',
+        workspace: str = '',
+        json: str = '',
+    ) -> Plan:
+        """Show where the open SUBMISSION, or that in FILE for a QUEUE, would be placed now; hands nothing in.
+
+        ENTRY is the address of any entry at which other entries call it; QUEUE is a name, or a host and path.
+        """
+        call = HttpCall('POST', PLACEMENT_PATH)
+        if submission and not (queue or file or workspace):
+            call.body = {'submission': submission}
+        elif queue and file and not submission:
+            body = decode_file(file, dict[str, Any])
+            call.body = {'queue': queue, 'workspace': workspace, 'body': body}
+        else:
+            raise InvalidInputError('given neither a submission alone nor --queue with --file')
+        output = Output.json.value if json else TABLE
+        return plan(call, entry, output, Explanation, draw_placement)
+
     @raw_arguments
     def trace(
         self,
--- a/marigoldlift/platform/servers.py
+++ b/marigoldlift/platform/servers.py
@@ -14,8 +14,10 @@
 from marigoldlift.platform.advice import ADVISE_PATH, PlatformAdvice
 from marigoldlift.platform.draining_server import DrainingServer
 from marigoldlift.platform.calls import CallUnansweredError, HttpClient, Reply
+from marigoldlift.platform.placement_requests import PlacementRequests
 from marigoldlift.platform.store_route import RELAY_PREFIX, StoreRoute
 from marigoldlift.replication.appender import Appender
+from marigoldlift.scheduling.explanation import PLACEMENT_PATH
 from marigoldlift.submissions.record_codec import decode_record
 
 __all__ = (
@@ -23,6 +25,7 @@
     'Handler',
     'PeerCalls',
     'PeerRequestHandler',
+    'PlacementRequests',
     'listen',
     'listen_draining',
     'ready_handler',
@@ -110,8 +113,11 @@
         was_away: returns whether requests may have waited in this entry's sockets while it was paused.
         leaving: whether the entry is about to stop; answers then close their connection so that other entries
             do not use it again.
+        explain: answers where a submission would be placed; the entry sets it before it serves.
     """
 
+    explain: Callable[[bytes], Awaitable[web.Response]]
+
     def __init__(
         self,
         route: StoreRoute,
@@ -148,6 +154,8 @@
             return await self.append(
                 body, request.query.get(WAIT_FIELD, ''), request.query.get(DOUBT_FIELD, '0')
             )
+        if request.path == PLACEMENT_PATH:
+            return await self.explain(body)
         return web.Response(status=HTTPStatus.NOT_FOUND)
 
     async def append(self, body: bytes, wait_ms: str, doubt_ms: str) -> web.Response:
