--- a/marigoldlift/platform/tests/test_placement_requests.py
+++ b/marigoldlift/platform/tests/test_placement_requests.py
@@ -1,16 +1,21 @@
 """Questions where a submission would be placed, at entries that lead, follow or know no leader."""
 
 import asyncio
+from functools import partial
 from types import SimpleNamespace
 
 import msgspec
 import pytest
+from aiohttp.test_utils import RawTestServer, TestClient
 
+from marigoldlift.cell import Entry
 from marigoldlift.decoding import JsonDecoder
 from marigoldlift.ids import WorkspaceId
 from marigoldlift.platform.calls import HttpClient
 from marigoldlift.platform.configuration import CellConfiguration, Queue
+from marigoldlift.platform.node_settings import parse_node_settings
 from marigoldlift.platform.placement_requests import PlacementRequest, PlacementRequests
+from marigoldlift.platform.tests.test_node_settings import GOOD
 from marigoldlift.platform.workspace_parsing import KeyedWorkspace
 from marigoldlift.scheduling.explanation import Explanation
 from marigoldlift.workspaces.model import Workspace
@@ -37,8 +42,8 @@
 def handlers_of(cell):
     """Return a handler for each entry of a cell, with calls among them."""
     calls = Calls()
-    configuration = CellConfiguration(1, QUEUES, WORKSPACES)
-    found = [PlacementRequests(entry.node, lambda: configuration, calls) for entry in cell.entries]
+    configuration = partial(CellConfiguration, 1, QUEUES, WORKSPACES)
+    found = [PlacementRequests(entry.node, configuration, calls) for entry in cell.entries]
     calls.handlers = {
         f'http://{entry.name}/placement': handler
         for entry, handler in zip(cell.entries, found, strict=True)
@@ -61,9 +66,12 @@
         await asyncio.sleep(0.1)
         for workspace in ('', 'lab'):
             answers = [
-                await handler.answer(question(workspace=workspace)) for handler in handlers_of(cell)
+                await handler.answer(question(workspace=workspace))
+                for handler in handlers_of(cell)
             ]
-            found = {JsonDecoder(Explanation, 10_000).decode(reply.body).leader for reply in answers}
+            found = {
+                JsonDecoder(Explanation, 10_000).decode(reply.body).leader for reply in answers
+            }
             assert found == {cell.leader().name}
 
     run_scenario(scenario)
@@ -99,13 +107,11 @@
     """Guards against a question that is passed on in a circle, or answered without a leader."""
 
     async def scenario(cell):
-        handler, *_ = handlers_of(cell)
+        handler = handlers_of(cell)[0]
         reply = await handler.answer(question())
         assert (reply.status, 'no leader known' in reply.text) == (503, True)
         await asyncio.sleep(SETTLED_S)
-        follower = next(
-            each for each in handlers_of(cell) if each.node.dispatcher is None
-        )
+        follower = next(each for each in handlers_of(cell) if each.node.dispatcher is None)
         reply = await follower.answer(question(is_forwarded=True))
         assert (reply.status, 'no leader known' in reply.text) == (503, True)
 
@@ -121,3 +127,12 @@
     reply = await handler.answer(question())
     await calls.close()
     assert (reply.status, 'leader 127.0.0.1:1 unreachable' in reply.text) == (502, True)
+
+
+async def test_entry_answers_at_its_peer_port():
+    """Guards against an entry that serves other entries without the path of the question."""
+    entry = Entry(parse_node_settings(GOOD))
+    async with TestClient(RawTestServer(entry.peer_server.handle)) as client:
+        reply = await client.post('/placement', data=question())
+        assert (reply.status, 'no leader known' in await reply.text()) == (503, True)
+    await entry.calls.close()
--- a/tests/cell/test_placement.py
+++ b/tests/cell/test_placement.py
@@ -1,7 +1,6 @@
 """Answers where a submission would go, compared with what then happens."""
 
 import asyncio
-import random
 from collections import Counter
 
 import pytest
@@ -12,12 +11,19 @@
 from marigoldlift.workspaces.model import NO_WORKSPACE
 from tests.cell.actions import cut_off, set_task_duration
 from tests.cell.model import policy
+from tests.cell.worker_load import KINDS, Load
 
 SETTLED_S = 2.0
 LONG_TASK_S = 60
 ADVICE = AdvicePolicy(450, 6.5, 2000)
 
 
+def change_kinds(cell):
+    """Give six workers the labels and resources that random steps need."""
+    for worker, kind in zip(cell.workers.values(), KINDS * 2, strict=True):
+        worker.change_kind(kind)
+
+
 def planner_of(cell):
     """Return the planner of the leader."""
     return cell.leader().node.dispatcher.planner
@@ -37,19 +43,6 @@
     return Counter({place.worker: place.tasks for place in step.places})
 
 
-def random_steps(rng):
-    """Return one or two steps of random demands."""
-    first = Step(
-        count=rng.randint(1, 6),
-        cpu_m=rng.choice((500, 1500, 3000, 7000)),
-        gang=rng.random() < 0.4,
-        spread_limit=rng.choice((0, 0, 1, 2)),
-        fills=rng.random() < 0.1,
-        estimate_ms=rng.choice((200, 5000)),
-    )
-    return (first, Step(count=2, cpu_m=1000, after=(0,)))[: rng.randint(1, 2)]
-
-
 def watch_first_pass(planner, name):
     """Return a dict that gets the places and reasons of the steps of a submission after the first pass with it."""
     seen = {}
@@ -61,7 +54,7 @@
         for step in [] if seen else steps:
             active = Counter(session.worker.id for session in step.active.values())
             reason = planner.pending.reasons.get(step)
-            seen[step.number] = (active, reason and reason.value)
+            seen[step.number] = (active, reason)
 
     planner.run_pass = watched
     return seen
@@ -70,16 +63,17 @@
 @pytest.mark.parametrize('seed', range(12))
 def test_answer_is_what_then_happens(run_scenario, seed):
     """Guards against an answer that differs from the decision: workers, number of tasks, reason of what waits."""
-    rng = random.Random(seed)
 
     async def scenario(cell):
+        change_kinds(cell)
         cell.set_cap('lab', cpu_m=9000)
         await asyncio.sleep(SETTLED_S)
         set_task_duration(cell, LONG_TASK_S)
+        load = Load(cell)
         for number in range(14):
-            steps = random_steps(rng)
-            workspace = rng.choice(('lab', NO_WORKSPACE))
-            priority = rng.randint(0, 2)
+            steps = tuple(load.steps())
+            workspace = cell.rng.choice(('lab', NO_WORKSPACE))
+            priority = cell.rng.randint(0, 2)
             name = f'job{number}'
             answer = explain(cell, steps, workspace, priority=priority)
             seen = watch_first_pass(planner_of(cell), name)
@@ -89,11 +83,53 @@
             for told, (places, reason) in zip(answer, seen.values(), strict=True):
                 assert explained_places(told) == places, (number, told)
                 if told.reason not in {kind.value for kind in StepReason}:
-                    assert told.reason == reason
+                    assert told.reason == reason.value
             job = cell.leader().node.dispatcher.open_submissions.jobs[name]
             assert not any(step.places for step in explain_job(planner_of(cell), job, 'e0').steps)
 
-    run_scenario(scenario, seed)
+    run_scenario(scenario, seed, workers=6)
+
+
+def compare_pass(dispatcher, compared):
+    """Run a pass, and compare the answers for all open submissions right before it with what it does."""
+    planner = dispatcher.planner
+    jobs = list(dispatcher.open_submissions.jobs.values())
+    told = [explain_job(planner, job, 'e0').steps for job in jobs]
+    before = {step: dict(step.active) for job in jobs for step in job.steps.values()}
+    asking = {step for step in before if step.is_asking}
+    type(planner).run_pass(planner)
+    for job, answers in zip(jobs, told, strict=True):
+        for step, answer in zip(job.steps.values(), answers, strict=True):
+            started = step.active.items() - before[step].items()
+            places = Counter(session.worker.id for _, session in started)
+            assert explained_places(answer) == places, answer
+            assert bool(answer.to_ask) == (step.is_asking and step not in asking), answer
+            reason = planner.pending.reasons.get(step)
+            if reason and not answer.to_ask:
+                assert answer.reason == reason.value
+            compared[answer.reason] += 1
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_answers_for_waiting_work_are_what_the_next_pass_does(run_scenario, seed):
+    """Guards against answers that leave out tickets, reservations, labels, health, or what more urgent steps take."""
+    compared = Counter()
+
+    async def scenario(cell):
+        change_kinds(cell)
+        await asyncio.sleep(SETTLED_S)
+        dispatcher = cell.leader().node.dispatcher
+        dispatcher.planner.run_pass = lambda: compare_pass(dispatcher, compared)
+        cell.workers['w1'].fails = True
+        load = Load(cell)
+        await load.run(8)
+        cell.workers['w1'].fails = False
+        await cell.wait_for_outcomes(sorted(set(load.stored()) - load.cancelled), 90)
+        assert cell.leader().node.dispatcher is dispatcher
+
+    run_scenario(scenario, seed, workers=6)
+    expected = ('placed', 'needs_advice', 'advice_call', 'room', 'predecessors', 'reserved')
+    assert not set(expected) - compared.keys()
 
 
 def state_of(cell):
@@ -133,7 +169,7 @@
 
 def fields_of(target):
     """Return the fields of an object, with slots or without."""
-    names = getattr(target, '__slots__', None) or vars(target)
+    names = getattr(target, '__slots__', None) or target.__dict__
     return {name: getattr(target, name) for name in names}
 
 
@@ -164,7 +200,7 @@
 
     async def scenario(cell):
         await asyncio.sleep(SETTLED_S)
-        (told,) = explain(cell, (Step(count=2, cpu_m=1000),), advice=ADVICE)
+        told = explain(cell, (Step(count=2, cpu_m=1000),), advice=ADVICE)[0]
         assert (told.reason, told.places) == (StepReason.needs_advice.value, [])
         assert set(told.to_ask) == set(cell.workers)
         assert told.ruled_out == {Ruling.no_ticket.value: 4}
@@ -192,7 +228,7 @@
         assert counted[Ruling.not_answering.value] == 1
         assert counted[Ruling.cpu.value] == 1
         assert (second.reason, second.position) == (StepReason.predecessors.value, 0)
-        (labelled,) = explain(cell, (Step(count=1, cpu_m=1000, requires='none'),))
+        labelled = explain(cell, (Step(count=1, cpu_m=1000, requires='none'),))[0]
         assert labelled.ruled_out == {Ruling.not_answering.value: 1, Ruling.label.value: 3}
 
     run_scenario(scenario)
