--- a/marigoldlift/platform/placement_requests.py
+++ b/marigoldlift/platform/placement_requests.py
@@ -112,7 +112,7 @@
         except CallUnansweredError as fault:
             reason = f'leader {address} unreachable: {fault}'
             return json_reply(HTTPStatus.BAD_GATEWAY, fault_body('leader_unreachable', reason))
-        return json_reply(HTTPStatus(reply.status), reply.body)
+        return json_reply(reply.status, reply.body)
 
     def find_job(self, asked: PlacementRequest, dispatcher: Dispatcher) -> JobRun:
         """Return the submission that is asked for.
@@ -199,6 +199,6 @@
     return msgspec.json.encode({'code': code, 'reason': reason})
 
 
-def json_reply(status: HTTPStatus, body: bytes) -> web.Response:
+def json_reply(status: int, body: bytes) -> web.Response:
     """Build a JSON response."""
     return web.Response(status=status, body=body, content_type='application/json')
--- a/tests/cell/test_placement.py
+++ b/tests/cell/test_placement.py
@@ -191,6 +191,9 @@
         for job in cell.leader().node.dispatcher.open_submissions.jobs.values():
             explain_job(planner_of(cell), job, 'e0')
         assert state_of(cell) == before
+        await asyncio.sleep(1)
+        assert not [stored for stored in cell.log.records if 'trial' in stored.key]
+        assert not [step for step in cell.advice.asked if 'trial' in step]
 
     run_scenario(scenario)
 
