Check that an answer leaves the placer as it is

A trial that uses the leader's own placer left its frozen run times there, and no test saw it: found by changing the copy to the original. The check fails on that change now, and passes on the code.

--- a/tests/cell/test_placement.py
+++ b/tests/cell/test_placement.py
@@ -152,7 +152,7 @@
         [(step.name, fields_of(span)) for step, span in planner.pending.spans.items()],
         planner.caps.reserved,
         planner.caps.refused,
-        planner.placer.is_tight,
+        fields_of(planner.placer),
         planner.session_manager.held_tasks.holders,
         list(map(fields_of, planner.session_manager.health_records.values())),
         planner.starter.limits.counts,
@@ -192,8 +192,8 @@
             explain_job(planner_of(cell), job, 'e0')
         assert state_of(cell) == before
         await asyncio.sleep(1)
-        assert not [stored for stored in cell.log.records if 'trial' in stored.key]
-        assert not [step for step in cell.advice.asked if 'trial' in step]
+        assert not any('trial' in stored.key for stored in cell.log.records)
+        assert not any('trial' in step for step in cell.advice.asked)
 
     run_scenario(scenario)
 
