--- a/marigoldlift/platform/workspace_parsing.py
+++ b/marigoldlift/platform/workspace_parsing.py
@@ -22,7 +22,8 @@
 #: Longest name of a workspace, in bytes: it is part of the keys of records, which have 255 bytes.
 MAX_NAME_BYTES = 128
 
-#: Cap of a suspended workspace, which lets nothing more start: the cap that the operator meant is not known.
+#: Cap of a suspended workspace, under which its accepted work goes on task by task: the cap that the operator meant is
+#: not known.
 SUSPENDED_CAP = ResourceCap(cpu_m=1, mem_mb=1, gpus=1)
 
 tenant_decoder: JsonDecoder[TenantBody] = JsonDecoder(TenantBody, MAX_TENANT_BYTES)
@@ -36,7 +37,7 @@
 
     Attributes:
         suspended: whether its weight or cap cannot be read. Its callers may query and cancel, and nothing is accepted
-            or started for it: with a guess, it could take what others are owed.
+            for it: with a guess, it could take what others are owed.
     """
 
     workspace: Workspace
