--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -10,7 +10,7 @@
 
 from marigoldlift.cell_node import CellNode, NodeLimits, NodeParts, exit_on_failure
 from marigoldlift.ids import Incarnation, VmId
-from marigoldlift.leadership.election import Candidate, Standing
+from marigoldlift.leadership.election import Candidacy, Candidate
 from marigoldlift.platform.advice import PlatformAdvice
 from marigoldlift.platform.calls import HttpClient
 from marigoldlift.platform.configuration import (
@@ -203,7 +203,7 @@
 
     async def retire(self) -> None:
         """Hand the leadership over, after a while in which this entry goes on serving."""
-        self.node.election.standing = Standing.stopping
+        self.node.election.candidacy = Candidacy.stopping
         await asyncio.sleep(
             min(KEEP_LEADERSHIP_S, max(0, self.settings.grace_s - AFTER_LEADERSHIP_S))
         )
--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -16,7 +16,7 @@
 from marigoldlift.replication.replica import Replica
 from marigoldlift.submissions.records import NEW_TENURE, Backlog, Leadership, Record
 
-__all__ = ('LEADER_LEASE_S', 'Candidate', 'Election', 'Standing')
+__all__ = ('LEADER_LEASE_S', 'Candidacy', 'Candidate', 'Election')
 
 #: Pause between two renewals, in s: 5 of the more than 600 writes that the platform's store accepts per second.
 RENEWAL_INTERVAL_S = 0.2
@@ -61,7 +61,7 @@
 RENEWAL_WAIT_S = 1.0
 
 
-class Standing(Enum):
+class Candidacy(Enum):
     """Part that an entry takes in the election.
 
     Attributes:
@@ -105,7 +105,7 @@
         seen_at: when the holder's newest record was read, in seconds of the monotonic clock.
         last_direct_at: when the log was last known to be directly reachable.
         earlier_leaders: latest time at which earlier leaders may have sent orders.
-        standing: whether this entry may claim the leadership, or still lead.
+        candidacy: whether this entry may claim the leadership, or still lead.
         measure_backlog: returns the backlog of each service, which renewals tell the other entries.
         may_hand_over: whether the tenure began with direct access to the log; if not, no entry that has direct
             access wants to lead.
@@ -142,7 +142,7 @@
         self.sent_at = clock()
         self.read_s: float = 0
         self.confirmed_at = clock()
-        self.standing = Standing.candidate
+        self.candidacy = Candidacy.candidate
         self.is_indirect = is_indirect
         self.last_direct_at = clock()
         self.may_hand_over = False
@@ -161,7 +161,7 @@
             return
         self.seen_at = self.clock()
         self.holder = None if record.released else record
-        if mine and not record.released and self.standing is not Standing.retired:
+        if mine and not record.released and self.candidacy is not Candidacy.retired:
             self.confirm(record, offset)
         elif self.tenure is not None:
             self.tenures.unreleased = self.tenure
@@ -204,7 +204,7 @@
 
     def should_claim(self) -> bool:
         """Return whether the leader has not renewed for so long that this entry claims the leadership."""
-        if self.standing is not Standing.candidate or self.tenure is not None:
+        if self.candidacy is not Candidacy.candidate or self.tenure is not None:
             return False
         last_renewal_at = self.seen_at
         if not self.is_vacant():
@@ -310,7 +310,7 @@
 
     async def retire(self) -> None:
         """Release the leadership before the entry stops."""
-        self.standing = Standing.retired
+        self.candidacy = Candidacy.retired
         if self.tenure is not None:
             await self.hand_over('released')
 
--- a/marigoldlift/leadership/tests/test_election.py
+++ b/marigoldlift/leadership/tests/test_election.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from marigoldlift.leadership.election import LEADER_LEASE_S, Candidate, Election, Standing
+from marigoldlift.leadership.election import LEADER_LEASE_S, Candidacy, Candidate, Election
 from marigoldlift.replication.api import Producer
 from marigoldlift.replication.appender import Appender
 from marigoldlift.replication.replica import Replica
@@ -256,7 +256,7 @@
         first = leader(members)
         tenure = first.election.tenure
         for member in members:
-            member.election.standing = Standing.stopping
+            member.election.candidacy = Candidacy.stopping
         await asyncio.sleep(3)
         assert first.election.tenure == tenure
         await first.election.retire()
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -19,7 +19,7 @@
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.retention import Retention
-from marigoldlift.scheduling.run_times import RunTimeRecorder
+from marigoldlift.scheduling.run_times import LEARNING, RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tickets import TicketManager
@@ -158,7 +158,7 @@
         await self.parts.listing.ready.wait()
         self.log_is_read = True
         if self.events.run_times is not None:
-            with self.faults.contain(ItemKind.round, 'run times'):
+            with self.faults.contain(ItemKind.round, LEARNING):
                 self.events.run_times.restore(self.parts.state.run_times)
         for submission in tuple(self.parts.state.jobs):
             self.open_submissions.open(submission)
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -10,7 +10,7 @@
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
-from marigoldlift.scheduling.run_times import RunTimeRecorder
+from marigoldlift.scheduling.run_times import LEARNING, RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager, restarted_worker
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Step
@@ -24,9 +24,6 @@
 #: Outcome of a start that the worker has confirmed.
 STARTED = 'started'
 
-#: Name under which exceptions of the learning of run times are logged.
-LEARNING = 'run times'
-
 #: Minimum time between two restarts of the tenure after refused tokens, in s.
 CLAIM_PAUSE_S = 1.0
 
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -9,6 +9,7 @@
 from marigoldlift.scheduling.pending import PendingSteps
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.pool import Pool
+from marigoldlift.scheduling.run_times import LEARNING
 from marigoldlift.scheduling.service_order import service_rank
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.starter import Starter
@@ -128,7 +129,7 @@
         """
         ranked = []
         times = self.placer.times
-        with self.faults.contain(ItemKind.round, 'run times'):
+        with self.faults.contain(ItemKind.round, LEARNING):
             times.refresh()
         for step in self.waiting:
             if self.faults.is_set_aside(step.job.id):
--- a/marigoldlift/scheduling/run_times.py
+++ b/marigoldlift/scheduling/run_times.py
@@ -20,10 +20,13 @@
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 
-__all__ = ('RunTimeRecorder',)
+__all__ = ('LEARNING', 'RunTimeRecorder')
 
 MS_PER_S = 1000
 
+#: Name under which exceptions of the learning of run times are logged.
+LEARNING = 'run times'
+
 #: Time between two summaries in the log, and two reports, in s; a new leader lacks the ends since the last summary.
 STORE_INTERVAL_S = 5.0
 
--- a/marigoldlift/scheduling/tests/test_backlog.py
+++ b/marigoldlift/scheduling/tests/test_backlog.py
@@ -1,10 +1,13 @@
 """Backlog of a service, from the steps that wait and the room that is left."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from marigoldlift.orders.api import Worker
 from marigoldlift.orders.runs import HeldTasks, RunTable
 from marigoldlift.scheduling.backlog import service_backlogs
+from marigoldlift.scheduling.dispatcher import Dispatcher
 from marigoldlift.scheduling.tasks import JobRun, PendingReason
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
 from marigoldlift.submissions.records import Backlog
@@ -53,3 +56,9 @@
     reasons = {step: PendingReason.unreachable}
     assert not service_backlogs([step], reasons, lambda service: sessions, 1, 0)
     assert not service_backlogs([step], {}, lambda service: sessions, 10, 0)
+
+
+def test_leader_reports_no_backlog_before_its_first_pass():
+    """Guards against refusals by a new leader that takes all running work for waiting, on the few workers it has heard."""
+    taking_over = SimpleNamespace(planner=SimpleNamespace(has_passed=False))
+    assert not Dispatcher.service_backlogs(taking_over)
--- a/marigoldlift/submissions/tests/test_share_admission.py
+++ b/marigoldlift/submissions/tests/test_share_admission.py
@@ -6,8 +6,8 @@
 from marigoldlift.errors import LogUnavailableError, ShareExceededError
 from marigoldlift.ids import WorkspaceId
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
-from marigoldlift.submissions.records import Backlog
-from marigoldlift.submissions.share_admission import ShareAdmission
+from marigoldlift.submissions.records import Backlog, Finished, Outcome
+from marigoldlift.submissions.share_admission import MAX_RETRY_S, ShareAdmission, retry_after_s
 from marigoldlift.submissions.state import CellState
 from marigoldlift.telemetry.metrics import Metrics
 from marigoldlift.workspaces.directory import WorkspaceDirectory
@@ -133,3 +133,16 @@
     assert cell.admission.mark(newer) == msgspec.structs.replace(newer, ahead_s=first.ahead_s)
     foreign = msgspec.structs.replace(newer, workspace='other')
     assert cell.admission.mark(foreign).workspace == 'other'
+
+
+def test_pause_of_a_refusal_is_bounded():
+    """Guards against callers that are sent away for minutes by a backlog that has passed long before."""
+    assert retry_after_s(SubmissionId('one'), 600) <= 2 * MAX_RETRY_S
+
+
+def test_acceptance_of_another_workspace_that_is_read_first_is_dropped():
+    """Guards against a rejected submission that runs after a restart, once the outcome of the id has expired."""
+    state = CellState(float)
+    state.accept(0, submission('one', CALM))
+    state.finish(Finished(SubmissionId('one'), Outcome.complete, SURGE))
+    assert state.rejected_acceptances == {'one/calm'}
