Measure the parts of a scheduling round and the delay of the event loop

A leader that stands still in a round renews nothing, and nothing told in which part it stood: the log of such a leader only shows that the leadership changes. Each part is now measured (round_part_seconds), and one that holds the loop for 0.2 s is logged with its name and the number of waiting steps; a delay of the loop without such a line points to the machine or to another handler. The leader of the cell observes event_loop_delay_seconds, as the older path does.

--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -19,13 +19,13 @@
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.retention import Retention
+from marigoldlift.scheduling.round_times import RoundTimes
 from marigoldlift.scheduling.run_times import LEARNING, RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.scheduling.tickets import TicketManager
 from marigoldlift.submissions.records import Accepted, Backlog, Cancelled, Progress, Record
 from marigoldlift.submissions.state import FINAL_OUTCOMES
-from marigoldlift.supervision import ItemKind
 
 __all__ = ('Dispatcher',)
 
@@ -70,6 +70,7 @@
         self.log_is_read = False
         self.checked_at = self.clock()
         self.round_s: float = 0
+        self.round_times = RoundTimes(self.faults, parts.metrics, self.waiting_steps)
         self.appender = Appender(
             parts.log, Producer(LEADER, tenure + 1), self.clock, parts.metrics
         )
@@ -119,13 +120,13 @@
 
     async def run(self) -> None:
         """Take over the cell, then schedule until cancelled or fenced by the log."""
-        loops = [asyncio.create_task(work) for work in (self.appender.run(), self.progress.run())]
+        background = (self.appender.run(), self.progress.run(), self.round_times.watch_loop())
+        loops = [asyncio.create_task(work) for work in background]
         try:
             await self.take_over()
             while not self.appender.fenced:
                 check_loops(loops)
-                with self.faults.contain(ItemKind.round, 'round'):
-                    self.run_once()
+                self.run_once()
                 await self.pause()
         finally:
             for task in loops:
@@ -158,7 +159,7 @@
         await self.parts.listing.ready.wait()
         self.log_is_read = True
         if self.events.run_times is not None:
-            with self.faults.contain(ItemKind.round, LEARNING):
+            with self.round_times.contain(LEARNING):
                 self.events.run_times.restore(self.parts.state.run_times)
         for submission in tuple(self.parts.state.jobs):
             self.open_submissions.open(submission)
@@ -209,7 +210,8 @@
         if now - self.checked_at >= TICK_S:
             self.checked_at = now
             self.run_checks()
-        self.planner.run_pass()
+        with self.round_times.contain('pass'):
+            self.planner.run_pass()
         self.round_s = self.clock() - now
 
     def run_checks(self) -> None:
@@ -220,17 +222,27 @@
             self.checks.check_runs,
             self.planner.sample_idle,
             self.events.check_run_times,
+            self.start_retention,
         ):
-            with self.faults.contain(ItemKind.round, check.__qualname__):
+            with self.round_times.contain(check.__name__):
                 check()
+
+    def start_retention(self) -> None:
+        """Start a retention round if one is due."""
         if self.retention.is_due():
             self.starter.spawn(self.retention.run_round())
 
+    def waiting_steps(self) -> int:
+        """Return the number of steps that wait to be placed."""
+        return len(self.planner.waiting)
+
     def service_backlogs(self) -> dict[str, Backlog]:
         """Return how long the workers of each service need for the work that waits for room."""
         if not self.planner.has_passed:
             return {}
-        return self.planner.pending.backlogs(self.planner.waiting)
+        with self.round_times.measure('backlogs'):
+            backlogs = self.planner.pending.backlogs(self.planner.waiting)
+        return backlogs
 
     def observe(self, offset: int, record: Record) -> None:
         """Handle a record that was read from the log."""
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -43,7 +43,7 @@
     requests = MetricSpec(
         COUNTER, '', ('workspace', 'status'), 'Callers answered, by status and code.'
     )
-    request = MetricSpec(SUMMARY, 'seconds', ('service',), 'Time to answer a caller.')
+    request = MetricSpec(SUMMARY, SECONDS, ('service',), 'Time to answer a caller.')
     http_requests_active = MetricSpec(GAUGE, '', (), 'HTTP requests in progress.')
     queue_length = MetricSpec(GAUGE, '', (), 'Requests waiting in the queue.')
     queue_wait = MetricSpec(SUMMARY, 'seconds', ('service',), 'Time in the queue until dispatch.')
@@ -126,6 +126,12 @@
     members = MetricSpec(GAUGE, '', ('state',), 'Entries known, by state.')
     peer_call = MetricSpec(SUMMARY, 'seconds', ('method',), 'Time of a call to a peer.')
     peer_errors = MetricSpec(COUNTER, '', ('code',), 'Calls to peers that failed.')
+    round_part = MetricSpec(
+        SUMMARY,
+        'seconds',
+        ('part',),
+        'Time for which a part of a scheduling round holds the loop.',
+    )
     event_loop_delay = MetricSpec(SUMMARY, 'seconds', (), 'Lateness of a timer of the event loop.')
     process_cpu = MetricSpec(COUNTER, 'seconds', (), 'Processor time used by the process.')
     process_memory = MetricSpec(GAUGE, 'bytes', (), 'Resident memory of the process.')
--- a/marigoldlift/wiring/gauges.py
+++ b/marigoldlift/wiring/gauges.py
@@ -8,6 +8,7 @@
 
 from marigoldlift.admission.connection_limit import ConnectionLimit
 from marigoldlift.membership.liveness import Liveness
+from marigoldlift.telemetry.loop_delay import watch_loop
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 from marigoldlift.util import loop_now
@@ -56,10 +57,7 @@
 
     async def watch_loop(self) -> None:
         """Measure periodically how late the event loop wakes a sleeping task, until cancelled."""
-        while True:
-            due_s = loop_now() + LOOP_CHECK_S
-            await asyncio.sleep(LOOP_CHECK_S)
-            self.metrics.observe(Metric.event_loop_delay, loop_now() - due_s)
+        await watch_loop(self.metrics, LOOP_CHECK_S)
 
     def refresh(self) -> None:
         """Set all gauges."""
