--- a/bench/bench_shares.py
+++ b/bench/bench_shares.py
@@ -14,7 +14,8 @@
 from marigoldlift.orders.api import Worker
 from marigoldlift.orders.runs import HeldTasks, RunTable
 from marigoldlift.scheduling.backlog import service_backlogs
-from marigoldlift.scheduling.tasks import JobRun, StepRun
+from marigoldlift.scheduling.job_run import JobRun
+from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
 from marigoldlift.submissions.state import Job
 from marigoldlift.workspaces.directory import WorkspaceDirectory
--- a/marigoldlift/platform/placement_requests.py
+++ b/marigoldlift/platform/placement_requests.py
@@ -21,7 +21,7 @@
 from marigoldlift.scheduling.dispatcher import Dispatcher
 from marigoldlift.scheduling.explanation import PLACEMENT_PATH
 from marigoldlift.scheduling.placement_report import explain_job, trial_job
-from marigoldlift.scheduling.tasks import JobRun
+from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.workspaces.model import NO_WORKSPACE
 
--- a/marigoldlift/runtimes/tests/test_learner.py
+++ b/marigoldlift/runtimes/tests/test_learner.py
@@ -11,7 +11,7 @@
 from marigoldlift.runtimes.quantiles import AS_ESTIMATED
 from marigoldlift.runtimes.samples import Measurement, RunSample, measure
 from marigoldlift.runtimes.tests.conftest import KEY
-from marigoldlift.scheduling.tasks import JobRun
+from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId, TaskRef
 from marigoldlift.submissions.record_codec import decode_record, encode_record
 from marigoldlift.submissions.state import Job
--- a/marigoldlift/scheduling/open_submissions.py
+++ b/marigoldlift/scheduling/open_submissions.py
@@ -8,7 +8,8 @@
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.starter import Starter
-from marigoldlift.scheduling.tasks import JobRun, StepRun
+from marigoldlift.scheduling.job_run import JobRun
+from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Outcome
 from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState
--- a/marigoldlift/scheduling/placement_report.py
+++ b/marigoldlift/scheduling/placement_report.py
@@ -11,7 +11,8 @@
     StepReason,
 )
 from marigoldlift.scheduling.planner import Planner
-from marigoldlift.scheduling.tasks import JobRun, PendingReason, StepRun
+from marigoldlift.scheduling.job_run import JobRun
+from marigoldlift.scheduling.tasks import PendingReason, StepRun
 from marigoldlift.scheduling.trial_pass import TrialPlanner
 from marigoldlift.submissions.model import Submission
 from marigoldlift.submissions.state import Job
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -7,7 +7,7 @@
 
 from marigoldlift.errors import PlatformError
 from marigoldlift.replication.appender import Appender
-from marigoldlift.scheduling.tasks import JobRun
+from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.records import Outcome, Progress
 from marigoldlift.supervision import TaskSet
--- a/marigoldlift/scheduling/tests/test_backlog.py
+++ b/marigoldlift/scheduling/tests/test_backlog.py
@@ -8,7 +8,8 @@
 from marigoldlift.orders.runs import HeldTasks, RunTable
 from marigoldlift.scheduling.backlog import service_backlogs
 from marigoldlift.scheduling.dispatcher import Dispatcher
-from marigoldlift.scheduling.tasks import JobRun, PendingReason
+from marigoldlift.scheduling.job_run import JobRun
+from marigoldlift.scheduling.tasks import PendingReason
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
 from marigoldlift.submissions.records import Backlog
 from marigoldlift.submissions.state import Job
--- a/marigoldlift/scheduling/tests/test_placement.py
+++ b/marigoldlift/scheduling/tests/test_placement.py
@@ -6,7 +6,7 @@
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.runtimes.api import EstimatesAlone
 from marigoldlift.scheduling.placement import Placer
-from marigoldlift.scheduling.tasks import JobRun
+from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.scheduling.worker_health import WorkerHealth
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
 from marigoldlift.submissions.state import Job
--- a/marigoldlift/scheduling/tests/test_service_order.py
+++ b/marigoldlift/scheduling/tests/test_service_order.py
@@ -4,7 +4,7 @@
 
 from marigoldlift.runtimes.decisions import JobTimes
 from marigoldlift.scheduling.service_order import ServiceClass, service_class, service_rank
-from marigoldlift.scheduling.tasks import JobRun
+from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
 from marigoldlift.submissions.state import Job
 
--- a/marigoldlift/scheduling/tests/test_workspace_caps.py
+++ b/marigoldlift/scheduling/tests/test_workspace_caps.py
@@ -11,7 +11,8 @@
 from marigoldlift.orders.api import Worker
 from marigoldlift.orders.runs import UNKNOWN_DEMAND, HeldTasks, Phase, Run, RunTable
 from marigoldlift.scheduling.cap_report import set_cap_gauges
-from marigoldlift.scheduling.tasks import JobRun, PendingReason
+from marigoldlift.scheduling.job_run import JobRun
+from marigoldlift.scheduling.tasks import PendingReason
 from marigoldlift.scheduling.workspace_caps import CONFIGURATION_LAG_S, MAX_REFUSED, WorkspaceCaps
 from marigoldlift.scheduling.workspace_usage import ResourceUse, WorkspaceUsage, fitting_in_cap
 from marigoldlift.submissions.model import (
--- a/marigoldlift/scheduling/trial_parts.py
+++ b/marigoldlift/scheduling/trial_parts.py
@@ -11,7 +11,8 @@
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.start_limits import StartLimits
 from marigoldlift.scheduling.starter import Starter
-from marigoldlift.scheduling.tasks import JobRun, StepRun
+from marigoldlift.scheduling.job_run import JobRun
+from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.scheduling.tickets import TicketManager
 
 __all__ = ('FrozenTimes', 'TrialStarter', 'TrialTickets', 'copy_job', 'copy_sessions')
--- a/marigoldlift/scheduling/trial_pass.py
+++ b/marigoldlift/scheduling/trial_pass.py
@@ -12,7 +12,8 @@
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.service_order import ServiceClass, service_rank
 from marigoldlift.scheduling.session_manager import SessionManager
-from marigoldlift.scheduling.tasks import JobRun, StepRun
+from marigoldlift.scheduling.job_run import JobRun
+from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.scheduling.trial_parts import (
     FrozenTimes,
     TrialStarter,
--- a/marigoldlift/submissions/share_admission.py
+++ b/marigoldlift/submissions/share_admission.py
@@ -16,7 +16,7 @@
 from marigoldlift.errors import LogUnavailableError, ShareExceededError
 from marigoldlift.replication.replica import Replica
 from marigoldlift.scheduling.service_order import WORTHLESS_FACTOR
-from marigoldlift.scheduling.tasks import chains_s, objective_s
+from marigoldlift.scheduling.job_run import chains_s, objective_s
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.submissions.record_codec import scoped_name
 from marigoldlift.submissions.records import Backlog
--- a/tests/cell/test_odd_entries.py
+++ b/tests/cell/test_odd_entries.py
@@ -6,7 +6,7 @@
 import pytest
 
 from marigoldlift.scheduling.planner import Planner
-from marigoldlift.scheduling.tasks import JobRun
+from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.submissions.model import Step
 from marigoldlift.telemetry.metric_table import Metric
 from tests.cell.model import registry_entry
