Open the steps of a submission as their turn comes

Cause: each occurrence and step of a submission was an object in the list of waiting steps from its acceptance on. For each of them, `is_idle` went through all others of its submission, 10^8 of them, on the event loop on which the leadership is renewed; the successor began with the same. The same cause in weaker form: `ready_steps` and the sums of the backlog visit each waiting step, `is_done` went over all steps at each end, each progress record held all steps that had ever begun, and a takeover built all objects anew.

Ruled out: the store, the workers and the network, since all delays of the loop coincide with that part.

Change: an occurrence is a number until its turn has come, and of each step at most 64 / (number of steps) wait at once; others follow as those are placed. Dependent steps are opened once what they depend on is complete. Complete steps are bits of a mask, in the leader's memory as in the records, and need no progress. What runs is kept for each submission, so that nothing looks for it. Occurrences that can earn nothing any more are put back while later ones are due, and none is dropped. Works because a round now visits what can be started; the further occurrences cost no visit.

--- a/marigoldlift/scheduling/backlog.py
+++ b/marigoldlift/scheduling/backlog.py
@@ -3,9 +3,13 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from operator import attrgetter
 
+import msgspec
+
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.scheduling.service_order import ServiceClass, service_class
 from marigoldlift.scheduling.tasks import PendingReason, StepRun
+from marigoldlift.submissions.model import Step
 from marigoldlift.submissions.records import Backlog
 
 __all__ = ('service_backlogs',)
@@ -28,6 +32,26 @@
 RESOURCES = (attrgetter('cpu_m'), attrgetter('mem_mb'), attrgetter('gpus'))
 
 
+class WaitingWork(msgspec.Struct, frozen=True):
+    """Waiting tasks of one step.
+
+    Attributes:
+        tasks: number of the tasks.
+        urgent: whether their queue has the highest priority.
+    """
+
+    step: Step
+    tasks: int
+    urgent: bool
+
+    def amounts(self) -> Iterator[float]:
+        """Yield the resource-seconds of the tasks; those that fill take no processor."""
+        seconds = self.tasks * self.step.estimate_ms / MS_PER_S
+        yield 0 if self.step.fills else self.step.cpu_m * seconds
+        yield self.step.mem_mb * seconds
+        yield self.step.gpus * seconds
+
+
 def service_backlogs(
     waiting: Iterable[StepRun],
     reasons: Mapping[StepRun, PendingReason],
@@ -54,7 +78,8 @@
             if rank is not ServiceClass.worthless:
                 steps.setdefault(step.job.submission.policy.service, []).append(step)
     backlogs = {
-        service: backlog_of(found, tuple(sessions_of(service))) for service, found in steps.items()
+        service: backlog_of(list(waiting_work(found, wall_ms)), tuple(sessions_of(service)))
+        for service, found in steps.items()
     }
     longest = sorted(backlogs, key=lambda service: -backlogs[service].total_s)[:MAX_SERVICES]
     return {service: backlogs[service] for service in longest if backlogs[service].total_s > 0}
@@ -67,35 +92,50 @@
     return step.job.is_runnable(step, wall_ms)
 
 
-def backlog_of(steps: Sequence[StepRun], sessions: Sequence[WorkerSession]) -> Backlog:
-    """Return the backlog of a service.
+def waiting_work(steps: Iterable[StepRun], wall_ms: float) -> Iterator[WaitingWork]:
+    """Yield the work of waiting steps, and that of the further occurrences of their submissions that are due.
 
     Args:
         steps: waiting steps.
+        wall_ms: Unix time in ms.
+    """
+    jobs: dict[JobRun, None] = {}
+    for step in steps:
+        jobs[step.job] = None
+        yield WaitingWork(step.step, len(step.todo), is_urgent(step.job))
+    for job in jobs:
+        for number, occurrences in job.queue.hidden(wall_ms).items():
+            kind = job.submission.steps[number]
+            if not kind.long_running:
+                yield WaitingWork(kind, kind.count * occurrences, is_urgent(job))
+
+
+def is_urgent(job: JobRun) -> bool:
+    """Return whether the queue of a submission has the highest priority."""
+    return job.submission.policy.priority == 0
+
+
+def backlog_of(work: Sequence[WaitingWork], sessions: Sequence[WorkerSession]) -> Backlog:
+    """Return the backlog of a service.
+
+    Args:
+        work: what waits.
         sessions: sessions with the usable workers.
     """
-    urgent = [step for step in steps if step.job.submission.policy.priority == 0]
-    total_s = time_for(sum_work(steps), sessions)
+    urgent = [part for part in work if part.urgent]
+    total_s = time_for(sum_work(work), sessions)
     return Backlog(time_for(sum_work(urgent), sessions) if urgent and total_s else 0, total_s)
 
 
-def sum_work(steps: Iterable[StepRun]) -> list[float]:
-    """Return the work of all steps, by resource."""
+def sum_work(work: Iterable[WaitingWork]) -> list[float]:
+    """Return the work of all parts, by resource."""
     sums: list[float] = [0 for _ in RESOURCES]
-    for step in steps:
-        for index, amount in enumerate(work_of(step)):
+    for part in work:
+        for index, amount in enumerate(part.amounts()):
             sums[index] += amount
     return sums
 
 
-def work_of(step: StepRun) -> Iterator[float]:
-    """Yield the resource-seconds of the waiting tasks of a step; tasks that fill take no processor."""
-    seconds = len(step.todo) * step.step.estimate_ms / MS_PER_S
-    yield 0 if step.step.fills else step.step.cpu_m * seconds
-    yield step.step.mem_mb * seconds
-    yield step.step.gpus * seconds
-
-
 def time_for(amounts: Sequence[float], sessions: Sequence[WorkerSession]) -> float:
     """Return how long all workers need for an amount of work, by the scarcest resource; 0 if there is room."""
     workers = [session.worker for session in sessions]
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -79,7 +79,7 @@
 
     def step_requeued(self, step: StepRun) -> None:
         """Queue a step again after one of its tasks was requeued."""
-        self.open_submissions.planner.add(step)
+        self.open_submissions.planner.waiting.add(step)
         self.wake.set()
 
     def run_ended(self, session: WorkerSession, ended: EndedRun, known: Run | None) -> None:
@@ -89,10 +89,10 @@
         submission.
         """
         self.metrics.add(Metric.task_ends, outcome=ended.kind.value)
-        step = self.open_submissions.step_of(ended.task)
+        step = self.open_submissions.step_of_run(ended.task)
         stored = partial(session.ends.store_confirmed, ended.number)
         if step is None:
-            self.open_submissions.after_outcome(ended.task.submission, stored)
+            self.open_submissions.after_progress(ended.task.submission, stored)
             return
         if self.run_times is not None:
             # Whether an end is handled must not depend on what can be learned from it.
@@ -139,7 +139,8 @@
         if other is not None and other is not session:
             self.open_submissions.starter.stop(other, step.task(index))
         step.finish(index)
-        self.open_submissions.close_if_done(step.job)
+        step.settle_place(index, session.worker.id)
+        self.open_submissions.note_done(step)
         self.wake.set()
 
     def check_run_times(self) -> None:
@@ -155,7 +156,7 @@
         Returns:
             Resource demand of the run.
         """
-        step = self.open_submissions.step_of(held.task)
+        step = self.open_submissions.step_of_run(held.task)
         index = held.task.index
         if step is None:
             return self.open_submissions.demand_of(held.task)
--- a/marigoldlift/scheduling/job_run.py
+++ b/marigoldlift/scheduling/job_run.py
@@ -1,12 +1,15 @@
 """State of open submissions on the leader."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+
+import msgspec
 
 from marigoldlift.runtimes.api import EstimatesAlone, ExpectedTimes
 from marigoldlift.runtimes.decisions import JobTimes, expected_times
+from marigoldlift.scheduling.step_queue import StepKey, StepQueue, waiting_limit
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Step, Submission, SubmissionId
-from marigoldlift.submissions.records import Outcome
+from marigoldlift.submissions.records import Outcome, StepProgress
 from marigoldlift.submissions.state import Job
 
 __all__ = ('JobRun', 'chains_s', 'objective_s')
@@ -21,7 +24,13 @@
         since: when this entry read its acceptance from the log, in seconds of the monotonic clock.
         begun: whether any task was started.
         outcome: final outcome, None while there is none.
-        steps: steps by occurrence and number.
+        steps: open steps by occurrence and number: those that wait for a worker, run, or may run on workers of earlier
+            leaders.
+        running: open steps of which a task occupies capacity; a dict to keep their order.
+        waiting: open steps with tasks to start that the planner holds, by number.
+        complete: steps of which all tasks are done.
+        queue: steps that are not open yet.
+        opens_at_ms: Unix time at which the planner looks for steps to open, in ms; 0 if it was never noted.
         times_version: version of the expected times that the following rest on; 0 for the estimates of the caller.
         task_s: expected time of the longest task of each step, in s.
         safe_s: time that a task of each step hardly exceeds, in s.
@@ -37,11 +46,14 @@
         self.since = job.seen_at
         self.begun = job.outcome is Outcome.running
         self.outcome: Outcome | None = None
-        self.steps: dict[tuple[int, int], StepRun] = {}
-        for occurrence in range(self.submission.occurrences):
-            for number, _ in enumerate(self.submission.steps):
-                stored = job.progress.get((occurrence, number))
-                self.steps[occurrence, number] = StepRun(self, number, occurrence, stored)
+        self.steps: dict[StepKey, StepRun] = {}
+        self.running: dict[StepRun, None] = {}
+        self.waiting: dict[int, dict[StepRun, None]] = {}
+        self.complete = job.complete.copy()
+        for key, stored in job.progress.items():
+            self.forget_complete(self.open_step(key, stored))
+        self.queue = StepQueue(self.submission, self.complete)
+        self.opens_at_ms: float = 0
         self.times_version = 0
         self.expect(expected_times(EstimatesAlone(), self.submission))
 
@@ -73,7 +85,55 @@
     @property
     def is_done(self) -> bool:
         """Return whether all tasks are done."""
-        return all(step.is_done for step in self.steps.values())
+        return self.complete.is_full
+
+    def open_step(self, key: StepKey, stored: StepProgress | None = None) -> StepRun:
+        """Open a step, with the progress that is stored of it."""
+        occurrence, number = key
+        if stored is not None and key in self.complete:
+            # A record of an earlier leader may not have all ends.
+            every = list(range(self.submission.steps[number].count))
+            stored = msgspec.structs.replace(stored, done=every)
+        step = StepRun(self, number, occurrence, stored)
+        if step.is_done:
+            self.complete.add(key)
+        self.steps[key] = step
+        return step
+
+    def open_due(self, wall_ms: float) -> Iterator[StepRun]:
+        """Open and yield steps whose turn has come, as many of each number as may wait at once.
+
+        Args:
+            wall_ms: Unix time in ms.
+        """
+        limit = waiting_limit(self.submission.steps)
+        for number, _ in enumerate(self.submission.steps):
+            room = limit - len(self.waiting.get(number, ()))
+            for key in tuple(self.queue.take(number, room, self.steps, wall_ms)):
+                yield self.open_step(key)
+
+    def close_step(self, step: StepRun) -> None:
+        """Close a step that was never tried, until its number has its turn again."""
+        self.steps.pop(step.key)
+        self.queue.put_back(step.key)
+
+    def note_waiting(self, step: StepRun) -> None:
+        """Count a step as one that waits for a worker."""
+        self.waiting.setdefault(step.number, {})[step] = None
+
+    def note_placed(self, step: StepRun) -> None:
+        """Count a step as one that waits for a worker no longer."""
+        self.waiting.get(step.number, {}).pop(step, None)
+
+    def complete_step(self, step: StepRun) -> None:
+        """Note that all tasks of a step are done, so that those that depend on it may have their turn."""
+        self.complete.add(step.key)
+        self.queue.note_complete(step.key)
+
+    def forget_complete(self, step: StepRun) -> None:
+        """Keep no more than the bit of a complete step, once no worker may hold a task of it."""
+        if step.is_done and not step.active and not step.old_places:
+            self.steps.pop(step.key, None)
 
     @property
     def is_urgent(self) -> bool:
@@ -86,15 +146,14 @@
         return self.submission.ahead_s > 0
 
     def is_runnable(self, step: StepRun, wall_ms: float) -> bool:
-        """Return whether the occurrence is due and all steps that the step depends on are done."""
-        due_ms = self.due_ms(step)
-        if self.submission.first_due_ms and wall_ms < due_ms:
+        """Return whether the occurrence is due and all steps that the step depends on are complete."""
+        if self.submission.first_due_ms and wall_ms < self.due_ms(step):
             return False
-        return all(self.steps[step.occurrence, before].is_done for before in step.step.after)
+        return self.queue.is_released(step.key)
 
     def due_ms(self, step: StepRun) -> float:
         """Return the Unix time at which the occurrence of a step is due, in ms."""
-        return self.submission.first_due_ms + step.occurrence * self.submission.interval_ms
+        return self.queue.due_ms(step.occurrence)
 
     def counted_since(self, step: StepRun, now: float, wall_ms: float) -> float:
         """Return the time from which the objective of a step counts, in seconds of the monotonic clock.
--- a/marigoldlift/scheduling/open_submissions.py
+++ b/marigoldlift/scheduling/open_submissions.py
@@ -56,9 +56,21 @@
             opened = JobRun(job)
             self.jobs[submission] = opened
             for step in opened.steps.values():
-                self.planner.add(step)
+                self.planner.waiting.add(step)
+            self.planner.waiting.open_due(opened)
             self.close_if_done(opened)
 
+    def note_done(self, step: StepRun) -> None:
+        """Note that a task of a step is done; once all are, others may have their turn, or the submission is complete."""
+        if not step.is_done:
+            return
+        job = step.job
+        if step.key not in job.complete:
+            job.complete_step(step)
+            self.planner.waiting.open_due(job)
+            self.close_if_done(job)
+        job.forget_complete(step)
+
     def close_if_done(self, job: JobRun) -> None:
         """Close a submission as complete once all its tasks are done."""
         if job.is_done:
@@ -75,7 +87,7 @@
         job.outcome = outcome
         self.jobs.pop(job.id, None)
         self.closed[job.id] = job
-        for step in job.steps.values():
+        for step in tuple(job.running):
             self.starter.stop_step(step)
         self.progress.note(job)
         logger.info(
@@ -90,28 +102,37 @@
         """Return whether a submission has no outcome, or one that may not be stored yet."""
         return submission in self.jobs or submission in self.closed
 
-    def after_outcome(self, submission: SubmissionId, stored: Callable[[], None]) -> None:
-        """Call `stored` once the outcome of a submission that is not open is stored, at once if it is.
+    def after_progress(self, submission: SubmissionId, stored: Callable[[], None]) -> None:
+        """Call `stored` once the progress of a submission is stored, at once if its outcome is.
 
-        Until then a later leader would open the submission again.
+        Until then a later leader would start a task of it again: of a step that is complete, or of a submission that has
+        just ended.
         """
-        closed = self.closed.get(submission)
-        if closed is None:
+        job = self.jobs.get(submission) or self.closed.get(submission)
+        if job is None:
             stored()
         else:
-            self.progress.note(closed, stored)
+            self.progress.note(job, stored)
 
     def forget(self, submission: SubmissionId) -> None:
         """Remove a closed submission once its outcome is stored."""
         self.closed.pop(submission, None)
 
     def step_of(self, task: TaskRef) -> StepRun | None:
-        """Return the step of a task, None if its submission is not open or has no such task."""
+        """Return the open step of a task, None if there is none or it has no such task."""
         job = self.jobs.get(task.submission)
-        step = job.steps.get((task.occurrence, task.step)) if job else None
-        if step is None or not 0 <= task.index < step.step.count:
+        if job is None or not job.submission.has_task(task):
             return None
-        return step
+        return job.steps.get((task.occurrence, task.step))
+
+    def step_of_run(self, task: TaskRef) -> StepRun | None:
+        """Return the step of a task that has run; it is opened if it is neither open nor complete."""
+        job = self.jobs.get(task.submission)
+        key = (task.occurrence, task.step)
+        if job is not None and job.submission.has_task(task) and key not in job.steps:
+            if key not in job.complete:
+                self.planner.waiting.add(job.open_step(key))
+        return self.step_of(task)
 
     def demand_of(self, task: TaskRef) -> Step:
         """Return the resource demand of a task whose submission is not open.
--- a/marigoldlift/scheduling/pending.py
+++ b/marigoldlift/scheduling/pending.py
@@ -239,7 +239,7 @@
     """Return whether a step is due while nothing of its submission runs, or while a task that has to last does not."""
     if not step.todo or step.job.outcome or not step.job.is_runnable(step, wall_ms):
         return False
-    return must_run_whole(step) or not any(other.active for other in step.job.steps.values())
+    return must_run_whole(step) or not step.job.running
 
 
 def listed_sessions(session_manager: SessionManager, service: str) -> list[WorkerSession]:
--- a/marigoldlift/scheduling/placement_report.py
+++ b/marigoldlift/scheduling/placement_report.py
@@ -3,6 +3,9 @@
 import time
 from collections import Counter
 from enum import Enum
+from functools import partial
+
+import msgspec
 
 from marigoldlift.scheduling.explanation import (
     Explanation,
@@ -21,13 +24,17 @@
 
 MS_PER_S = 1000
 
-#: Steps that one answer describes.
-MAX_STEPS = 100
-
 #: Workers that one answer names of those about which the advice would be asked, for each step.
 MAX_TO_ASK = 300
 
 
+class StepTasks(msgspec.Struct, frozen=True):
+    """Number of the tasks of a step that wait, and of those that run or are being started."""
+
+    waiting: int
+    running: int
+
+
 def trial_job(submission: Submission, now: float) -> JobRun:
     """Return a submission that is not handed in as it would be if this leader had just read it from the log.
 
@@ -47,9 +54,9 @@
         leader: address of this entry.
     """
     trial = TrialPlanner(planner, job)
+    before = [StepTasks(len(step.todo), len(step.active)) for step in trial.described]
     trial.run_pass()
     policy = job.submission.policy
-    steps = list(job.steps.values())
     return Explanation(
         submission=job.id,
         queue=policy.queue,
@@ -57,26 +64,26 @@
         workspace=job.submission.workspace,
         leader=leader,
         objective_s=trial.explained.objective_s,
-        steps=[explain_step(trial, step) for step in steps[:MAX_STEPS]],
-        omitted=max(0, len(steps) - MAX_STEPS),
+        steps=list(map(partial(explain_step, trial), trial.described, before)),
+        omitted=job.complete.size - len(trial.described),
     )
 
 
-def explain_step(trial: TrialPlanner, before: StepRun) -> StepExplanation:
+def explain_step(trial: TrialPlanner, step: StepRun, before: StepTasks) -> StepExplanation:
     """Return what the pass has found for one step.
 
     Args:
         trial: planner whose pass has ended.
-        before: the step as it was before the pass.
+        step: copy of the step.
+        before: its tasks before the pass.
     """
-    step = trial.explained.steps[before.occurrence, before.number]
     wall_ms = time.time() * MS_PER_S
     service_class = trial.classes.get(step)
     rulings = trial.rulings.get(step)
     return StepExplanation(
         step=step.name,
-        waiting=len(before.todo),
-        running=len(before.active),
+        waiting=before.waiting,
+        running=before.running,
         service_class='' if service_class is None else service_class.name,
         position=trial.ranked.index(step) + 1 if step in trial.classes else 0,
         ready_steps=len(trial.ranked),
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -16,6 +16,7 @@
 from marigoldlift.scheduling.tasks import PendingReason, StepRun
 from marigoldlift.scheduling.tickets import TicketManager
 from marigoldlift.scheduling.wait_report import WaitReport
+from marigoldlift.scheduling.waiting_steps import WaitingSteps
 from marigoldlift.supervision import FaultBoundary, ItemKind
 from marigoldlift.telemetry.metrics import Metrics
 
@@ -40,7 +41,7 @@
     """Places waiting steps on workers, the most urgent first.
 
     Attributes:
-        waiting: steps with tasks to start; a dict to keep their order.
+        waiting: open steps with tasks to start.
         pools: workers by service and by whether quarantined ones are included, for the current pass.
         reserved: ids of the workers that are reserved for a waiting gang in the current pass.
         reserving_step: step of that gang.
@@ -78,7 +79,7 @@
         self.clock = clock
         self.faults = faults
         self.gang_limit_s = gang_wait_s * GANG_START_SHARE
-        self.waiting: dict[StepRun, None] = {}
+        self.waiting = WaitingSteps(clock)
         self.pools: dict[tuple[str, bool], Pool] = {}
         self.reserved: set[str] = set()
         self.reserving_step: StepRun | None = None
@@ -88,11 +89,6 @@
         self.pending = pending
         self.caps = pending.caps
 
-    def add(self, step: StepRun) -> None:
-        """Queue a step for placement if it has tasks to start."""
-        if step.todo:
-            self.waiting[step] = None
-
     def run_pass(self) -> None:
         """Run one scheduling pass: place as many waiting steps as possible, in order of rank."""
         now = self.clock()
@@ -101,7 +97,8 @@
         self.reserved = set()
         self.reserving_step = None
         self.failed_placements = 0
-        self.drop_finished()
+        self.waiting.open_occurrences(wall_ms)
+        self.waiting.drop_finished()
         self.pending.reasons.clear()
         ready = self.ready_steps(now, wall_ms)
         self.caps.begin_pass(self.waiting)
@@ -149,12 +146,6 @@
         """Update the gauges of the caps before they are read."""
         set_cap_gauges(self.caps, metrics)
 
-    def drop_finished(self) -> None:
-        """Remove the steps that have no task to start or whose submission has ended."""
-        finished = [step for step in self.waiting if not step.todo or step.job.outcome]
-        for step in finished:
-            self.waiting.pop(step)
-
     def may_start(self, step: StepRun, wall_ms: float) -> bool:
         """Return whether a step is due and has a task that cannot be running already.
 
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -8,8 +8,9 @@
 from marigoldlift.errors import PlatformError
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.job_run import JobRun
+from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import SubmissionId
-from marigoldlift.submissions.records import Outcome, Progress
+from marigoldlift.submissions.records import Outcome, Progress, StepProgress, UnansweredStart
 from marigoldlift.supervision import TaskSet
 
 __all__ = ('ProgressWriter',)
@@ -110,7 +111,50 @@
     def record_of(self, job: JobRun) -> Progress:
         """Return the record with the current progress of a submission."""
         steps = [
-            step.progress(self.tenure) for step in job.steps.values() if step.last_run or step.done
+            progress_of(step, self.tenure)
+            for step in job.steps.values()
+            if step.last_run or step.done
         ]
         outcome = job.outcome or OPEN_OUTCOMES[job.begun]
-        return Progress(job.id, self.tenure, outcome, steps)
+        return Progress(job.id, self.tenure, outcome, steps, job.complete.encode())
+
+
+def progress_of(step: StepRun, tenure: int) -> StepProgress:
+    """Return the progress of a step as the leader of a tenure stores it.
+
+    Args:
+        step: the step.
+        tenure: tenure of this leader.
+    """
+    failures = {index: sorted(runs) for index, runs in step.failures.items()}
+    placed = {index: place.worker for index, place in step.old_places.items()}
+    placed |= {index: session.worker.id for index, session in step.active.items()}
+    return StepProgress(
+        step.occurrence,
+        step.number,
+        step.last_run,
+        sorted(step.done),
+        failures,
+        placed,
+        unanswered_starts(step, tenure),
+    )
+
+
+def unanswered_starts(step: StepRun, tenure: int) -> dict[int, UnansweredStart]:
+    """Return the starts without an answer; none if no late copy of them has an effect.
+
+    Args:
+        step: the step.
+        tenure: tenure of this leader.
+    """
+    if step.uses_tickets:
+        return {}
+    starts = {
+        index: place.start for index, place in step.old_places.items() if place.start is not None
+    }
+    for index, session in step.active.items():
+        run = session.run_table.runs.get(step.task(index))
+        if run is not None and (run.unanswered or run.may_start_later(session.now())):
+            ordered_in = tenure if run.tenure is None else run.tenure
+            starts[index] = UnansweredStart(run.run, ordered_in)
+    return starts
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -129,6 +129,11 @@
         """Return whether all tasks are done."""
         return len(self.done) >= self.step.count
 
+    @property
+    def key(self) -> tuple[int, int]:
+        """Return the occurrence and the number of the step."""
+        return self.occurrence, self.number
+
     @property
     def name(self) -> str:
         """Return the name of the step in calls to the placement advice."""
@@ -196,24 +201,41 @@
         self.todo.discard(index)
         self.old_places.pop(index, None)
         self.active[index] = session
+        self.job.running[self] = None
         self.runs[index] = run
         self.last_run = max(self.last_run, run)
 
     def requeue(self, index: int) -> None:
         """Mark a task as waiting again, unless it is done."""
-        self.active.pop(index, None)
+        self.release(index)
         if index not in self.done:
             self.todo.add(index)
         if not self.active:
             self.gang_started_at = None
             self.gang_broken = False
+        self.job.forget_complete(self)
 
     def finish(self, index: int) -> None:
         """Mark a task as done; a gang is done as soon as one member is."""
         indices = range(self.step.count) if self.step.gang else (index,)
         self.done.update(indices)
         self.todo.difference_update(indices)
+        self.release(index)
+
+    def release(self, index: int) -> None:
+        """Mark the capacity of a task as free."""
         self.active.pop(index, None)
+        if not self.active:
+            self.job.running.pop(self, None)
+
+    def settle_place(self, index: int, worker: str) -> None:
+        """Forget that an earlier leader has placed a task on a worker, which has listed its end.
+
+        A start without an answer is kept, since a copy of it may be executed later.
+        """
+        place = self.old_places.get(index)
+        if place is not None and place.worker == worker and place.start is None:
+            self.old_places.pop(index)
 
     def avoid_worker(self, index: int, worker: str, now: float) -> None:
         """Record that a task has failed on a worker.
@@ -230,38 +252,3 @@
         failed = self.failures.setdefault(GANG_INDEX if self.step.gang else index, set())
         failed.add(run)
         return len(failed)
-
-    def progress(self, tenure: int) -> StepProgress:
-        """Return the progress of the step as the leader of a tenure stores it."""
-        failures = {index: sorted(runs) for index, runs in self.failures.items()}
-        placed = {index: place.worker for index, place in self.old_places.items()}
-        placed |= {index: session.worker.id for index, session in self.active.items()}
-        return StepProgress(
-            self.occurrence,
-            self.number,
-            self.last_run,
-            sorted(self.done),
-            failures,
-            placed,
-            self.unanswered(tenure),
-        )
-
-    def unanswered(self, tenure: int) -> dict[int, UnansweredStart]:
-        """Return the starts without an answer; none if no late copy of them has an effect.
-
-        Args:
-            tenure: tenure of this leader.
-        """
-        if self.uses_tickets:
-            return {}
-        starts = {
-            index: place.start
-            for index, place in self.old_places.items()
-            if place.start is not None
-        }
-        for index, session in self.active.items():
-            run = session.run_table.runs.get(self.task(index))
-            if run is not None and (run.unanswered or run.may_start_later(session.now())):
-                ordered_in = tenure if run.tenure is None else run.tenure
-                starts[index] = UnansweredStart(run.run, ordered_in)
-        return starts
--- a/marigoldlift/scheduling/trial_parts.py
+++ b/marigoldlift/scheduling/trial_parts.py
@@ -130,6 +130,11 @@
     """Return a copy of an open submission with steps of its own."""
     copied = copy.copy(job)
     copied.steps = {key: copy_step(step, copied) for key, step in job.steps.items()}
+    copied.running = {copied.steps[step.key]: None for step in job.running}
+    copied.waiting = {}
+    copied.complete = job.complete.copy()
+    copied.queue = job.queue.copy()
+    copied.queue.complete = copied.complete
     return copied
 
 
--- a/marigoldlift/submissions/job.py
+++ b/marigoldlift/submissions/job.py
@@ -1,5 +1,7 @@
 """State of one submission according to the log, open or ended."""
 
+from collections.abc import Container
+
 import msgspec
 
 from marigoldlift.ids import WorkspaceId
@@ -7,6 +9,7 @@
 from marigoldlift.submissions.model import Submission
 from marigoldlift.submissions.record_codec import scoped_name
 from marigoldlift.submissions.records import Outcome, Progress, StepProgress
+from marigoldlift.submissions.step_set import StepSet
 
 __all__ = ('FINAL_OUTCOMES', 'FinishedJob', 'Job')
 
@@ -20,11 +23,14 @@
         seen_at: when this entry read it, in seconds of the monotonic clock.
         cancellations: names of its cancellations by callers who may access it.
         final_at: when this entry read its outcome, None while it has none.
+        progress: progress of the steps that have begun, by occurrence and number.
+        complete: steps that are complete; they have no progress unless a worker may still hold a task of them.
         tenures: tenures whose leaders have stored progress.
     """
 
     __slots__ = (
         'cancellations',
+        'complete',
         'final_at',
         'offset',
         'outcome',
@@ -48,6 +54,7 @@
         self.cancellations: set[str] = set()
         self.outcome = Outcome.queued
         self.progress: dict[tuple[int, int], StepProgress] = {}
+        self.complete = StepSet(len(submission.steps), submission.occurrences)
         self.tenures: set[int] = set()
         self.final_at: float | None = None
 
@@ -82,6 +89,19 @@
         for step in record.steps:
             known = self.progress.get((step.occurrence, step.step))
             self.progress[step.occurrence, step.step] = merge_step_progress(known, step)
+        if record.complete:
+            self.complete.merge(record.complete)
+            self.forget_complete({(kept.occurrence, kept.step) for kept in record.steps})
+
+    def forget_complete(self, kept: Container[tuple[int, int]]) -> None:
+        """Remove the progress of complete steps.
+
+        Args:
+            kept: steps whose progress is kept.
+        """
+        for key in tuple(self.progress):
+            if key in self.complete and key not in kept:
+                self.progress.pop(key)
 
 
 def merge_step_progress(known: StepProgress | None, added: StepProgress) -> StepProgress:
--- a/marigoldlift/submissions/model.py
+++ b/marigoldlift/submissions/model.py
@@ -120,3 +120,9 @@
     interval_ms: float = 0
     workspace: WorkspaceId = NO_WORKSPACE
     ahead_s: float = 0
+
+    def has_task(self, task: TaskRef) -> bool:
+        """Return whether the submission has a task."""
+        if not 0 <= task.occurrence < self.occurrences or not 0 <= task.step < len(self.steps):
+            return False
+        return 0 <= task.index < self.steps[task.step].count
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -108,12 +108,17 @@
     """Placements, completed tasks and failed runs of a submission, written by the leader of one tenure.
 
     It is stored before a start is ordered, so that the next leader knows which workers may hold a task.
+
+    Attributes:
+        steps: steps that have begun; a complete one only while a worker may hold a task of it.
+        complete: steps that are complete, as `StepSet` encodes them.
     """
 
     submission: SubmissionId
     tenure: int
     outcome: Outcome
     steps: list[StepProgress] = []
+    complete: bytes = b''
 
 
 class Leadership(Record, tag='l'):
--- /dev/null
+++ b/tests/cell/test_occurrences.py
@@ -0,0 +1,133 @@
+"""Submissions with many occurrences or many steps, which the leader must serve beside all others."""
+
+import asyncio
+
+import pytest
+
+from marigoldlift.scheduling.step_queue import waiting_limit
+from marigoldlift.submissions.model import Step
+from marigoldlift.submissions.records import Outcome
+from tests.cell.actions import set_task_duration
+from tests.cell.occurrences import calls_in_round, submit_scheduled
+
+ELECTION_S = 1.5
+SETTLED_S = 1.0
+FEW, MANY = 100, 1000
+
+#: Factor by which a round may cost more with ten times as many occurrences.
+LEEWAY = 1.5
+
+TOO_LARGE = Step(count=1, cpu_m=64_000)
+SMALL = Step(count=1, cpu_m=1000)
+SHAPES = {
+    'cannot run': (TOO_LARGE,),
+    'cannot run, in a row': (TOO_LARGE, *(Step(count=1, after=(before,)) for before in range(9))),
+    'runs': (SMALL,),
+    'runs, in a row': (SMALL, Step(count=1, cpu_m=1000, after=(0,))),
+    'gangs that cannot run': (Step(count=3, cpu_m=64_000, gang=True),),
+    'tasks that last': (Step(count=1, cpu_m=1000, long_running=True),),
+}
+
+
+def measure_round(run_scenario, steps, occurrences):
+    """Return the calls of a round while submissions with some occurrences are open."""
+    measured = []
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 1000)
+        for number in range(3):
+            await submit_scheduled(cell.leader(), f'job{number}', steps, occurrences)
+        await asyncio.sleep(SETTLED_S)
+        measured.append(calls_in_round(cell))
+
+    run_scenario(scenario, workers=2)
+    return measured[0]
+
+
+@pytest.mark.parametrize('steps', SHAPES.values(), ids=SHAPES.keys())
+def test_round_does_not_follow_the_number_of_occurrences(run_scenario, steps):
+    """Guards against LOST: a round over all due occurrences of a submission holds up the renewal of the leadership."""
+    few = measure_round(run_scenario, steps, FEW)
+    assert measure_round(run_scenario, steps, MANY) <= few * LEEWAY
+
+
+def test_steps_whose_turn_has_not_come_cost_nothing(run_scenario):
+    """Guards against LOST: a round over all steps of a submission holds up the renewal of the leadership."""
+    row = [TOO_LARGE, *(Step(count=1, after=(before,)) for before in range(MANY - 1))]
+    alone = measure_round(run_scenario, row[:1], 1)
+    assert measure_round(run_scenario, row, 1) <= alone * LEEWAY
+
+
+def count_done(cell, name):
+    """Return the number of tasks of a submission that are done."""
+    return sum(task.submission == name for task in cell.checker.done)
+
+
+def test_every_occurrence_runs_once_over_changes_of_the_leader(run_scenario):
+    """Guards against occurrences that a new leader leaves out, or runs again after they are done."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 0.3)
+        steps = (Step(count=1, cpu_m=100), Step(count=2, cpu_m=100, after=(0,)))
+        await submit_scheduled(cell.leader(), 'job', steps, 200)
+        for _ in range(3):
+            await asyncio.sleep(0.7)
+            leader = cell.leader()
+            leader.kill()
+            await asyncio.sleep(0.5)
+            leader.start()
+            while cell.leader() is None:
+                await asyncio.sleep(0.1)
+        await cell.wait_for_outcomes(['job'], 30)
+        assert cell.outcome('job') is Outcome.complete
+        assert count_done(cell, 'job') == 600
+
+    run_scenario(scenario, workers=4)
+
+
+def test_occurrences_overlap(run_scenario):
+    """Guards against an occurrence that waits for an earlier one although there is room."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 5)
+        steps = (Step(count=1, cpu_m=100),)
+        limit = waiting_limit(steps)
+        await submit_scheduled(cell.leader(), 'job', steps, limit * 2)
+        await asyncio.sleep(2)
+        assert sum(len(worker.held) for worker in cell.workers.values()) == limit * 2
+
+    run_scenario(scenario, workers=4)
+
+
+def test_occurrence_starts_when_it_is_due(run_scenario):
+    """Guards against an occurrence that nobody opens once its time has come, or that is opened early."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 0.1)
+        await submit_scheduled(cell.leader(), 'job', (SMALL,), 3, 3600, first_due_in_s=-3600)
+        await asyncio.sleep(2)
+        assert count_done(cell, 'job') == 2
+        assert cell.outcome('job') is Outcome.running
+
+    run_scenario(scenario, workers=2)
+
+
+def test_cancelled_occurrences_end(run_scenario):
+    """Guards against UNASKED: occurrences of a cancelled submission that run on, or that are opened after it."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 100)
+        await submit_scheduled(cell.leader(), 'job', (Step(count=1, cpu_m=300),), 1000)
+        await asyncio.sleep(1)
+        assert any(worker.held for worker in cell.workers.values())
+        await cell.leader().node.acceptance.cancel('job', 3.0)
+        await asyncio.sleep(3)
+        assert not any(worker.held for worker in cell.workers.values())
+        assert not cell.leader().node.dispatcher.planner.waiting
+
+    run_scenario(scenario, workers=4)
