Leave steps that no listed worker can hold out of the scheduling pass

Callers saw: while a few submissions are open that fit on no worker, each other one starts a second late.

Cause: a pass tries the steps in order of urgency and stops after 40 that find no room, apart from those that could have been placed for 1 s. Steps that ask for more than any worker has counted among the 40, and ranked first until they were so late that they earn nothing; they also asked the advice, reserved workers for gangs and counted as backlog.

Change: per pass and shape of step, the list of workers tells once whether the ready ones could hold it if nothing else ran on them; what they cannot is left out with the reason `no_worker`. The check is necessary for any placement, so nothing that could be placed is left out; it is asked again in each pass, so that the work starts when another worker is listed. It is not told `failed`: by the platform's rules only ends of runs are a cause for that, and a worker may still come.

--- a/marigoldlift/scheduling/backlog.py
+++ b/marigoldlift/scheduling/backlog.py
@@ -21,7 +21,12 @@
 
 #: Reasons for which a step does not wait for room, however full its service is.
 OTHER_REASONS = frozenset(
-    (PendingReason.unreachable, PendingReason.cap, PendingReason.cap_unknown)
+    (
+        PendingReason.no_worker,
+        PendingReason.unreachable,
+        PendingReason.cap,
+        PendingReason.cap_unknown,
+    )
 )
 
 #: Largest number of services whose backlog is reported; it is a part of each renewal of the leadership.
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -6,6 +6,7 @@
 
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.cap_report import report_waiting, set_cap_gauges
+from marigoldlift.scheduling.capability import Capabilities
 from marigoldlift.scheduling.pending import PendingSteps
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.pool import Pool
@@ -46,6 +47,7 @@
         reserved: ids of the workers that are reserved for a waiting gang in the current pass.
         reserving_step: step of that gang.
         failed_placements: steps that could not be placed in the current pass.
+        capabilities: tells which steps no listed worker can hold.
         has_passed: whether a pass has ended; before, what runs is not known.
     """
 
@@ -80,6 +82,7 @@
         self.faults = faults
         self.gang_limit_s = gang_wait_s * GANG_START_SHARE
         self.waiting = WaitingSteps(clock)
+        self.capabilities = Capabilities(session_manager.registry.workers)
         self.pools: dict[tuple[str, bool], Pool] = {}
         self.reserved: set[str] = set()
         self.reserving_step: StepRun | None = None
@@ -97,6 +100,7 @@
         self.reserved = set()
         self.reserving_step = None
         self.failed_placements = 0
+        self.capabilities.begin_pass()
         self.waiting.open_occurrences(wall_ms)
         self.waiting.drop_finished()
         self.pending.reasons.clear()
@@ -147,7 +151,7 @@
         set_cap_gauges(self.caps, metrics)
 
     def may_start(self, step: StepRun, wall_ms: float) -> bool:
-        """Return whether a step is due and has a task that cannot be running already.
+        """Return whether a step is due, fits on the listed workers, and has a task that cannot be running already.
 
         Tasks that an earlier leader placed on a worker that is still unreachable may be running there or have ended.
         """
@@ -156,6 +160,9 @@
         if not step.startable(self.session_manager.earlier_orders.unreachable):
             self.pending.reasons[step] = PendingReason.unreachable
             return False
+        if step.gang_started_at is None and not self.capabilities.can_hold(step):
+            self.pending.reasons[step] = PendingReason.no_worker
+            return False
         return True
 
     def pool(self, service: str, *, include_quarantined: bool = False) -> Pool:
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -26,6 +26,7 @@
 
     Attributes:
         not_planned: the pass did not reach the step.
+        no_worker: the listed workers could not hold it, however free they were.
         unreachable: its tasks may run, or have ended, on a worker that has not listed all its ends since the takeover.
         cap: its workspace has no room left in its cap for another of its tasks, or for the whole gang.
         cap_unknown: the cap of its workspace is not known, or may have changed since it was last read.
@@ -39,6 +40,7 @@
     """
 
     not_planned = 'not_planned'
+    no_worker = 'no_worker'
     unreachable = 'unreachable'
     cap = 'cap'
     cap_unknown = 'cap_unknown'
--- a/tests/cell/test_occurrences.py
+++ b/tests/cell/test_occurrences.py
@@ -5,14 +5,20 @@
 import pytest
 
 from marigoldlift.scheduling.step_queue import waiting_limit
-from marigoldlift.submissions.model import Step
+from marigoldlift.submissions.model import AdvicePolicy, Step
 from marigoldlift.submissions.records import Outcome
+from standins.cell.kinds import WorkerKind
 from tests.cell.actions import set_task_duration
 from tests.cell.occurrences import calls_in_round, submit_scheduled
 
 ELECTION_S = 1.5
 SETTLED_S = 1.0
+
+#: Time within which a task of 0.3 s is done on idle workers, also if the advice is asked first, in s.
+PROMPT_S = 0.8
+
 FEW, MANY = 100, 1000
+ADVICE = AdvicePolicy(100, 5, 2000)
 
 #: Factor by which a round may cost more with ten times as many occurrences.
 LEEWAY = 1.5
@@ -131,3 +137,40 @@
         assert not cell.leader().node.dispatcher.planner.waiting
 
     run_scenario(scenario, workers=4)
+
+
+@pytest.mark.parametrize('shape', ['cannot run', 'cannot run, in a row', 'gangs that cannot run'])
+@pytest.mark.parametrize('advice', [None, ADVICE], ids=['plain', 'advice'])
+def test_work_that_cannot_run_holds_up_no_other(run_scenario, shape, advice):
+    """Guards against LOST: steps that fit on no worker use up the placements of each pass, or the advice."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        cell.advice.policy = advice or cell.advice.policy
+        set_task_duration(cell, 0.3)
+        for number in range(6):
+            await submit_scheduled(
+                cell.leader(), f'stuck{number}', SHAPES[shape], MANY, advice=advice
+            )
+        await asyncio.sleep(0.2)
+        for number in range(5):
+            await cell.submit(cell.leader(), f'job{number}', (SMALL,), advice=advice)
+            await cell.wait_for_outcomes([f'job{number}'], PROMPT_S)
+        assert not any(cell.advice.asked[step] for step in cell.advice.asked if 'stuck' in step)
+
+    run_scenario(scenario, workers=3)
+
+
+def test_work_that_could_not_run_starts_once_a_worker_can_hold_it(run_scenario):
+    """Guards against LOST: work that fits on a worker which has come later is not tried again."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 0.3)
+        await cell.submit(cell.leader(), 'job', (Step(count=1, cpu_m=30_000),))
+        await asyncio.sleep(SETTLED_S)
+        cell.workers['w0'].change_kind(WorkerKind(cpu_m=32_000))
+        cell.list_workers()
+        await cell.wait_for_outcomes(['job'], 3)
+
+    run_scenario(scenario, workers=2)
