Try one occurrence of a step without room in each pass

Callers saw: while several submissions with many due occurrences wait for room, small tasks that would fit start a second late.

Cause: a pass stops after 40 steps that found no room, and each occurrence of a step counted, although the second finds no more room than the first. The 64 open occurrences of one submission used all attempts up.

Evidence: test_occurrences_that_wait_for_room_hold_up_no_other, six submissions of tasks of 6 cores on workers with 4 cores in use: red before (a task of one core is not done within 0.8 s), green with it.

Change: the reason of the first occurrence holds for the others of its number in the same pass, unless it may be its own: on queues with advice (tickets are those of one occurrence), after failures, with a spread limit, or for a gang that has run. Steps that could have been placed for 1 s are tried as before.

--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -7,6 +7,7 @@
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.cap_report import report_waiting, set_cap_gauges
 from marigoldlift.scheduling.capability import Capabilities
+from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.scheduling.pending import PendingSteps
 from marigoldlift.scheduling.placement import Placer
 from marigoldlift.scheduling.pool import Pool
@@ -28,6 +29,9 @@
 #: Steps without enough capacity after which a pass tries only overdue steps; the others are tried in later passes.
 MAX_FAILED_PLACEMENTS = 40
 
+#: Reasons for which no other occurrence of the same step finds room in the same pass.
+ROOM_REASONS = frozenset((PendingReason.room, PendingReason.headroom))
+
 #: Share of a service's CPU that is reserved for submissions of the highest priority.
 URGENT_SHARE = 0.06
 
@@ -47,6 +51,7 @@
         reserved: ids of the workers that are reserved for a waiting gang in the current pass.
         reserving_step: step of that gang.
         failed_placements: steps that could not be placed in the current pass.
+        without_room: reason of an occurrence that found no room in the current pass, by submission and number of the step.
         capabilities: tells which steps no listed worker can hold.
         has_passed: whether a pass has ended; before, what runs is not known.
     """
@@ -87,6 +92,7 @@
         self.reserved: set[str] = set()
         self.reserving_step: StepRun | None = None
         self.failed_placements = 0
+        self.without_room: dict[tuple[JobRun, int], PendingReason] = {}
         self.wait_report = WaitReport(placer, clock)
         self.has_passed = False
         self.pending = pending
@@ -100,6 +106,7 @@
         self.reserved = set()
         self.reserving_step = None
         self.failed_placements = 0
+        self.without_room.clear()
         self.capabilities.begin_pass()
         self.waiting.open_occurrences(wall_ms)
         self.waiting.drop_finished()
@@ -182,6 +189,10 @@
 
     def place(self, step: StepRun) -> None:
         """Place a step as far as the cap of its workspace admits it; one that it does not admit holds up no other."""
+        known = self.without_room.get((step.job, step.number))
+        if known is not None and not self.pending.is_overdue(step):
+            self.pending.reasons[step] = known
+            return
         if self.caps.is_exhausted(step) and not self.pending.is_overdue(step):
             self.pending.reasons[step] = self.caps.pending_reason(step)
             return
@@ -196,6 +207,14 @@
             self.caps.hold(step)
         if step.todo and not admitted:
             self.pending.reasons[step] = self.caps.refuse(step)
+        self.note_without_room(step)
+
+    def note_without_room(self, step: StepRun) -> None:
+        """Keep the reason for other occurrences of a step that found no room, unless it may hold for this one alone."""
+        reason = self.pending.reasons.get(step)
+        is_alone = step.uses_tickets or step.avoid or step.step.spread_limit
+        if reason in ROOM_REASONS and not is_alone and not (step.step.gang and step.last_run):
+            self.without_room[step.job, step.number] = reason
 
     def place_admitted(self, step: StepRun, admitted: int) -> None:
         """Start as many of the admitted tasks of a step as possible, and request tickets for the rest."""
--- a/tests/cell/test_occurrences.py
+++ b/tests/cell/test_occurrences.py
@@ -139,6 +139,26 @@
     run_scenario(scenario, workers=4)
 
 
+def test_occurrences_that_wait_for_room_hold_up_no_other(run_scenario):
+    """Guards against LOST: each occurrence of one step uses up a placement of the pass, although none has room."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 100)
+        await cell.submit(cell.leader(), 'occupant', (Step(count=3, cpu_m=4000),))
+        await asyncio.sleep(0.2)
+        set_task_duration(cell, 0.3)
+        large = (Step(count=1, cpu_m=6000),)
+        for number in range(6):
+            await submit_scheduled(cell.leader(), f'large{number}', large, MANY)
+        await asyncio.sleep(0.2)
+        for number in range(5):
+            await cell.submit(cell.leader(), f'job{number}', (SMALL,))
+            await cell.wait_for_outcomes([f'job{number}'], PROMPT_S)
+
+    run_scenario(scenario, workers=3)
+
+
 @pytest.mark.parametrize('shape', ['cannot run', 'cannot run, in a row', 'gangs that cannot run'])
 @pytest.mark.parametrize('advice', [None, ADVICE], ids=['plain', 'advice'])
 def test_work_that_cannot_run_holds_up_no_other(run_scenario, shape, advice):
