Bound the stops in flight

Cause: stops are spawned all at once when a submission is closed, and again each 0.5 s by the checks of all runs. The calls need longer than the 0.4 s after which each is given up, so that hardly any is answered, all are sent again, and the leader misses its renewals. Starts are bounded (`StartLimits`), stops were not.

Ruled out: a limit of the workers, which take the same stops in turn.

Change: stops wait in a queue, the workers in turn. A waiting stop is bound to its run, so that it does not stop a later run of the same task. The order stays as it was for a few stops: they are sent at once.

--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -12,6 +12,7 @@
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.start_limits import StartLimits
+from marigoldlift.scheduling.stop_queue import StopQueue
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import TaskRef
 from marigoldlift.supervision import TaskSet
@@ -49,6 +50,7 @@
 
     Attributes:
         limits: starts in flight; the scheduling pass places no further tasks where a limit is reached.
+        stops: stops in flight, and those that wait.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         self.clock = session_manager.clock
         self.tasks = TaskSet()
         self.limits = StartLimits(events.capacity_changed)
+        self.stops = StopQueue()
 
     def spawn(self, work: Coroutine[None, None, None]) -> None:
         """Run a coroutine in the background until it ends or the starter is cancelled."""
@@ -69,6 +72,7 @@
     def cancel(self) -> None:
         """Cancel all orders in flight; the next leader takes over from there."""
         self.tasks.cancel()
+        self.stops.cancel()
 
     def is_held(self, ref: TaskRef) -> bool:
         """Return whether any worker still holds a run of a task.
@@ -197,8 +201,10 @@
             self.events.step_requeued(step)
 
     def stop(self, session: WorkerSession, task: TaskRef) -> None:
-        """Send a stop order for a run in the background."""
-        self.spawn(session.stop(task))
+        """Send a stop order for a run in the background, once the limits of stops in flight allow it."""
+        known = session.run_table.runs.get(task)
+        if known is not None:
+            self.stops.add(session, known)
 
     def stop_step(self, step: StepRun) -> None:
         """Request a stop of all runs of a step."""
@@ -211,7 +217,6 @@
         if held_run is None:
             return
         if held_run.stop_sent_at is None or self.clock() - held_run.stop_sent_at > STOP_RETRY_S:
-            held_run.stop_sent_at = self.clock()
             self.stop(session, task)
 
 
--- /dev/null
+++ b/marigoldlift/scheduling/stop_queue.py
@@ -0,0 +1,82 @@
+"""Stop orders that wait to be sent, and limits of those that are not answered yet.
+
+A cancelled submission may have thousands of runs. Sent all at once, the stops hold up all else that the leader does, and get
+no answer in time themselves.
+"""
+
+from collections import Counter, deque
+
+from marigoldlift.orders.runs import Run
+from marigoldlift.orders.session import WorkerSession
+from marigoldlift.supervision import TaskSet
+
+__all__ = ('StopQueue',)
+
+#: Stops in flight above which no further one is sent, in total and at one worker.
+MAX_STOPS = 64
+MAX_STOPS_AT_WORKER = 16
+
+
+class StopQueue:
+    """Sends stop orders in turn for each worker, as many at once as the limits allow.
+
+    Attributes:
+        waiting: runs to stop by session, which come in turn.
+        queued: runs that wait.
+        in_flight: number of stops in flight by session; sessions without any are left out.
+        tasks: stops in flight.
+    """
+
+    def __init__(self) -> None:
+        """Start without stops."""
+        self.waiting: dict[WorkerSession, deque[Run]] = {}
+        self.queued: set[Run] = set()
+        self.in_flight: Counter[WorkerSession] = Counter()
+        self.tasks = TaskSet()
+
+    def cancel(self) -> None:
+        """Send no more stops, and cancel those in flight."""
+        self.waiting.clear()
+        self.queued.clear()
+        self.tasks.cancel()
+
+    def add(self, session: WorkerSession, known: Run) -> None:
+        """Send the stop of a run as soon as the limits allow, unless it waits already."""
+        if known in self.queued:
+            return
+        self.queued.add(known)
+        self.waiting.setdefault(session, deque()).append(known)
+        self.send_waiting()
+
+    def send_waiting(self) -> None:
+        """Send stops until a limit is reached, one for each worker in turn."""
+        for session in tuple(self.waiting):
+            if self.in_flight.total() >= MAX_STOPS:
+                return
+            if self.in_flight[session] < MAX_STOPS_AT_WORKER:
+                self.send_next(session)
+
+    def send_next(self, session: WorkerSession) -> None:
+        """Send the next stop to a worker, whose further ones come after those to other workers."""
+        runs = self.waiting.pop(session)
+        known = runs.popleft()
+        if runs:
+            self.waiting[session] = runs
+        self.queued.discard(known)
+        self.in_flight[session] += 1
+        self.tasks.spawn(self.send(session, known))
+
+    async def send(self, session: WorkerSession, known: Run) -> None:
+        """Send a stop unless the run has ended meanwhile, then those that it has held up."""
+        try:
+            if session.run_table.runs.get(known.task) is known:
+                await session.stop(known.task)
+        finally:
+            self.end(session)
+
+    def end(self, session: WorkerSession) -> None:
+        """Subtract a stop, and send those that it has held up."""
+        self.in_flight[session] -= 1
+        if not self.in_flight[session]:
+            self.in_flight.pop(session)
+        self.send_waiting()
