--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -37,6 +37,9 @@
 #: unreachable.
 TAKEOVER_WAIT_S = 0.35
 
+#: How long a takeover opens submissions without letting other tasks run, in s.
+OPENING_SLICE_S = 0.05
+
 #: Shortest pause between two passes, and longest wait for a change after it, in s.
 MIN_PASS_PAUSE_S = 0.01
 TICK_S = 0.1
@@ -161,8 +164,7 @@
         if self.events.run_times is not None:
             with self.round_times.contain(LEARNING):
                 self.events.run_times.restore(self.parts.state.run_times)
-        for submission in tuple(self.parts.state.jobs):
-            self.open_submissions.open(submission)
+        await self.open_accepted()
         self.session_manager.open_recorded(self.parts.election.earlier_leaders)
         for job in self.open_submissions.jobs.values():
             self.session_manager.earlier_orders.adopt_starts(job.steps.values())
@@ -180,6 +182,15 @@
             sorted(self.session_manager.earlier_orders.unreachable),
         )
 
+    async def open_accepted(self) -> None:
+        """Open all accepted submissions; lets other tasks run in between, since the leadership has to be renewed."""
+        resumed_at = self.clock()
+        for submission in tuple(self.parts.state.jobs):
+            self.open_submissions.open(submission)
+            if self.clock() - resumed_at > OPENING_SLICE_S:
+                await asyncio.sleep(0)
+                resumed_at = self.clock()
+
     async def fence_log(self) -> bool:
         """Make the log refuse records of earlier leaders.
 
--- a/marigoldlift/scheduling/step_queue.py
+++ b/marigoldlift/scheduling/step_queue.py
@@ -11,7 +11,7 @@
 from marigoldlift.submissions.model import Step, Submission
 from marigoldlift.submissions.step_set import StepSet
 
-__all__ = ('StepKey', 'StepQueue', 'waiting_limit')
+__all__ = ('StepKey', 'StepQueue', 'most_waiting', 'waiting_limit')
 
 #: Occurrence and number of a step.
 StepKey = tuple[int, int]
@@ -26,6 +26,12 @@
     return max(MIN_WAITING, MAX_WAITING // len(steps))
 
 
+def most_waiting(submission: Submission) -> int:
+    """Return the largest number of steps of a submission that wait for a worker at once."""
+    steps = submission.steps
+    return len(steps) * min(submission.occurrences, waiting_limit(steps))
+
+
 class StepQueue:
     """Hands out the steps of one submission as their turn comes, by number, the first occurrence first.
 
