Bound the waiting tasks of all open submissions as well

The limit of waiting steps left out how many tasks they have: 1,000 submissions of one step with 10,000 tasks each are 1,000 steps, but ten million objects in the memory of the leader, which is killed for it on a VM of 160 MB. A submission is now refused also if the open ones could have more than 500,000 tasks waiting. A pass no longer sorts the tasks of each waiting step: only those that an earlier leader has placed can be running already.

Test: test_tasks_beyond_the_limit_are_refused (red before: 101 more tasks are accepted).

--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -164,7 +164,8 @@
         """
         if not step.job.is_runnable(step, wall_ms):
             return False
-        if not step.startable(self.session_manager.earlier_orders.unreachable):
+        unreachable = self.session_manager.earlier_orders.unreachable
+        if step.old_places and not step.startable(unreachable):
             self.pending.reasons[step] = PendingReason.unreachable
             return False
         if step.gang_started_at is None and not self.capabilities.can_hold(step):
--- a/marigoldlift/scheduling/step_queue.py
+++ b/marigoldlift/scheduling/step_queue.py
@@ -8,10 +8,12 @@
 from collections import deque
 from collections.abc import Container, Iterator, Sequence
 
+import msgspec
+
 from marigoldlift.submissions.model import Step, Submission
 from marigoldlift.submissions.step_set import StepSet
 
-__all__ = ('StepKey', 'StepQueue', 'most_waiting', 'waiting_limit')
+__all__ = ('StepKey', 'StepQueue', 'WaitingSize', 'largest_waiting', 'waiting_limit')
 
 #: Occurrence and number of a step.
 StepKey = tuple[int, int]
@@ -26,10 +28,23 @@
     return max(MIN_WAITING, MAX_WAITING // len(steps))
 
 
-def most_waiting(submission: Submission) -> int:
-    """Return the largest number of steps of a submission that wait for a worker at once."""
+class WaitingSize(msgspec.Struct, frozen=True):
+    """How much of one or more submissions may wait for workers at once, which the leader holds as objects."""
+
+    steps: int = 0
+    tasks: int = 0
+
+    def plus(self, other: 'WaitingSize') -> 'WaitingSize':
+        """Return the sum of two sizes."""
+        return WaitingSize(self.steps + other.steps, self.tasks + other.tasks)
+
+
+def largest_waiting(submission: Submission) -> WaitingSize:
+    """Return the largest size of a submission that waits for workers at once."""
     steps = submission.steps
-    return len(steps) * min(submission.occurrences, waiting_limit(steps))
+    occurrences = min(submission.occurrences, waiting_limit(steps))
+    tasks = sum(step.count for step in steps)
+    return WaitingSize(len(steps) * occurrences, tasks * occurrences)
 
 
 class StepQueue:
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -12,7 +12,7 @@
 from marigoldlift.replication.replica import Replica
 from marigoldlift.submissions.access import ANYONE, Caller
 from marigoldlift.submissions.model import Submission, SubmissionId
-from marigoldlift.submissions.open_limit import OpenStepLimit
+from marigoldlift.submissions.open_limit import OpenLimit
 from marigoldlift.submissions.record_codec import cancellation_name
 from marigoldlift.submissions.records import Accepted, Cancelled, Outcome, Record
 from marigoldlift.submissions.share_admission import ServiceLoad, ShareAdmission
@@ -85,7 +85,7 @@
         self.admission = ShareAdmission(
             WorkspaceShares(workspaces, clock), load, state, replica, clock, appender.metrics
         )
-        self.open_limit = OpenStepLimit(state, clock)
+        self.open_limit = OpenLimit(state, clock)
         self.uncertain_submissions: set[SubmissionId] = set()
 
     def store_fails(self) -> bool:
@@ -136,7 +136,7 @@
             return self.refuse(submission, 'the log fails')
         admitted: Submission | None = self.admission.mark(submission) if is_repeated else None
         if admitted is None and not self.open_limit.admit(submission):
-            return self.refuse(submission, 'too many steps are open')
+            return self.refuse(submission, 'too much is open')
         if admitted is None:
             admitted = await self.admission.admit(submission)
         if admitted is None:
--- a/marigoldlift/submissions/job.py
+++ b/marigoldlift/submissions/job.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from marigoldlift.ids import WorkspaceId
-from marigoldlift.scheduling.step_queue import most_waiting
+from marigoldlift.scheduling.step_queue import largest_waiting
 from marigoldlift.submissions.access import Owner
 from marigoldlift.submissions.model import Submission
 from marigoldlift.submissions.record_codec import scoped_name
@@ -23,7 +23,7 @@
     Attributes:
         seen_at: when this entry read it, in seconds of the monotonic clock.
         cancellations: names of its cancellations by callers who may access it.
-        most_waiting: largest number of its steps that wait for a worker at once.
+        largest_waiting: largest size of it that waits for workers at once.
         final_at: when this entry read its outcome, None while it has none.
         progress: progress of the steps that have begun, by occurrence and number.
         complete: steps that are complete; they have no progress unless a worker may still hold a task of them.
@@ -34,7 +34,7 @@
         'cancellations',
         'complete',
         'final_at',
-        'most_waiting',
+        'largest_waiting',
         'offset',
         'outcome',
         'parts',
@@ -58,7 +58,7 @@
         self.outcome = Outcome.queued
         self.progress: dict[tuple[int, int], StepProgress] = {}
         self.complete = StepSet(len(submission.steps), submission.occurrences)
-        self.most_waiting = most_waiting(submission)
+        self.largest_waiting = largest_waiting(submission)
         self.parts: set[tuple[int, int]] = set()
         self.final_at: float | None = None
 
--- a/marigoldlift/submissions/open_limit.py
+++ b/marigoldlift/submissions/open_limit.py
@@ -1,31 +1,34 @@
-"""Limit of the steps that all open submissions together may have waiting at once.
+"""Limits of the steps and tasks that all open submissions together may have waiting at once.
 
-Each waiting step is visited in each scheduling pass and takes memory of the leader, and the submission takes memory of each
-entry. What would exceed the limit is refused before it is stored.
+Each waiting step is visited in each scheduling pass, and each waiting task takes memory of the leader. What would exceed a
+limit is refused before it is stored.
 """
 
 from collections.abc import Callable
 
-from marigoldlift.scheduling.step_queue import most_waiting
+from marigoldlift.scheduling.step_queue import WaitingSize, largest_waiting
 from marigoldlift.submissions.model import Submission
 from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState
 
-__all__ = ('MAX_OPEN_STEPS', 'OpenStepLimit')
+__all__ = ('MAX_OPEN_STEPS', 'MAX_OPEN_TASKS', 'OpenLimit')
 
 #: Largest number of steps that open submissions may have waiting at once. A pass visits so many within the time between
 #: two renewals of the leadership.
 MAX_OPEN_STEPS = 50_000
 
+#: Largest number of tasks that they may have waiting at once.
+MAX_OPEN_TASKS = 500_000
+
 #: Time for which a count of the open submissions is used, in s.
 COUNTED_S = 0.25
 
 
-class OpenStepLimit:
+class OpenLimit:
     """Tells whether a further submission may be accepted.
 
     Attributes:
-        counted: steps that the open submissions may have waiting, with those admitted since they were counted.
-        counted_at: when they were counted, in seconds of the monotonic clock; None before.
+        counted: what the open submissions may have waiting, with what was admitted since it was counted.
+        counted_at: when it was counted, in seconds of the monotonic clock; None before.
     """
 
     def __init__(self, state: CellState, clock: Callable[[], float]) -> None:
@@ -37,7 +40,7 @@
         """
         self.state = state
         self.clock = clock
-        self.counted = 0
+        self.counted = WaitingSize()
         self.counted_at: float | None = None
 
     def admit(self, submission: Submission) -> bool:
@@ -46,16 +49,17 @@
         if self.counted_at is None or now - self.counted_at > COUNTED_S:
             self.counted = self.count_open()
             self.counted_at = now
-        waiting = most_waiting(submission)
-        if self.counted + waiting > MAX_OPEN_STEPS:
+        total = self.counted.plus(largest_waiting(submission))
+        if total.steps > MAX_OPEN_STEPS or total.tasks > MAX_OPEN_TASKS:
             return False
-        self.counted += waiting
+        self.counted = total
         return True
 
-    def count_open(self) -> int:
-        """Return how many steps the submissions that have not ended may have waiting at once."""
-        return sum(
-            job.most_waiting
+    def count_open(self) -> WaitingSize:
+        """Return what the submissions that have not ended may have waiting at once."""
+        sizes = [
+            job.largest_waiting
             for job in self.state.jobs.values()
             if job.outcome not in FINAL_OUTCOMES and not job.cancellations
-        )
+        ]
+        return WaitingSize(sum(size.steps for size in sizes), sum(size.tasks for size in sizes))
--- a/tests/cell/test_open_limit.py
+++ b/tests/cell/test_open_limit.py
@@ -40,6 +40,20 @@
     run_scenario(scenario, workers=2)
 
 
+def test_tasks_beyond_the_limit_are_refused(run_scenario, monkeypatch):
+    """Guards against a leader that is killed for its memory, since each waiting task is an object."""
+    monkeypatch.setattr('marigoldlift.submissions.open_limit.MAX_OPEN_TASKS', 1000)
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        entry = cell.leader()
+        for count, expected in ((900, 'done'), (101, 'refused'), (100, 'done'), (1, 'refused')):
+            answer = await cell.submit(entry, f'job{count}', (Step(count=count, cpu_m=64_000),))
+            assert answer is AcceptanceResult(expected)
+
+    run_scenario(scenario, workers=2)
+
+
 def test_answer_to_a_known_submission_does_not_depend_on_the_limit(run_scenario, monkeypatch):
     """Guards against LOST: a repeated request for an accepted submission is told that it was not accepted."""
     monkeypatch.setattr('marigoldlift.submissions.open_limit.MAX_OPEN_STEPS', 1)
