Store the parts of a submission's progress in one append

They were sent as appends of their own, so that a new leader could read the one and not the other; now all are stored or none.

--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -110,7 +110,7 @@
         """Try once to append the progress records of some parts and return whether all were stored."""
         records = [self.record_of(job, part) for part in parts]
         try:
-            await asyncio.gather(*(self.appender.append(record, WAIT_S) for record in records))
+            await self.appender.append_all(records, WAIT_S)
         except PlatformError as fault:
             logger.warning('progress not stored: submission={} {}', job.id, fault.reason)
             return False
