--- a/tests/cell/occurrences.py
+++ b/tests/cell/occurrences.py
@@ -4,9 +4,10 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from marigoldlift.submissions.acceptance import AcceptanceResult
-from marigoldlift.submissions.model import AdvicePolicy, Step, Submission, SubmissionId
+from marigoldlift.submissions.model import Step, Submission, SubmissionId
 from tests.cell.model import ModelCell, ModelEntry, policy
 
 __all__ = ('calls_in_round', 'submit_scheduled')
@@ -22,14 +23,14 @@
     occurrences: int,
     interval_s: float = 60,
     first_due_in_s: float = -WEEK_S,
-    advice: AdvicePolicy | None = None,
+    **policy_fields: Any,
 ) -> AcceptanceResult:
     """Submit steps that run several times; by default all occurrences are due."""
     submission = Submission(
         SubmissionId(name),
         'content',
         tuple(steps),
-        policy(advice=advice),
+        policy(**policy_fields),
         entry.name,
         occurrences=occurrences,
         first_due_ms=(time.time() + first_due_in_s) * MS_PER_S,
--- a/tests/cell/sequential_faults.py
+++ b/tests/cell/sequential_faults.py
@@ -9,7 +9,7 @@
 from tests.cell.model import ModelCell, ModelEntry
 from tests.cell.standstill import LOST_WORKER_IDLE_S, StandstillChecker
 
-__all__ = ('change_leaders', 'inject_all_faults')
+__all__ = ('FAULTS', 'change_leaders', 'inject_all_faults')
 
 ELECTION_S = 1.5
 SPAN_S = 70.0
