Send one stop at a time to workers that leave orders unanswered

Since stops are bounded, workers that are cut off could hold most of the 64 places, each for the 0.4 s of a time-out, and stops to sound workers waited behind them. A worker that has left an order unanswered, or was not heard for 1.3 s, now gets one stop at a time, which does not count for the others.

--- a/marigoldlift/scheduling/stop_queue.py
+++ b/marigoldlift/scheduling/stop_queue.py
@@ -51,11 +51,19 @@
     def send_waiting(self) -> None:
         """Send stops until a limit is reached, one for each worker in turn."""
         for session in tuple(self.waiting):
-            if self.in_flight.total() >= MAX_STOPS:
-                return
-            if self.in_flight[session] < MAX_STOPS_AT_WORKER:
+            if self.may_send(session):
                 self.send_next(session)
 
+    def may_send(self, session: WorkerSession) -> bool:
+        """Return whether another stop may be sent to a worker.
+
+        One that has left an order unanswered gets one stop at a time, which does not count for the others.
+        """
+        if not answers_orders(session):
+            return not self.in_flight[session]
+        counted = sum(count for other, count in self.in_flight.items() if answers_orders(other))
+        return counted < MAX_STOPS and self.in_flight[session] < MAX_STOPS_AT_WORKER
+
     def send_next(self, session: WorkerSession) -> None:
         """Send the next stop to a worker, whose further ones come after those to other workers."""
         runs = self.waiting.pop(session)
@@ -80,3 +88,8 @@
         if not self.in_flight[session]:
             self.in_flight.pop(session)
         self.send_waiting()
+
+
+def answers_orders(session: WorkerSession) -> bool:
+    """Return whether a worker was heard recently and has left no order unanswered since."""
+    return session.suspected_at is None and session.is_heard()
--- a/tests/cell/test_cancel_bursts.py
+++ b/tests/cell/test_cancel_bursts.py
@@ -6,7 +6,7 @@
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.scheduling.stop_queue import MAX_STOPS, MAX_STOPS_AT_WORKER
 from marigoldlift.submissions.model import Step
-from tests.cell.actions import set_task_duration
+from tests.cell.actions import cut_off, set_task_duration
 
 ELECTION_S = 1.5
 SERVING_S = 0.001
@@ -52,6 +52,26 @@
     run_scenario(scenario, workers=3)
 
 
+def test_silent_workers_do_not_hold_up_the_stops_of_others(run_scenario):
+    """Guards against UNASKED: tasks on sound workers run on while stops wait for the time-outs of workers that are cut off."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 100)
+        await cell.submit(cell.leader(), 'job', (Step(count=TASKS, cpu_m=30),))
+        await asyncio.sleep(4)
+        silent = sorted(cell.workers)[:6]
+        for worker in silent:
+            cut_off(cell, worker)
+        await cell.leader().node.acceptance.cancel('job', 3.0)
+        await asyncio.sleep(1.5)
+        held = {found.name: len(found.held) for found in cell.workers.values()}
+        assert all(map(held.pop, silent))
+        assert not any(held.values())
+
+    run_scenario(scenario, workers=8)
+
+
 def test_waiting_stop_does_not_end_a_later_run(run_scenario):
     """Guards against a run that is stopped because the stop of an earlier run of its task was sent late."""
 
