Request stops without a look at all workers

Found by reading, with the question of how often, over how much and what bounds it. Stops in flight are now counted, a request looks at its own worker, and an answer lets stops go until the total is reached.

--- a/marigoldlift/scheduling/stop_queue.py
+++ b/marigoldlift/scheduling/stop_queue.py
@@ -24,6 +24,7 @@
         waiting: runs to stop by session, which come in turn.
         queued: runs that wait.
         in_flight: number of stops in flight by session; sessions without any are left out.
+        counted: stops in flight that count towards the total.
         tasks: stops in flight.
     """
 
@@ -32,6 +33,7 @@
         self.waiting: dict[WorkerSession, deque[Run]] = {}
         self.queued: set[Run] = set()
         self.in_flight: Counter[WorkerSession] = Counter()
+        self.counted = 0
         self.tasks = TaskSet()
 
     def cancel(self) -> None:
@@ -46,11 +48,14 @@
             return
         self.queued.add(known)
         self.waiting.setdefault(session, deque()).append(known)
-        self.send_waiting()
+        if self.may_send(session):
+            self.send_next(session)
 
     def send_waiting(self) -> None:
         """Send stops until a limit is reached, one for each worker in turn."""
         for session in tuple(self.waiting):
+            if self.counted >= MAX_STOPS:
+                break
             if self.may_send(session):
                 self.send_next(session)
 
@@ -61,8 +66,7 @@
         """
         if not answers_orders(session):
             return not self.in_flight[session]
-        counted = sum(count for other, count in self.in_flight.items() if answers_orders(other))
-        return counted < MAX_STOPS and self.in_flight[session] < MAX_STOPS_AT_WORKER
+        return self.counted < MAX_STOPS and self.in_flight[session] < MAX_STOPS_AT_WORKER
 
     def send_next(self, session: WorkerSession) -> None:
         """Send the next stop to a worker, whose further ones come after those to other workers."""
@@ -71,20 +75,29 @@
         if runs:
             self.waiting[session] = runs
         self.queued.discard(known)
+        is_counted = answers_orders(session)
         self.in_flight[session] += 1
-        self.tasks.spawn(self.send(session, known))
+        self.counted += is_counted
+        self.tasks.spawn(self.send(session, known, is_counted=is_counted))
+
+    async def send(self, session: WorkerSession, known: Run, *, is_counted: bool) -> None:
+        """Send a stop unless the run has ended meanwhile, then those that it has held up.
 
-    async def send(self, session: WorkerSession, known: Run) -> None:
-        """Send a stop unless the run has ended meanwhile, then those that it has held up."""
+        Args:
+            session: session with the worker.
+            known: the run.
+            is_counted: whether the stop counts towards the total.
+        """
         try:
             if session.run_table.runs.get(known.task) is known:
                 await session.stop(known.task)
         finally:
-            self.end(session)
+            self.end(session, is_counted=is_counted)
 
-    def end(self, session: WorkerSession) -> None:
+    def end(self, session: WorkerSession, *, is_counted: bool) -> None:
         """Subtract a stop, and send those that it has held up."""
         self.in_flight[session] -= 1
+        self.counted -= is_counted
         if not self.in_flight[session]:
             self.in_flight.pop(session)
         self.send_waiting()
--- a/tests/cell/test_cancel_bursts.py
+++ b/tests/cell/test_cancel_bursts.py
@@ -84,7 +84,7 @@
         sessions = dispatcher.session_manager.sessions.values()
         session = next(found for found in sessions if found.run_table.runs)
         task, ended = next(iter(session.run_table.runs.items()))
-        await dispatcher.starter.stops.send(session, earlier_run(ended))
+        await dispatcher.starter.stops.send(session, earlier_run(ended), is_counted=False)
         await asyncio.sleep(0.5)
         assert session.run_table.runs[task] is ended
         assert ended.stop_sent_at is None
