--- a/marigoldlift/scheduling/round_times.py
+++ b/marigoldlift/scheduling/round_times.py
@@ -12,7 +12,7 @@
 
 __all__ = ('RoundTimes',)
 
-#: Duration from which a part of a round is logged, in s. The leadership must be renewed each 0.7 s.
+#: Duration from which a part of a round is logged, in s.
 SLOW_PART_S = 0.2
 
 #: Time between two log lines about the same part, in s.
--- a/marigoldlift/submissions/open_limit.py
+++ b/marigoldlift/submissions/open_limit.py
@@ -12,8 +12,7 @@
 
 __all__ = ('MAX_OPEN_STEPS', 'MAX_OPEN_TASKS', 'OpenLimit')
 
-#: Largest number of steps that open submissions may have waiting at once. A pass visits so many within the time between
-#: two renewals of the leadership.
+#: Largest number of steps that open submissions may have waiting at once.
 MAX_OPEN_STEPS = 50_000
 
 #: Largest number of tasks that they may have waiting at once.
