Report tasks that the leader has lost track of, and why steps stand still

The logs of the incident could not tell its hypotheses apart: a waiting step is logged only once it is past its objective or no longer idle, and nothing is logged about a task that counts as placed although no worker confirms it, or that is not queued.

--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -6,6 +6,7 @@
 
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.job_audit import JobAudit
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.starter import Starter
@@ -24,7 +25,11 @@
 
 
 class RunChecks:
-    """Checks all runs once per round and stops those that must not continue."""
+    """Checks all runs once per round and stops those that must not continue.
+
+    Attributes:
+        audit: reports tasks that the leader has lost track of.
+    """
 
     def __init__(
         self,
@@ -40,6 +45,7 @@
         self.session_manager = session_manager
         self.starter = starter
         self.clock = clock
+        self.audit = JobAudit(open_submissions, session_manager, faults.metrics)
 
     def check_runs(self) -> None:
         """Check the runs of all workers."""
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -233,6 +233,7 @@
             self.checks.check_runs,
             self.planner.sample_idle,
             self.events.check_run_times,
+            self.checks.audit.check_jobs,
             self.start_retention,
         ):
             with self.round_times.contain(check.__name__):
--- a/marigoldlift/scheduling/pending.py
+++ b/marigoldlift/scheduling/pending.py
@@ -160,6 +160,11 @@
             time.time() * MS_PER_S,
         )
 
+    def idle_since(self, step: StepRun) -> float | None:
+        """Return since when a step has been idle, in seconds of the monotonic clock; None if it is not."""
+        span = self.spans.get(step)
+        return span.since if span else None
+
     def is_overdue(self, step: StepRun) -> bool:
         """Return whether a step could have been placed for so long that it takes any worker from now on."""
         span = self.spans.get(step)
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -93,9 +93,9 @@
         self.reserving_step: StepRun | None = None
         self.failed_placements = 0
         self.without_room: dict[tuple[JobRun, int], PendingReason] = {}
-        self.wait_report = WaitReport(placer, clock)
         self.has_passed = False
         self.pending = pending
+        self.wait_report = WaitReport(placer, clock, pending.idle_since, pending.reasons)
         self.caps = pending.caps
 
     def run_pass(self) -> None:
@@ -125,7 +125,7 @@
                     self.place(candidate)
         self.has_passed = True
         if self.wait_report.is_due():
-            self.wait_report.report(ready, self.pool)
+            self.wait_report.report(self.waiting, self.pool)
             report_waiting(self.caps, ready, self.pending.reasons)
 
     def ready_steps(self, now: float, wall_ms: float) -> list[StepRun]:
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -72,6 +72,9 @@
     step_idle_with_room = MetricSpec(
         SUMMARY, 'seconds', (), 'Longest part of it with room and a half free service.'
     )
+    untracked_tasks = MetricSpec(
+        GAUGE, '', ('finding',), 'Open tasks that the leader has lost track of, by what is wrong.'
+    )
     submissions_refused = MetricSpec(
         COUNTER, '', ('reason',), 'Submissions that were refused and not stored.'
     )
