Move exit_on_failure to the module on supervision

It is a done callback of background loops, like those that module contains, and not a part of an entry's components. The two tests that replace os._exit name its new module; they check what they did before.

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -1,12 +1,10 @@
 """Components of one entry of the cell: replica of the log, election, acceptance, and dispatcher while it leads."""
 
 import asyncio
-import os
 from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
 
 import msgspec
-from loguru import logger
 
 from marigoldlift.leadership.election import Candidate, Election
 from marigoldlift.leadership.leader_view import LeaderView
@@ -22,7 +20,7 @@
 from marigoldlift.submissions.acceptance import Acceptance
 from marigoldlift.submissions.records import Accepted, Backlog, Leadership, Outcome, Record
 from marigoldlift.submissions.state import CellState
-from marigoldlift.supervision import FaultBoundary, ItemKind
+from marigoldlift.supervision import FaultBoundary, ItemKind, exit_on_failure
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 from marigoldlift.workspaces.directory import WorkspaceDirectory
@@ -238,11 +236,3 @@
         """Take part in the election once the snapshot of the log is read."""
         await self.replica.ready.wait()
         await self.election.run()
-
-
-def exit_on_failure(task: asyncio.Task[None]) -> None:
-    """Exit the process if a loop has failed, so that a restart recovers from the stored records."""
-    if task.cancelled() or task.exception() is None:
-        return
-    logger.opt(exception=task.exception()).critical('loop ended by a fault')
-    os._exit(1)
--- a/marigoldlift/supervision.py
+++ b/marigoldlift/supervision.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 from collections.abc import Callable, Coroutine, Iterator
 from enum import Enum
 from typing import Any
@@ -12,7 +13,7 @@
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 
-__all__ = ('FaultBoundary', 'ItemKind', 'TaskSet')
+__all__ = ('FaultBoundary', 'ItemKind', 'TaskSet', 'exit_on_failure')
 
 #: Pause of an item after its first exception, and longest one, in s; it doubles with each further exception.
 FIRST_PAUSE_S = 0.5
@@ -117,3 +118,11 @@
         """Cancel all tasks."""
         for task in self.tasks:
             task.cancel()
+
+
+def exit_on_failure(task: asyncio.Task[None]) -> None:
+    """Exit the process if a loop has failed, so that a restart recovers from the stored records."""
+    if task.cancelled() or task.exception() is None:
+        return
+    logger.opt(exception=task.exception()).critical('loop ended by a fault')
+    os._exit(1)
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -125,7 +125,7 @@
 def test_tenure_ends_with_its_loops(run_scenario, monkeypatch):
     """Guards against a leader that stays up without the loop that stores its records, so that no task starts."""
     exits = []
-    monkeypatch.setattr('marigoldlift.cell_node.os._exit', exits.append)
+    monkeypatch.setattr('marigoldlift.supervision.os._exit', exits.append)
 
     async def scenario(cell):
         await asyncio.sleep(ELECTION_S)
--- a/tests/cell/test_odd_entries.py
+++ b/tests/cell/test_odd_entries.py
@@ -45,7 +45,7 @@
 def exits(monkeypatch):
     """Exit codes of entries that have ended by themselves."""
     codes = []
-    monkeypatch.setattr('marigoldlift.cell_node.os._exit', codes.append)
+    monkeypatch.setattr('marigoldlift.supervision.os._exit', codes.append)
     return codes
 
 
