Store the ends that only a superseded leader was told of

Cause: a leader is cut off from the log together with workers of its failure domain. A worker there ends a task and leaves. The leader is told, but cannot store the end; when its tenure ends, the dispatcher is discarded with it. The next leader never reaches the worker, takes the task as lost once all leases have lapsed, and runs it again. For as long as that takes the steps that depend on it stand still, although all tasks before them are done.

Change: the ends that a dispatcher was told of and has not stored outlive it in the entry, which stores them as records of its own as soon as the log answers. The leader that reads one finishes the task and stops a run of it; a later leader finds it in the state. It is safe, since a task that is done stays done, whoever leads.

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -15,6 +15,7 @@
 from marigoldlift.replication.replica import Replica
 from marigoldlift.scheduling.advice import AdviceBroker, AdviceRelay
 from marigoldlift.scheduling.dispatcher import Dispatcher
+from marigoldlift.scheduling.done_reports import DoneReports
 from marigoldlift.scheduling.parts import DispatcherParts
 from marigoldlift.scheduling.registry import Registry
 from marigoldlift.submissions.acceptance import Acceptance
@@ -131,6 +132,7 @@
         self.state.observers.append(self.observe)
         self.broker = AdviceBroker(parts.advice, candidate.address, clock)
         self.peer_observers: list[Callable[[str], None]] = []
+        self.done_reports = DoneReports(self.state, self.appender)
         self.dispatcher: Dispatcher | None = None
         self.tenure_tasks: list[asyncio.Task[None]] = []
 
@@ -170,7 +172,9 @@
                 self.tenure_tasks.append(task)
 
     def stop_dispatching(self) -> None:
-        """Stop the dispatcher and cancel its tasks."""
+        """Stop the dispatcher and cancel its tasks; what it was told but has not stored is stored by this entry."""
+        if self.dispatcher is not None:
+            self.done_reports.add(self.dispatcher.tenure, self.dispatcher.events.unstored)
         for task in self.tenure_tasks:
             task.cancel()
         self.tenure_tasks.clear()
@@ -231,6 +235,7 @@
         yield self.appender.run()
         yield self.replica.run()
         yield self.campaign()
+        yield self.done_reports.run()
 
     async def campaign(self) -> None:
         """Take part in the election once the snapshot of the log is read."""
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -267,6 +267,8 @@
                 self.open_submissions.cancel(record.submission)
             case Progress() if record.outcome in FINAL_OUTCOMES:
                 self.open_submissions.forget(record.submission)
+            case _:
+                self.events.observe(record)
 
 
 def check_loops(loops: Iterable[asyncio.Task[None]]) -> None:
--- /dev/null
+++ b/marigoldlift/scheduling/done_reports.py
@@ -0,0 +1,103 @@
+"""Ends that this entry was told of as the leader, and could not store during its tenure.
+
+The worker may have left by now, and no other entry may have reached it since. Without these records the tasks run again, and
+the steps that depend on them wait as long.
+"""
+
+import asyncio
+from collections.abc import Iterable, Iterator
+
+from loguru import logger
+
+from marigoldlift.errors import PlatformError
+from marigoldlift.replication.appender import Appender
+from marigoldlift.submissions.done_tasks import DoneTasks
+from marigoldlift.submissions.model import TaskRef
+from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState
+
+__all__ = ('DoneReports',)
+
+#: How long a record waits for the store, and pause after one that could not be stored, in s.
+WAIT_S = 5
+RETRY_S = 0.2
+
+
+class DoneReports:
+    """Stores the ends of earlier tenures of this entry as soon as the log takes them.
+
+    Attributes:
+        waiting: tasks that are done, which is not stored yet, by tenure.
+    """
+
+    def __init__(self, state: CellState, appender: Appender) -> None:
+        """Begin without ends.
+
+        Args:
+            state: tells which tasks are known to be done.
+            appender: stores records of this entry, whoever leads.
+        """
+        self.state = state
+        self.appender = appender
+        self.waiting: dict[int, set[TaskRef]] = {}
+        self.arrived = asyncio.Event()
+
+    def add(self, tenure: int, tasks: Iterable[TaskRef]) -> None:
+        """Store that tasks were told to be done in a tenure of this entry that has ended."""
+        found = set(tasks)
+        if found:
+            self.waiting.setdefault(tenure, set()).update(found)
+            self.arrived.set()
+
+    async def run(self) -> None:
+        """Store what waits until cancelled."""
+        while True:
+            await self.arrived.wait()
+            self.arrived.clear()
+            while self.waiting:
+                await self.store_all()
+
+    async def store_all(self) -> None:
+        """Try once to store what waits."""
+        for tenure in tuple(self.waiting):
+            for record in self.records_of(tenure):
+                await self.store(record)
+            if not self.waiting[tenure]:
+                self.waiting.pop(tenure)
+
+    def records_of(self, tenure: int) -> Iterator[DoneTasks]:
+        """Yield the records of a tenure, and forget the tasks that need none."""
+        tasks = self.waiting[tenure]
+        tasks.difference_update(tuple(task for task in tasks if self.is_settled(task)))
+        for submission in sorted({task.submission for task in tasks}):
+            own = (task for task in tasks if task.submission == submission)
+            done = sorted((task.occurrence, task.step, task.index) for task in own)
+            yield DoneTasks(submission, tenure, done)
+
+    def is_settled(self, task: TaskRef) -> bool:
+        """Return whether the submission of a task has ended, or the log tells that the task is done."""
+        job = self.state.jobs.get(task.submission)
+        if job is None or job.state in FINAL_OUTCOMES:
+            return True
+        key = (task.occurrence, task.step)
+        known = job.progress.get(key)
+        return key in job.complete or (known is not None and task.index in known.done)
+
+    async def store(self, record: DoneTasks) -> None:
+        """Try once to store a record; without an answer it is stored again under the same key."""
+        try:
+            await self.appender.append(record, WAIT_S)
+        except PlatformError as fault:
+            logger.info(
+                'ends of an earlier tenure not stored: submission={} {}',
+                record.submission,
+                fault.reason,
+            )
+            await asyncio.sleep(RETRY_S)
+            return
+        logger.info(
+            'ends of an earlier tenure stored: submission={} tenure={} tasks={}',
+            record.submission,
+            record.tenure,
+            len(record.done),
+        )
+        self.waiting[record.tenure].difference_update(record.tasks())
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -13,8 +13,9 @@
 from marigoldlift.scheduling.run_times import LEARNING, RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager, restarted_worker
 from marigoldlift.scheduling.tasks import StepRun
-from marigoldlift.submissions.model import Step
-from marigoldlift.submissions.records import Outcome
+from marigoldlift.submissions.done_tasks import DoneTasks
+from marigoldlift.submissions.model import Step, TaskRef
+from marigoldlift.submissions.records import Outcome, Record
 from marigoldlift.supervision import FaultBoundary, ItemKind
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
@@ -36,6 +37,7 @@
         session_manager: sessions with the workers; set once, before the first session is opened.
         run_times: learns from the ends, None if that is switched off.
         ready: whether the takeover is complete.
+        unstored: tasks that workers have told to be done, which is not stored yet.
         wake: set when a scheduling pass may be able to place something.
     """
 
@@ -59,6 +61,7 @@
         self.wake = wake
         self.clock = election.clock
         self.ready = False
+        self.unstored: set[TaskRef] = set()
         self.claimed_at = self.clock()
 
     def may_act(self) -> bool:
@@ -101,9 +104,28 @@
         self.session_manager.health(session.worker.id).record_end(ended.kind, self.clock())
         step.save(ended.task.index, ended.checkpoint)
         step.last_run = max(step.last_run, ended.run)
+        if ended.kind is EndKind.done and not step.step.long_running:
+            self.unstored.add(ended.task)
+            stored = partial(self.done_stored, session, ended)
         self.open_submissions.progress.note(step.job, stored, step)
         self.process_end(step, session, ended)
 
+    def done_stored(self, session: WorkerSession, ended: EndedRun) -> None:
+        """Note that the end of a task that is done is stored."""
+        self.unstored.discard(ended.task)
+        session.ends.store_confirmed(ended.number)
+
+    def observe(self, record: Record) -> None:
+        """Finish tasks that are done by what an earlier leader was told; runs of them are stopped."""
+        if not isinstance(record, DoneTasks):
+            return
+        for task in record.tasks():
+            step = self.open_submissions.step_of_run(task)
+            if step is not None and task.index not in step.done:
+                logger.info('task was done under an earlier leader: task={}', task.name)
+                self.finish(step, task.index, None)
+                self.open_submissions.progress.note(step.job, step=step)
+
     def process_end(self, step: StepRun, session: WorkerSession, ended: EndedRun) -> None:
         """Finish the task of a run that is done, otherwise requeue it or fail its submission after too many failures.
 
@@ -133,13 +155,20 @@
             step.requeue(index)
             self.step_requeued(step)
 
-    def finish(self, step: StepRun, index: int, session: WorkerSession) -> None:
-        """Mark a task as done, and stop a run of it on another worker."""
+    def finish(self, step: StepRun, index: int, session: WorkerSession | None) -> None:
+        """Mark a task as done, and stop a run of it on another worker.
+
+        Args:
+            step: step of the task.
+            index: index of the task.
+            session: session with the worker that has listed the end, None if an earlier leader was told of it.
+        """
         other = step.active.get(index)
         if other is not None and other is not session:
             self.open_submissions.starter.stop(other, step.task(index))
         step.finish(index)
-        step.settle_place(index, session.worker.id)
+        if session is not None:
+            step.settle_place(index, session.worker.id)
         self.open_submissions.note_done(step)
         self.wake.set()
 
--- a/marigoldlift/scheduling/retention.py
+++ b/marigoldlift/scheduling/retention.py
@@ -9,6 +9,7 @@
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.session_manager import SessionManager
+from marigoldlift.submissions.done_tasks import done_tasks_key
 from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.record_codec import progress_key, scoped_name
 from marigoldlift.submissions.records import Dropped, Finished, Record
@@ -79,6 +80,7 @@
         forgotten = self.expired_cancellations()[:MAX_SUBMISSIONS_PER_ROUND]
         unused = [f's/{name}' for name in rejected]
         unused.extend(f'c/{name}' for name in forgotten)
+        unused.extend(sorted(self.state.obsolete_reports)[:MAX_SUBMISSIONS_PER_ROUND])
         return [*ended, *expired, *((Dropped(key),) for key in unused)]
 
     async def store(self, groups: Sequence[Sequence[Record]]) -> None:
@@ -146,9 +148,11 @@
 
 
 def dropped_progress(job: Job) -> Iterator[Record]:
-    """Yield the records that drop a submission's cancellations and its progress."""
+    """Yield the records that drop a submission's cancellations, its progress and what earlier leaders have reported."""
     name = job.submission.id
     for cancellation in sorted(job.cancellations):
         yield Dropped(f'c/{cancellation}')
     for tenure, part in sorted(job.parts):
         yield Dropped(progress_key(name, tenure, part))
+    for reporter in sorted(job.reports):
+        yield Dropped(done_tasks_key(name, reporter))
--- a/marigoldlift/submissions/job.py
+++ b/marigoldlift/submissions/job.py
@@ -7,6 +7,7 @@
 from marigoldlift.ids import WorkspaceId
 from marigoldlift.scheduling.step_queue import largest_waiting
 from marigoldlift.submissions.access import Owner
+from marigoldlift.submissions.done_tasks import DoneTasks
 from marigoldlift.submissions.model import Submission
 from marigoldlift.submissions.record_codec import scoped_name
 from marigoldlift.submissions.records import Outcome, Progress, StepProgress
@@ -28,6 +29,7 @@
         progress: progress of the steps that have begun, by occurrence and number.
         complete: steps that are complete; they have no progress unless a worker may still hold a task of them.
         parts: parts of its progress that leaders have stored, with their tenures.
+        reports: tenures of the leaders of which a `DoneTasks` record was read.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         'outcome',
         'parts',
         'progress',
+        'reports',
         'seen_at',
         'submission',
     )
@@ -60,6 +63,7 @@
         self.complete = StepSet(len(submission.steps), submission.occurrences)
         self.largest_waiting = largest_waiting(submission)
         self.parts: set[tuple[int, int]] = set()
+        self.reports: set[int] = set()
         self.final_at: float | None = None
 
     @property
@@ -98,6 +102,19 @@
             kept = {(found.occurrence, found.step) for found in record.steps}
             self.forget_complete(record.part, kept)
 
+    def merge_done(self, record: DoneTasks) -> None:
+        """Mark tasks as done; the end of one member stands for all members of a gang."""
+        self.reports.add(record.tenure)
+        for task in record.tasks():
+            key = (task.occurrence, task.step)
+            if not self.submission.has_task(task) or key in self.complete:
+                continue
+            step = self.submission.steps[task.step]
+            indices = list(range(step.count)) if step.gang else [task.index]
+            known = self.progress.get(key) or StepProgress(*key)
+            done = sorted({*known.done, *indices})
+            self.progress[key] = msgspec.structs.replace(known, done=done)
+
     def forget_complete(self, part: int, kept: Container[tuple[int, int]]) -> None:
         """Remove the progress of the complete steps of a part.
 
--- a/marigoldlift/submissions/record_codec.py
+++ b/marigoldlift/submissions/record_codec.py
@@ -8,6 +8,7 @@
 
 from marigoldlift.decoding import MsgpackDecoder
 from marigoldlift.ids import WorkspaceId
+from marigoldlift.submissions.done_tasks import DoneTasks
 from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.records import (
     Accepted,
@@ -68,6 +69,7 @@
     {
         Accepted: lambda record: f's/{acceptance_name(record)}',
         Progress: lambda record: progress_key(record.submission, record.tenure, record.part),
+        DoneTasks: lambda record: record.key,
         Cancelled: lambda record: f'c/{cancellation_name(record)}',
         Finished: lambda record: f'f/{record.submission}',
         Leadership: lambda record: f'l/{record.node}',
@@ -89,7 +91,14 @@
 
 encoder = msgspec.msgpack.Encoder()
 decoder: MsgpackDecoder[Record] = MsgpackDecoder(
-    Accepted | Cancelled | Progress | Finished | Leadership | KnownWorker | RunTimesSummary,
+    Accepted
+    | Cancelled
+    | Progress
+    | DoneTasks
+    | Finished
+    | Leadership
+    | KnownWorker
+    | RunTimesSummary,
     MAX_RECORD_BYTES,
 )
 
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -1,7 +1,7 @@
 """State of the cell, built by applying the records of the shared log."""
 
 import sys
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import TypeGuard
 
 from loguru import logger
@@ -9,6 +9,7 @@
 from marigoldlift.errors import MalformedMessageError
 from marigoldlift.ids import WorkspaceId
 from marigoldlift.submissions.access import Caller
+from marigoldlift.submissions.done_tasks import DoneTasks
 from marigoldlift.submissions.job import FINAL_OUTCOMES, FinishedJob, Job
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.submissions.records import (
@@ -32,6 +33,9 @@
 
 Observer = Callable[[int, Record], None]
 
+#: Records that change a submission.
+JobRecord = Cancelled | Progress | DoneTasks
+
 
 class CellState:
     """All submissions, and the workers that may hold tasks.
@@ -45,8 +49,10 @@
             acceptance that follows is cancelled if its workspace is that of the cancellation.
         rejected_acceptances: names of acceptances whose id another workspace had used before; their records are to be
             dropped.
+        obsolete_reports: keys of `DoneTasks` records of submissions that have ended, which are to be dropped.
         run_times: newest summary of run times, None if there is none.
         observers: called with the offset and content of each record after it was applied.
+        removers: remove what belongs to a dropped key, by kind of the key.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -58,12 +64,20 @@
         self.clock = clock
         self.jobs: dict[SubmissionId, Job] = {}
         self.finished: dict[SubmissionId, FinishedJob] = {}
-        self.early_records: dict[SubmissionId, list[Cancelled | Progress]] = {}
+        self.early_records: dict[SubmissionId, list[JobRecord]] = {}
         self.early_cancellations: dict[str, float] = {}
         self.rejected_acceptances: set[str] = set()
+        self.obsolete_reports: set[str] = set()
         self.workers: dict[str, KnownWorker] = {}
         self.run_times: RunTimesSummary | None = None
         self.observers: list[Observer] = []
+        self.removers: Mapping[str, Callable[[str], object]] = {
+            's': self.drop_acceptance,
+            'f': lambda name: self.finished.pop(SubmissionId(name), None),
+            'c': self.drop_cancellation,
+            'w': lambda name: self.workers.pop(name, None),
+            'e': lambda name: self.obsolete_reports.discard(f'e/{name}'),
+        }
 
     def state_of(self, submission: SubmissionId) -> Outcome | None:
         """Return the state of a submission, None if it is unknown."""
@@ -103,7 +117,7 @@
         match record:
             case Accepted():
                 self.accept(offset, record.submission)
-            case Cancelled() | Progress():
+            case Cancelled() | Progress() | DoneTasks():
                 self.update_job(record)
             case Finished():
                 self.finish(record)
@@ -129,11 +143,10 @@
         if job.cancelled:
             logger.info('submission accepted after its cancellation: submission={}', submission.id)
 
-    def update_job(self, record: Cancelled | Progress) -> None:
+    def update_job(self, record: JobRecord) -> None:
         """Update a submission; keep the record for later if its acceptance is not read yet."""
         if record.submission in self.finished:
-            if is_cancellation(record):
-                self.note_without_effect(record)
+            self.note_without_job(record)
             return
         job = self.jobs.get(record.submission)
         if job is None:
@@ -141,10 +154,19 @@
             return
         if isinstance(record, Cancelled):
             self.cancel(job, record)
+        elif isinstance(record, DoneTasks):
+            job.merge_done(record)
         else:
             job.merge(record)
         self.note_outcome(job)
 
+    def note_without_job(self, record: JobRecord) -> None:
+        """Keep what is needed to drop a record of a submission that has ended."""
+        if is_cancellation(record):
+            self.note_without_effect(record)
+        elif isinstance(record, DoneTasks):
+            self.obsolete_reports.add(record.key)
+
     def cancel(self, job: Job, record: Cancelled) -> None:
         """Cancel a submission, unless it belongs to another workspace than that of the caller."""
         if record.caller.may_access(job.owner):
@@ -156,7 +178,7 @@
         """Keep the name of a cancellation that has no effect until its record expires."""
         self.early_cancellations.setdefault(cancellation_name(record), self.clock())
 
-    def keep_early(self, record: Cancelled | Progress) -> None:
+    def keep_early(self, record: JobRecord) -> None:
         """Keep a record for an acceptance that is read later; a repeated cancellation is kept once."""
         if isinstance(record, Cancelled):
             name = cancellation_name(record)
@@ -195,21 +217,17 @@
         known.extend(f'f/{name}' for name in self.finished)
         known.extend(f'c/{name}' for name in self.early_cancellations)
         known.extend(f'w/{name}' for name in self.workers)
+        known.extend(self.obsolete_reports)
         for key in known:
             if key not in keys:
                 self.drop(key)
 
     def drop(self, key: str) -> None:
-        """Remove the submission, outcome, early cancellation or worker of a dropped key."""
+        """Remove the submission, outcome, early cancellation, worker or obsolete report of a dropped key."""
         kind, _, name = key.partition('/')
-        if kind == 's':
-            self.drop_acceptance(name)
-        elif kind == 'f':
-            self.finished.pop(SubmissionId(name), None)
-        elif kind == 'c':
-            self.drop_cancellation(name)
-        elif kind == 'w':
-            self.workers.pop(name, None)
+        remove = self.removers.get(kind)
+        if remove is not None:
+            remove(name)
 
     def drop_acceptance(self, name: str) -> None:
         """Remove a submission, unless the name is that of an acceptance by another workspace."""
@@ -238,6 +256,6 @@
             self.early_records[submission] = kept
 
 
-def is_cancellation(record: Cancelled | Progress) -> TypeGuard[Cancelled]:
+def is_cancellation(record: JobRecord) -> TypeGuard[Cancelled]:
     """Return whether a record is a cancellation."""
     return isinstance(record, Cancelled)
