--- a/marigoldlift/scheduling/done_reports.py
+++ b/marigoldlift/scheduling/done_reports.py
@@ -58,11 +58,11 @@
 
     async def store_all(self) -> None:
         """Try once to store what waits."""
-        for tenure in tuple(self.waiting):
-            for record in self.records_of(tenure):
-                await self.store(record)
-            if not self.waiting[tenure]:
-                self.waiting.pop(tenure)
+        records = [record for tenure in self.waiting for record in self.records_of(tenure)]
+        stored = await asyncio.gather(*map(self.store, records))
+        self.waiting = {tenure: tasks for tenure, tasks in self.waiting.items() if tasks}
+        if not all(stored):
+            await asyncio.sleep(RETRY_S)
 
     def records_of(self, tenure: int) -> Iterator[DoneTasks]:
         """Yield the records of a tenure, and forget the tasks that need none."""
@@ -82,8 +82,8 @@
         known = job.progress.get(key)
         return key in job.complete or (known is not None and task.index in known.done)
 
-    async def store(self, record: DoneTasks) -> None:
-        """Try once to store a record; without an answer it is stored again under the same key."""
+    async def store(self, record: DoneTasks) -> bool:
+        """Try once to store a record and return whether it is stored; if not, it is sent again under the same key."""
         try:
             await self.appender.append(record, WAIT_S)
         except PlatformError as fault:
@@ -92,8 +92,7 @@
                 record.submission,
                 fault.reason,
             )
-            await asyncio.sleep(RETRY_S)
-            return
+            return False
         logger.info(
             'ends of an earlier tenure stored: submission={} tenure={} tasks={}',
             record.submission,
@@ -101,3 +100,4 @@
             len(record.done),
         )
         self.waiting[record.tenure].difference_update(record.tasks())
+        return True
