Listen to workers while the leadership has run out

Cause: 4 s after its last confirmed renewal a leader that is cut off stops polling. What ends after that at workers which leave before the cut is over is heard by nobody, although this leader reaches them all the while.

Change: polls go on, without a lease and with nothing acknowledged, so that they have no effect on the worker; a worker that has seen the token of a successor refuses them, and is then left alone.

Ruled out: renewing leases on, which the successor does not wait for.

--- a/marigoldlift/orders/acknowledgements.py
+++ b/marigoldlift/orders/acknowledgements.py
@@ -26,6 +26,7 @@
         confirmed_at: when the newest poll that was answered was sent, in seconds of the monotonic clock.
         starting: number of starts under way.
         unanswered: tokens of the polls that acknowledge ends and have not been answered.
+        refused: newest token that the worker has refused, since it has seen a higher one; None while there is none.
     """
 
     def __init__(self, run_table: RunTable, ends: EndList) -> None:
@@ -41,6 +42,7 @@
         self.confirmed_at: float = 0
         self.starting = 0
         self.unanswered: list[int] = []
+        self.refused: int | None = None
 
     def next_number(self, *, is_suspected: bool) -> int:
         """Return the number of the last end that the next poll lets the worker forget, 0 for none.
@@ -95,6 +97,14 @@
             if token in self.unanswered:
                 self.unanswered.remove(token)
 
+    def note_refused(self, token: int) -> None:
+        """Record that the worker has refused a token."""
+        self.refused = token
+
+    def is_refused(self, token: int) -> bool:
+        """Return whether the worker has refused a token, so that it answers nothing else under it."""
+        return self.refused == token
+
     def is_unanswered(self, token: int) -> bool:
         """Return whether a poll with an acknowledgement under a token, or a higher one, has not been answered."""
         return max(self.unanswered, default=-1) >= token
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -196,6 +196,7 @@
 
     def handle_fencing_refusal(self, token: int) -> None:
         """Handle a higher token at the worker: raised by this session after the order was sent, or another holder's."""
+        self.acknowledgements.note_refused(token)
         if token == self.token:
             self.observer.fenced(self)
         self.poll_requested.set()
@@ -216,14 +217,19 @@
             )
 
     async def poll(self, wait_ms: int) -> bool:
-        """Renew the lease and process the worker's status; return whether a status of this incarnation arrived."""
-        if not self.observer.may_act():
-            return False
+        """Renew the lease and process the worker's status; return whether a status of this incarnation arrived.
+
+        Once the leadership has run out, a poll renews and acknowledges nothing: it only listens, until another leader has
+        reached the worker. If this VM is cut off together with the worker, nobody else can learn what ends there.
+        """
         token = self.token
+        listens = not self.observer.may_act()
+        if listens and self.acknowledgements.is_refused(token):
+            return False
         sent_at = self.now()
-        until_ms = self.renewal(sent_at)
+        until_ms = None if listens else self.renewal(sent_at)
         acknowledged = self.acknowledgements.next_number(
-            is_suspected=self.suspected_at is not None
+            is_suspected=listens or self.suspected_at is not None
         )
         if acknowledged:
             self.acknowledgements.note_sent(token)
