Let a step ask the advice again after planning its calls has raised

Callers see: a submission of a queue with advice stays queued without end, until another entry leads.

Cause: ask_if_needed set ask_after to infinity, which stands for a request in flight, before it booked the calls. If that raised, no call was made whose end would have reset it. The submission was set aside for 0.5 s and tried again, but its step counted as asking. Seen by reading; no run in which booking raises is known.

Evidence: test_advice_is_requested_again_after_planning_its_calls_raises, with one exception of AdviceBroker.book: before, the job is not complete after 12 s (`step waits: asking=True asked=0`). Ruled out: an exception of the call itself, which resets the time (test_advice_is_requested_again_after_an_exception).

Change: the time is set once all calls are planned. The test passes; the other tests of the file do as before.

--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -151,12 +151,12 @@
             is_pressing=overdue or has_reservation or not step.tickets,
         )
         if asked:
-            step.ask_after = math.inf
             self.begin_question(step, asked)
 
     def begin_question(self, step: StepRun, asked: Sequence[str]) -> None:
-        """Book the calls of a question, and make them in the background."""
+        """Book the calls of a question, and make them in the background; if that raises, the step may ask again."""
         calls = [self.plan_call(step, part) for part in self.split(step, asked)]
+        step.ask_after = math.inf
         self.starter.spawn(self.ask(step, calls))
 
     def plan_call(self, step: StepRun, workers: Sequence[str]) -> PlannedCall:
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -122,6 +122,20 @@
     run_scenario(scenario)
 
 
+def test_advice_is_requested_again_after_planning_its_calls_raises(run_scenario):
+    """Guards against steps that count as asking for ever although no call was made."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        cell.advice.policy = AdvicePolicy(10, 1, 4000)
+        broker = cell.leader().node.broker
+        broker.book = FailsFirst(broker.book, 1)
+        await submit(cell, advice=cell.advice.policy)
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario)
+
+
 def test_tenure_ends_with_its_loops(run_scenario, monkeypatch):
     """Guards against a leader that stays up without the loop that stores its records, so that no task starts."""
     exits = []
