Handle the loss of each run by itself, and again if that raises

Callers see: tasks of a worker that has crashed, restarted or forgotten its runs count as running for ever, and nobody starts them again, until another entry leads.

Cause: three places took a run out of its table, or left the loop over the runs, before the loss was handled. In RunReports.give_up an exception kept the runs that follow (given up again by the next check) and lost the one at hand; handle_absent lost the one at hand as well; SessionManager.replace had put the next session in place by then, and lost all runs that follow too. The room was freed, so nothing showed it. Seen by reading; no run in which the handling raises is known.

Evidence: test_lost_runs_start_elsewhere_after_handling_one_raises, with 1 and 3 exceptions of RunEvents.run_vanished: before, all 6 cases (lapse, absence, restart) end with a TimeoutError, the job open after 24 s. Ruled out: ends, which are offered again (test_end_is_processed_after_an_exception).

Change: a run leaves its table once its loss is handled. An exception is contained to its run, logged and counted as that of an end is; the next check or status finds the run again. At a restart it moves to the next session as one with unknown outcome. All 6 cases pass.

--- a/marigoldlift/orders/reports.py
+++ b/marigoldlift/orders/reports.py
@@ -57,12 +57,20 @@
 
     def give_up(self, ended: Iterable[Run]) -> int:
         """Give up runs that have certainly ended, and return their number."""
-        given_up = list(ended)
+        given_up = [known for known in tuple(ended) if self.report_vanished(known)]
         for known in given_up:
             self.release(known.task)
-            self.observer.run_vanished(self.session, known)
         return len(given_up)
 
+    def report_vanished(self, known: Run) -> bool:
+        """Report a run that certainly no longer exists; return False if the observer raises, so that it must be told again."""
+        try:
+            self.observer.run_vanished(self.session, known)
+        except Exception as fault:
+            self.observer.handling_failed(ItemKind.run, known.task.name, fault)
+            return False
+        return True
+
     def process_ends(self, found: WorkerStatus, now: float) -> None:
         """Report the ended runs of a status, and record whether the worker holds more of them."""
         listed_before = self.ends.last_listed
@@ -115,8 +123,8 @@
         missing = [run for task, run in self.run_table.runs.items() if task not in present]
         for known in missing:
             if known.is_surely_absent(sent_at, token):
-                self.run_table.pop(known.task)
-                self.observer.run_vanished(self.session, known)
+                if self.report_vanished(known):
+                    self.run_table.pop(known.task)
             elif known.may_repeat(sent_at, token):
                 self.observer.start_missed(self.session, known)
 
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -189,9 +189,9 @@
     def replace(self, session: WorkerSession, worker: Worker) -> None:
         """Open a new session with a worker that has restarted under the same id.
 
-        Runs that the old incarnation has listed ended with it, and those whose start was not sent yet are placed anew. The
-        start order of any other run, whether answered or not, may have reached the new incarnation, so its outcome is
-        unknown until the worker answers under a higher token.
+        Runs that the old incarnation has listed ended with it, and those whose start was not sent yet are placed anew; if
+        handling that raises, the worker's next status shows it again. The start order of any other run, whether answered or
+        not, may have reached the new incarnation, so its outcome is unknown until the worker answers under a higher token.
         """
         logger.info('worker restarted: worker={} born_ms={}', worker.id, worker.born_ms)
         self.health_records.pop(worker.id, None)
@@ -201,8 +201,7 @@
         self.sessions[worker.id] = successor
         for known in tuple(session.run_table.runs.values()):
             session.run_table.pop(known.task)
-            if has_ended_with(known, self.clock()):
-                self.observer.run_vanished(session, known)
+            if has_ended_with(known, self.clock()) and session.reports.report_vanished(known):
                 continue
             known.mark_uncertain(successor.token, self.clock())
             successor.run_table.take(known)
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marigoldlift.orders.runs import LATE_ORDER_S
-from marigoldlift.submissions.model import AdvicePolicy, Step
+from marigoldlift.submissions.model import AdvicePolicy, Step, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Progress
 
 ELECTION_S = 1.5
@@ -29,6 +29,25 @@
         return self.wrapped(*args, **kwargs)
 
 
+def forget_runs(cell, name):
+    """Let a worker lose its runs without an end, in the same incarnation."""
+    cell.workers[name].lose_runs()
+    cell.workers[name].held.clear()
+
+
+#: Ways in which the runs of a worker are lost.
+LOSSES = {
+    'lapse': lambda cell, name: cell.workers[name].crash(),
+    'absence': forget_runs,
+    'restart': lambda cell, name: cell.workers[name].begin_incarnation(),
+}
+
+
+def tasks_of(name, count):
+    """Return the tasks of a submission with one step."""
+    return [TaskRef(SubmissionId(name), 0, 0, index) for index in range(count)]
+
+
 async def submit(cell, count=4, name='job', **policy):
     """Submit tasks of half a worker each at the leader."""
     await cell.submit(cell.leader(), name, (Step(count=count, cpu_m=4000),), **policy)
@@ -136,6 +155,25 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize('failures', [1, 3])
+@pytest.mark.parametrize('loss', ['lapse', 'absence', 'restart'])
+def test_lost_runs_start_elsewhere_after_handling_one_raises(run_scenario, loss, failures):
+    """Guards against tasks that count as running for ever after the loss of another run of their worker raised."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        leader = cell.leader()
+        cell.durations.update(dict.fromkeys(tasks_of('job', 8), 3.0))
+        await submit(cell, count=8)
+        await asyncio.sleep(1)
+        events = leader.node.dispatcher.events
+        events.run_vanished = FailsFirst(events.run_vanished, failures)
+        LOSSES[loss](cell, 'w0')
+        await cell.wait_for_outcomes(['job'], 2 * SETTLED_S)
+
+    run_scenario(scenario)
+
+
 def test_tenure_ends_with_its_loops(run_scenario, monkeypatch):
     """Guards against a leader that stays up without the loop that stores its records, so that no task starts."""
     exits = []
