Open a submission again whose opening has raised

Callers see: an accepted submission stays queued until another entry leads. At a takeover, its runs are stopped and its ends acknowledged without a record, so that a later leader that can open it starts tasks again that are done (TWICE).

Cause: OpenSubmissions.open contained the exception and went on without the submission. An end of a submission that is not open counted as one whose outcome is stored, and a run of it as one that nobody wants. Seen by reading; no run in which opening raises is known.

Ends that are held back for ever: those of a submission that never opens are given up with the lease of their worker, as others that cannot be handled.

Change: such submissions are kept by name and tried again by the periodic checks. Until then their ends are not acknowledged and their runs are left alone, unless they are cancelled; once open, they adopt the runs and the starts without an answer.

--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -62,9 +62,11 @@
     def check_run(self, session: WorkerSession, run: Run, now: float, *, leaving: bool) -> None:
         """Stop a run if it must not continue.
 
-        Runs that no open submission expects on this worker are stopped, and a stop that had no effect is sent again.
-        Otherwise only runs that the worker has confirmed are stopped: if the worker leaves, or if they are stalled.
+        Runs that no open submission expects on this worker are stopped, and a stop that had no effect is sent again, but not
+        while their submission could not be opened. Otherwise only runs that the worker has confirmed are stopped: if the worker leaves, or if they are stalled.
         """
+        if run.task.submission in self.open_submissions.unopened:
+            return
         step = self.open_submissions.step_of(run.task)
         if (
             step is None
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -230,6 +230,7 @@
         for check in (
             self.session_manager.refresh,
             self.session_manager.check,
+            self.events.open_again,
             self.checks.check_runs,
             self.planner.sample_idle,
             self.events.check_run_times,
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -169,6 +169,19 @@
             step.gang_started_at = self.clock()
         return step.step
 
+    def open_again(self) -> None:
+        """Try again to open the submissions whose opening has raised, and adopt the runs of those that are open then."""
+        opened = {job.id: job for job in self.open_submissions.open_again()}
+        if not opened:
+            return
+        for session in self.session_manager.sessions.values():
+            for run in session.run_table.runs.values():
+                if run.task.submission in opened:
+                    held = HeldRun(run.task, run.run, run.checkpoint, run.percent)
+                    self.run_found(session, held)
+        for job in opened.values():
+            self.session_manager.earlier_orders.adopt_starts(job.steps.values())
+
     def note_begun(self, step: StepRun) -> None:
         """Store that a submission has started; one whose tasks are only placed still counts as queued."""
         if not step.job.begun:
--- a/marigoldlift/scheduling/open_submissions.py
+++ b/marigoldlift/scheduling/open_submissions.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from marigoldlift.errors import NotFoundError
 from marigoldlift.orders.runs import UNKNOWN_DEMAND
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.progress import ProgressWriter
@@ -12,7 +13,7 @@
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Outcome
-from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState
+from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState, Job
 from marigoldlift.supervision import FaultBoundary, ItemKind
 
 __all__ = ('OpenSubmissions',)
@@ -23,6 +24,7 @@
 
     Attributes:
         jobs: open submissions by id.
+        unopened: submissions without an outcome whose opening has raised; it is tried again.
         closed: submissions whose outcome is decided but may not be stored yet.
     """
 
@@ -44,21 +46,45 @@
         self.faults = faults
         self.jobs: dict[SubmissionId, JobRun] = {}
         self.closed: dict[SubmissionId, JobRun] = {}
+        self.unopened: set[SubmissionId] = set()
 
     def open(self, submission: SubmissionId) -> None:
         """Queue the steps of a submission, unless it is open or closed already."""
         job = self.state.jobs.get(submission)
+        self.unopened.discard(submission)
         if job is None or submission in self.jobs or submission in self.closed:
             return
         if job.state in FINAL_OUTCOMES:
             return
-        with self.faults.contain(ItemKind.submission, submission):
-            opened = JobRun(job)
-            self.jobs[submission] = opened
-            for step in opened.steps.values():
-                self.planner.waiting.add(step)
-            self.planner.waiting.open_due(opened)
-            self.close_if_done(opened)
+        try:
+            self.open_job(job)
+        except Exception as fault:
+            self.faults.note(ItemKind.submission, submission, fault)
+            self.discard(submission)
+            self.unopened.add(submission)
+
+    def open_job(self, job: Job) -> None:
+        """Queue the steps of a submission without an outcome."""
+        opened = JobRun(job)
+        self.jobs[opened.id] = opened
+        for step in opened.steps.values():
+            self.planner.waiting.add(step)
+        self.planner.waiting.open_due(opened)
+        self.close_if_done(opened)
+
+    def discard(self, submission: SubmissionId) -> None:
+        """Remove a submission that is not open completely; with an outcome, its steps leave the planner before the next pass."""
+        self.closed.pop(submission, None)
+        incomplete = self.jobs.pop(submission, None)
+        if incomplete is not None:
+            incomplete.outcome = Outcome.cancelled
+
+    def open_again(self) -> list[JobRun]:
+        """Try to open the submissions whose opening has raised, unless that was just now, and return those that are open."""
+        tried = [name for name in self.unopened if not self.faults.is_set_aside(name)]
+        for submission in tried:
+            self.open(submission)
+        return [self.jobs[name] for name in tried if name in self.jobs]
 
     def note_done(self, step: StepRun) -> None:
         """Note that a task of a step is done; once all are, others may have their turn, or the submission is complete."""
@@ -78,6 +104,7 @@
 
     def cancel(self, submission: SubmissionId) -> None:
         """Close a submission that its caller has cancelled."""
+        self.unopened.discard(submission)
         job = self.jobs.get(submission)
         if job is not None:
             self.close(job, Outcome.cancelled)
@@ -107,7 +134,12 @@
 
         Until then a later leader would start a task of it again: of a step that is complete, or of a submission that has
         just ended.
+
+        Raises:
+            NotFoundError: the submission could not be opened so far, so that the progress is not known.
         """
+        if submission in self.unopened:
+            raise NotFoundError(f'submission is not open yet: submission={submission}')
         job = self.jobs.get(submission) or self.closed.get(submission)
         if job is None:
             stored()
--- a/tests/cell/actions.py
+++ b/tests/cell/actions.py
@@ -1,8 +1,27 @@
 """Changes of a cell that several tests make."""
 
+from collections.abc import Callable
+from typing import Any
+
 from tests.cell.model import ModelCell
 
-__all__ = ('cut_off', 'reconnect', 'set_task_duration')
+__all__ = ('FailsFirst', 'cut_off', 'reconnect', 'set_task_duration')
+
+
+class FailsFirst:
+    """Callable that raises an unexpected exception in its first calls and forwards later ones."""
+
+    def __init__(self, wrapped: Callable[..., Any], failures: int) -> None:
+        """Wrap a callable whose first calls fail."""
+        self.wrapped = wrapped
+        self.failures_left = failures
+
+    def __call__(self, *args: Any, **kwargs: Any) -> Any:
+        """Raise, or forward the call."""
+        self.failures_left -= 1
+        if self.failures_left >= 0:
+            raise RuntimeError('injected')
+        return self.wrapped(*args, **kwargs)
 
 
 def set_task_duration(cell: ModelCell, duration_s: float) -> None:
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -7,6 +7,7 @@
 from marigoldlift.orders.runs import LATE_ORDER_S
 from marigoldlift.submissions.model import AdvicePolicy, Step, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Progress
+from tests.cell.actions import FailsFirst
 
 ELECTION_S = 1.5
 SETTLED_S = 12
@@ -15,20 +16,6 @@
 FAST_ADVICE = AdvicePolicy(10, 1, 1500)
 
 
-class FailsFirst:
-    """Callable that raises an unexpected exception in its first calls and forwards later ones."""
-
-    def __init__(self, wrapped, failures):
-        self.wrapped = wrapped
-        self.failures_left = failures
-
-    def __call__(self, *args, **kwargs):
-        self.failures_left -= 1
-        if self.failures_left >= 0:
-            raise RuntimeError('injected')
-        return self.wrapped(*args, **kwargs)
-
-
 def forget_runs(cell, name):
     """Let a worker lose its runs without an end, in the same incarnation."""
     cell.workers[name].lose_runs()
