Time the second look at waiting steps by the monotonic clock

Callers see: occurrences of a schedule become late, one after the other, behind old ones that can no longer be in time, for as long as the wall clock of the leading VM was set back.

Cause: a submission with more steps than may wait at once is looked at again after 1 s, so that occurrences in time come before those that earn nothing. That second look was timed by the wall clock. Seen by reading.

Evidence: test_wall_clock_that_is_set_back_does_not_delay_the_second_look, set back by 20 s: before, the newest open occurrence is 63 and not 85, and stays so for 20 s. Ruled out: the due times of occurrences, which are times of the wall clock, and which each look notes anew.

Change: second looks have a heap of their own, in seconds of the monotonic clock.

--- a/marigoldlift/scheduling/job_run.py
+++ b/marigoldlift/scheduling/job_run.py
@@ -30,7 +30,8 @@
         waiting: open steps with tasks to start that the planner holds, by number.
         complete: steps of which all tasks are done.
         queue: steps that are not open yet.
-        opens_at_ms: Unix time at which the planner looks for steps to open, in ms; 0 if it was never noted.
+        opens_at_ms: Unix time at which the planner opens occurrences that are due then, in ms; 0 if it was never noted.
+        second_look_at: when the planner looks again whether it can open more steps, in seconds of the monotonic clock.
         times_version: version of the expected times that the following rest on; 0 for the estimates of the caller.
         task_s: expected time of the longest task of each step, in s.
         safe_s: time that a task of each step hardly exceeds, in s.
@@ -54,6 +55,7 @@
             self.forget_complete(self.open_step(key, stored))
         self.queue = StepQueue(self.submission, self.complete)
         self.opens_at_ms: float = 0
+        self.second_look_at = float('-inf')
         self.times_version = 0
         self.expect(expected_times(EstimatesAlone(), self.submission))
 
--- a/marigoldlift/scheduling/tests/test_waiting_steps.py
+++ b/marigoldlift/scheduling/tests/test_waiting_steps.py
@@ -15,11 +15,12 @@
 
 
 class Clocks:
-    """Monotonic clock and wall clock, which the test advances together."""
+    """Monotonic clock and wall clock, which the test advances together, or sets the wall clock alone."""
 
     def __init__(self):
         """Start at 0, and at the time at which submissions are due first."""
         self.now = 0
+        self.wall_ahead_s = 0
 
     def __call__(self):
         """Return the time of the monotonic clock in s."""
@@ -28,7 +29,7 @@
     @property
     def wall_ms(self):
         """Return the Unix time in ms."""
-        return START_MS + self.now * MS_PER_S
+        return START_MS + (self.now + self.wall_ahead_s) * MS_PER_S
 
 
 @pytest.fixture
@@ -141,6 +142,18 @@
     assert len(waiting) <= MAX_WAITING
 
 
+def test_wall_clock_that_is_set_back_does_not_delay_the_second_look(clocks):
+    """Guards against occurrences that become late behind old ones until the wall clock has caught up."""
+    waiting = WaitingSteps(clocks)
+    job = new_job([STEP], occurrences=MAX_WAITING * 3, interval_s=1)
+    clocks.now = MAX_WAITING + 40
+    waiting.open_due(job)
+    clocks.wall_ahead_s = -20
+    clocks.now += RECHECK_MS / MS_PER_S
+    waiting.open_occurrences(clocks.wall_ms)
+    assert max(step.occurrence for step in waiting) == clocks.now + clocks.wall_ahead_s
+
+
 def test_late_occurrences_are_not_dropped(clocks):
     """Guards against occurrences that were put back for others and never opened again."""
     waiting = WaitingSteps(clocks)
--- a/marigoldlift/scheduling/waiting_steps.py
+++ b/marigoldlift/scheduling/waiting_steps.py
@@ -1,7 +1,6 @@
 """Open steps with tasks to start, and when further ones are opened."""
 
 import heapq
-import math
 import time
 import weakref
 from collections.abc import Callable, Iterator
@@ -24,8 +23,10 @@
 
     Attributes:
         steps: the steps; a dict to keep their order.
-        due_times: submissions with steps that are opened later, with the Unix time at which they are looked at, in ms, as a
-            heap.
+        due_times: submissions with occurrences that are due later, with the Unix time at which they are looked at, in ms, as
+            a heap.
+        second_looks: submissions with more steps than may wait at once, with the time at which they are looked at again, in
+            seconds of the monotonic clock, as a heap; the wall clock may be set back.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -37,6 +38,7 @@
         self.clock = clock
         self.steps: dict[StepRun, None] = {}
         self.due_times: list[tuple[float, int, weakref.ref[JobRun]]] = []
+        self.second_looks: list[tuple[float, int, weakref.ref[JobRun]]] = []
 
     def __iter__(self) -> Iterator[StepRun]:
         """Return an iterator over the steps."""
@@ -59,23 +61,27 @@
         for step in job.open_due(wall_ms):
             self.add(step)
         due_ms = job.queue.next_due_ms(wall_ms)
-        if job.queue.hidden(wall_ms):
-            due_ms = min(due_ms or math.inf, wall_ms + RECHECK_MS)
         if due_ms is not None and not wall_ms < job.opens_at_ms <= due_ms:
             job.opens_at_ms = due_ms
             heapq.heappush(self.due_times, (due_ms, job.job.offset, weakref.ref(job)))
+        if job.queue.hidden(wall_ms) and job.second_look_at <= self.clock():
+            job.second_look_at = self.clock() + RECHECK_MS / MS_PER_S
+            heapq.heappush(
+                self.second_looks, (job.second_look_at, job.job.offset, weakref.ref(job))
+            )
 
     def open_occurrences(self, wall_ms: float) -> None:
-        """Open the occurrences that have become due.
+        """Open the occurrences that have become due, and look again at the submissions with more steps than may wait.
 
         Args:
             wall_ms: Unix time in ms.
         """
-        while self.due_times and self.due_times[0][0] <= wall_ms:
-            _, _, reference = heapq.heappop(self.due_times)
-            job = reference()
-            if job is not None and job.outcome is None:
-                self.open_due(job)
+        for times, now in ((self.due_times, wall_ms), (self.second_looks, self.clock())):
+            while times and times[0][0] <= now:
+                _, _, reference = heapq.heappop(times)
+                job = reference()
+                if job is not None and job.outcome is None:
+                    self.open_due(job)
 
     def drop_finished(self) -> None:
         """Remove the steps that have no task to start or whose submission has ended, and open others in their place."""
