Let no entry of the workers hold up the leader over a record that is refused at once

Callers see: nothing is accepted or placed any more. One leader after the other stands still at full load, and renews no leadership.

Cause: before its first order a worker is recorded, with its failure domain. An entry of another writer with a name of the failure domain of 261,000 characters or more was taken for a worker, since an entry may have 262,144 bytes. Its record is larger than the log takes, so the appender refuses it without a call, and WorkerRecords.record tried again without a pause: the event loop never got its turn. Each later leader reads the same entry.

Evidence: test_odd_entry_among_the_workers_ends_no_entry[other-zone_too_long] and test_worker_that_cannot_be_recorded_holds_up_nothing: before, both hang, with the stack in WorkerRecords.record, until they are killed (after 25 and 15 s). Ruled out: the other odd entries of that test, which all pass; the loops around other appends, which pause.

Change: the names of the service and the failure domain of an entry have at most 1,024 characters; longer ones describe no worker. Besides, a record that was not stored is tried again after 0.2 s. Both tests pass.

--- a/marigoldlift/platform/wire.py
+++ b/marigoldlift/platform/wire.py
@@ -38,6 +38,9 @@
 #: Number of workers up to which a cap over all of them is checked.
 MAX_WORKERS = 100_000
 
+#: Longest name of a service or failure domain of a worker, in characters; the latter is part of a record.
+MAX_NAME_CHARS = 1024
+
 #: Largest count in a submission: tasks of a step, occurrences, and limits on tasks.
 MAX_COUNT = 1_000_000
 
@@ -52,6 +55,7 @@
 UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
 ClockMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
 DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+ShortName = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
 RemainingMs = Annotated[float, msgspec.Meta(ge=-MAX_MS, le=MAX_MS)]
 
 
@@ -74,9 +78,9 @@
         remaining_ms: least time left while the worker drains, None if it is unknown.
     """
 
-    service: str
+    service: ShortName
     addr: str
-    zone: str
+    zone: ShortName
     state: str
     capacity: CapacityBody
     labels: list[str] = []
--- a/marigoldlift/scheduling/worker_records.py
+++ b/marigoldlift/scheduling/worker_records.py
@@ -1,5 +1,7 @@
 """Records of the workers that may hold tasks; a later leader opens sessions with all of them."""
 
+import asyncio
+
 from loguru import logger
 
 from marigoldlift.errors import PlatformError
@@ -13,6 +15,9 @@
 #: How long a record waits for the store, in s.
 RECORD_WAIT_S = 2
 
+#: Pause after a record that was not stored, in s; one that the log takes in no case is refused at once.
+RETRY_S = 0.2
+
 
 class WorkerRecords:
     """Stores a record of each worker before its first order, and drops it once the worker can hold nothing.
@@ -36,6 +41,7 @@
                 await self.appender.append(known, RECORD_WAIT_S)
             except PlatformError as fault:
                 logger.info('worker not recorded: worker={} {}', worker.id, fault.reason)
+                await asyncio.sleep(RETRY_S)
             else:
                 self.recorded.add(worker.id)
 
--- a/tests/cell/test_odd_entries.py
+++ b/tests/cell/test_odd_entries.py
@@ -37,6 +37,7 @@
     'born_too_large': lambda cell: changed_entry(cell, born=2**63),
     'number_too_large': lambda cell: b'{"born":1e999,"addr":"10.0.0.1:80"}',
     'many_digits': lambda cell: b'{"born":' + b'9' * 10_000 + b'}',
+    'zone_too_long': lambda cell: changed_entry(cell, zone='z' * 261_500),
     'unknown_state': lambda cell: changed_entry(cell, state='resting'),
 }
 
@@ -73,6 +74,23 @@
     assert not exits
 
 
+def test_worker_that_cannot_be_recorded_holds_up_nothing(run_scenario, exits, monkeypatch):
+    """Guards against a leader whose event loop stands still over a record that is refused at once."""
+    monkeypatch.setattr('marigoldlift.replication.appender.MAX_RECORD_BYTES', 800)
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        first = cell.leader()
+        cell.workers_log.store([('other', changed_entry(cell, zone='z' * 1000))])
+        await asyncio.sleep(1)
+        await cell.submit(first, 'job', STEPS)
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+        assert cell.leader() is first
+
+    run_scenario(scenario)
+    assert not exits
+
+
 def test_worker_with_an_odd_entry_keeps_its_runs(run_scenario, exits):
     """Guards against giving up running tasks, and against placing new ones, while a worker's entry is unreadable."""
 
