Withdraw starts whose placements cannot be stored, and go on storing the submission

Callers see: a submission whose tasks need a large record, or whose record cannot be built, neither starts nor ends any more until another entry leads; for a record that is too large, not then either. Its tasks count as running and keep their room.

Cause: ProgressWriter built the records outside of its try, so that an exception ended the write and left the submission in `writing`. A record that the log takes in no case was tried each 0.2 s for ever, while the starts that had made it too large waited for it.

Evidence: a step of 10,000 tasks that run on workers with ids of 24 characters has a record of 279,663 bytes, 261,000 are taken; with ids of 36 characters 8,000 tasks have 327,663. With 400 bytes allowed and 160 tasks, test_step_whose_whole_progress_is_too_large_for_a_record_runs_in_parts is red before (open after 100 s), as are both cases of test_start_is_retried_after_building_the_record_of_its_placement_raises and test_end_is_stored_after_building_its_record_raises (open after 12 s). Ruled out: a refusal by the store itself, which passes; parts by steps do not help, since the tasks are those of one step.

Change: the log says when it never takes a record (RecordRefusedError). Then, and after an exception, the starts that wait for it are withdrawn, the submission is set aside as others are, and its record, which is smaller without them, is tried again after 0.2 to 8 s. So a step runs as many tasks at once as its record holds. Records that are stored together and are larger than one call of the store are refused as well: the store would refuse the whole batch until its callers have left. All four pass.

test_start_is_retried_after_storing_its_placement_raises wrapped a method that is not used any more, so it passed in any case. It wraps the one in use now, and checks that it was called; it passes before and after. Three tests that wrap store_now return its result.

Not changed: a step whose failures alone do not fit (10,000 tasks with 21 failed runs each: 269,663 bytes) is tried each 8 s.

--- a/bench/bench_occurrences.py
+++ b/bench/bench_occurrences.py
@@ -101,7 +101,7 @@
     session = SimpleNamespace(worker=WORKER, run_table=table, now=time.monotonic)
     for occurrence in range(occurrences):
         running.open_step((occurrence, 0)).begin(0, session, 1)
-    writer = ProgressWriter(SimpleNamespace(), TENURE)
+    writer = ProgressWriter(SimpleNamespace(), TENURE, SimpleNamespace())
     for part in all_parts(running):
         job.merge(writer.record_of(running, part))
     record = writer.record_of(running, 0)
--- a/marigoldlift/errors.py
+++ b/marigoldlift/errors.py
@@ -13,6 +13,7 @@
     'OverloadedError',
     'PeerUnavailableError',
     'PlatformError',
+    'RecordRefusedError',
     'RetentionPassedError',
     'SequenceMismatchError',
     'SettingsError',
@@ -120,6 +121,12 @@
     code = 'append_refused'
 
 
+class RecordRefusedError(AppendRefusedError):
+    """A record has a form that the log never takes."""
+
+    code = 'record_refused'
+
+
 class SequenceMismatchError(PlatformError):
     """The log expects another sequence number of this producer.
 
--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -10,6 +10,7 @@
 from marigoldlift.errors import (
     AppendOutcomeUnknownError,
     AppendRefusedError,
+    RecordRefusedError,
     SequenceMismatchError,
 )
 from marigoldlift.replication.api import KeyedLog, Producer
@@ -32,6 +33,10 @@
 #: Maximum bytes of one batch, below the 2 MB that the store accepts in one call.
 BATCH_BYTES = 1_000_000
 
+#: Largest total of records that are stored together, below the 2 MB as well; the store refuses more, and with it all records
+#: of other callers in the same batch.
+MAX_APPEND_BYTES = 2_000_000
+
 #: Weight of the newest append in the smoothed latency.
 LATENCY_WEIGHT = 0.2
 
@@ -57,9 +62,11 @@
         """Encode the records.
 
         Raises:
-            AppendRefusedError: a record has another form than the log can store.
+            RecordRefusedError: a record has another form than the log can store, or all are too large for one call.
         """
         self.records = list(map(encode_for_log, records))
+        if self.size > MAX_APPEND_BYTES:
+            raise RecordRefusedError(f'the records are too large for one call: {self.size} bytes')
         self.deadline = deadline
         self.stored: asyncio.Future[int] = asyncio.get_running_loop().create_future()
 
@@ -359,15 +366,15 @@
     """Return the key and the content of a record.
 
     Raises:
-        AppendRefusedError: the log takes no such record, however often it is sent.
+        RecordRefusedError: the log takes no such record, however often it is sent.
     """
     try:
         key, content = record_key(record), encode_record(record)
         key_bytes = len(key.encode())
     except (ValueError, TypeError, OverflowError) as fault:
-        raise AppendRefusedError(f'the record cannot be encoded: {fault}') from fault
+        raise RecordRefusedError(f'the record cannot be encoded: {fault}') from fault
     if key_bytes > MAX_KEY_BYTES or len(content) > MAX_RECORD_BYTES:
-        raise AppendRefusedError(
+        raise RecordRefusedError(
             f'the record is too large: key={key_bytes} content={len(content)} bytes'
         )
     return key, content
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -77,7 +77,7 @@
         self.appender = Appender(
             parts.log, Producer(LEADER, tenure + 1), self.clock, parts.metrics
         )
-        self.progress = ProgressWriter(self.appender, tenure)
+        self.progress = ProgressWriter(self.appender, tenure, self.faults)
         self.events = RunEvents(parts.election, tenure, self.wake, parts.metrics, self.faults)
         self.session_manager = SessionManager(
             parts.registry,
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -3,15 +3,16 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
+import msgspec
 from loguru import logger
 
-from marigoldlift.errors import PlatformError
+from marigoldlift.errors import PlatformError, RecordRefusedError
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.records import Outcome, Progress, StepProgress, UnansweredStart
-from marigoldlift.supervision import TaskSet
+from marigoldlift.supervision import FaultBoundary, ItemKind, TaskSet
 
 __all__ = ('ProgressWriter',)
 
@@ -21,8 +22,9 @@
 #: How long a record waits for the store before it is submitted again, in s.
 WAIT_S = 30
 
-#: Pause after a record that could not be stored, in s.
+#: Pause after a record that was not stored, in s; it doubles up to the longest one while the record cannot be stored at all.
 RETRY_S = 0.2
+LONGEST_PAUSE_S = 8.0
 
 #: Outcome that is stored for an open submission; indexed by whether any of its tasks was started.
 OPEN_OUTCOMES = (Outcome.queued, Outcome.running)
@@ -30,6 +32,24 @@
 StoredCallback = Callable[[], None]
 
 
+class Change(msgspec.Struct):
+    """Change of a submission whose write has begun.
+
+    Attributes:
+        job: the submission.
+        parts: numbers of the parts of its progress that have changed.
+        callbacks: called once the change is stored.
+        starts: set once the placements of starts that are not ordered yet are stored, or given up.
+        pause_s: pause before the next attempt, in s.
+    """
+
+    job: JobRun
+    parts: Sequence[int]
+    callbacks: Sequence[StoredCallback]
+    starts: list[asyncio.Future[bool]]
+    pause_s: float = RETRY_S
+
+
 class ProgressWriter:
     """Writes the progress of changed submissions under the tenure of this leader.
 
@@ -37,16 +57,25 @@
         changed: submissions with a change for which no write has begun.
         parts: parts of their progress that have changed, by submission.
         callbacks: called once these changes are stored, by submission.
+        starts: set once the placements among these changes are stored, by submission.
         writing: submissions with a write in flight.
     """
 
-    def __init__(self, appender: Appender, tenure: int) -> None:
-        """Start without changes."""
+    def __init__(self, appender: Appender, tenure: int, faults: FaultBoundary) -> None:
+        """Start without changes.
+
+        Args:
+            appender: stores the records.
+            tenure: tenure of this leader.
+            faults: sets aside submissions whose progress cannot be stored.
+        """
         self.appender = appender
         self.tenure = tenure
+        self.faults = faults
         self.changed: dict[SubmissionId, JobRun] = {}
         self.parts: dict[SubmissionId, set[int]] = {}
         self.callbacks: dict[SubmissionId, list[StoredCallback]] = {}
+        self.starts: dict[SubmissionId, list[asyncio.Future[bool]]] = {}
         self.writing: set[SubmissionId] = set()
         self.wake = asyncio.Event()
         self.tasks = TaskSet()
@@ -68,11 +97,16 @@
             self.callbacks.setdefault(job.id, []).append(stored)
         self.wake.set()
 
-    async def store_now(self, step: StepRun) -> None:
-        """Store the current progress of a step and wait until that is done."""
-        stored = asyncio.Event()
-        self.note(step.job, stored.set, step)
-        await stored.wait()
+    async def store_now(self, step: StepRun) -> bool:
+        """Store the current progress of a step before a start, and wait until that is done.
+
+        Returns:
+            False if the start must not be ordered: the progress with its placement cannot be stored.
+        """
+        stored: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.starts.setdefault(step.job.id, []).append(stored)
+        self.note(step.job, step=step)
+        return await stored
 
     async def run(self) -> None:
         """Write changes until cancelled, one record per submission at a time, so that the newest comes last."""
@@ -89,36 +123,52 @@
         """Start a write for each changed submission that has none in flight."""
         idle = [name for name in self.changed if name not in self.writing]
         for submission in idle:
-            job = self.changed.pop(submission)
             self.writing.add(submission)
-            parts = sorted(self.parts.pop(submission))
-            self.tasks.spawn(self.write(job, parts, self.callbacks.pop(submission, [])))
-
-    async def write(
-        self, job: JobRun, parts: Sequence[int], callbacks: Sequence[StoredCallback]
-    ) -> None:
+            change = Change(
+                self.changed.pop(submission),
+                sorted(self.parts.pop(submission)),
+                self.callbacks.pop(submission, []),
+                self.starts.pop(submission, []),
+            )
+            self.tasks.spawn(self.write(change))
+
+    async def write(self, change: Change) -> None:
         """Retry until the records of all parts are stored, then call the callbacks."""
-        while not await self.store(job, parts):
-            await asyncio.sleep(RETRY_S)
-        self.writing.discard(job.id)
-        if job.id in self.changed:
+        while not await self.store(change):
+            await asyncio.sleep(change.pause_s)
+        self.writing.discard(change.job.id)
+        if change.job.id in self.changed:
             self.wake.set()
-        for stored in callbacks:
+        settle(change.starts, stored=True)
+        for stored in change.callbacks:
             stored()
 
-    async def store(self, job: JobRun, parts: Sequence[int]) -> bool:
+    async def store(self, change: Change) -> bool:
         """Try once to append the progress records of some parts and return whether all were stored."""
-        records = [self.record_of(job, part) for part in parts]
         try:
+            records = [self.record_of(change.job, part) for part in change.parts]
             await self.appender.append_all(records, WAIT_S)
+        except RecordRefusedError as refusal:
+            self.withdraw_starts(change, refusal)
+            return False
         except PlatformError as fault:
-            logger.warning('progress not stored: submission={} {}', job.id, fault.reason)
+            logger.warning('progress not stored: submission={} {}', change.job.id, fault.reason)
             return False
         except Exception as unexpected:
-            logger.opt(exception=unexpected).error('progress not stored: submission={}', job.id)
+            self.withdraw_starts(change, unexpected)
             return False
         return True
 
+    def withdraw_starts(self, change: Change, fault: Exception) -> None:
+        """Give up the starts of a submission that are not ordered yet, since its progress with them cannot be stored.
+
+        Without their placements the next record is smaller; the submission gets no further starts for a while.
+        """
+        self.faults.note(ItemKind.submission, change.job.id, fault)
+        settle(change.starts, stored=False)
+        settle(self.starts.pop(change.job.id, []), stored=False)
+        change.pause_s = min(change.pause_s * 2, LONGEST_PAUSE_S)
+
     def record_of(self, job: JobRun, part: int) -> Progress:
         """Return the record with the current progress of a part of a submission."""
         steps = filter(None, map(job.steps.get, job.complete.keys_of_part(part)))
@@ -127,6 +177,13 @@
         return Progress(job.id, self.tenure, outcome, begun, job.complete.encode(), part)
 
 
+def settle(starts: Sequence[asyncio.Future[bool]], *, stored: bool) -> None:
+    """Tell starts that wait whether their placements are stored."""
+    for waiting in starts:
+        if not waiting.done():
+            waiting.set_result(stored)
+
+
 def progress_of(step: StepRun, tenure: int) -> StepProgress:
     """Return the progress of a step as the leader of a tenure stores it.
 
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -143,8 +143,8 @@
 
         The placement is stored first, so that a later leader knows where the task may be running.
         """
-        await self.progress.store_now(step)
-        if not self.is_start_valid(step, session, ordered):
+        is_stored = await self.progress.store_now(step)
+        if not is_stored or not self.is_start_valid(step, session, ordered):
             session.drop(ordered)
             self.requeue_task(step, ordered.task.index, session)
             return
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -67,17 +67,70 @@
     async def scenario(cell):
         await asyncio.sleep(ELECTION_S)
         appender = cell.leader().node.dispatcher.appender
-        append = appender.append
-        failing = FailsFirst(append, 2)
+        append_all = appender.append_all
+        failing = FailsFirst(append_all, 2)
 
-        async def fail(record, wait_s):
-            if isinstance(record, Progress):
-                return await failing(record, wait_s)
-            return await append(record, wait_s)
+        async def fail(records, *waits):
+            if any(isinstance(record, Progress) for record in records):
+                return await failing(records, *waits)
+            return await append_all(records, *waits)
 
-        appender.append = fail
+        appender.append_all = fail
         await submit(cell)
         await cell.wait_for_outcomes(['job'], SETTLED_S)
+        assert failing.failures_left < 0
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('failures', [1, 4])
+def test_start_is_retried_after_building_the_record_of_its_placement_raises(
+    run_scenario, failures
+):
+    """Guards against a submission of which nothing is stored any more, so that nothing of it starts or ends."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        progress = cell.leader().node.dispatcher.progress
+        progress.record_of = FailsFirst(progress.record_of, failures)
+        await submit(cell)
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+
+    run_scenario(scenario)
+
+
+def test_end_is_stored_after_building_its_record_raises(run_scenario):
+    """Guards against a submission whose outcome is never stored."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        await submit(cell)
+        await asyncio.sleep(0.1)
+        progress = cell.leader().node.dispatcher.progress
+        progress.record_of = FailsFirst(progress.record_of, 2)
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+        assert set(cell.checker.starts.values()) == {1}
+
+    run_scenario(scenario)
+
+
+def test_step_whose_whole_progress_is_too_large_for_a_record_runs_in_parts(
+    run_scenario, monkeypatch
+):
+    """Guards against LOST: the placements of a wide step are refused for good, and nothing of it runs or ends."""
+    monkeypatch.setattr('marigoldlift.replication.appender.MAX_RECORD_BYTES', 400)
+    monkeypatch.setattr('marigoldlift.scheduling.start_limits.MAX_STARTS', 16)
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        leader = cell.leader()
+        cell.durations.update(dict.fromkeys(tasks_of('wide', 160), 1.0))
+        await cell.submit(leader, 'wide', (Step(count=160, cpu_m=100),))
+        await submit(cell)
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+        await cell.wait_for_outcomes(['wide'], 5 * SETTLED_S)
+        assert cell.leader() is leader
+        assert set(cell.checker.starts.values()) == {1}
 
     run_scenario(scenario)
 
--- a/tests/cell/test_late_orders.py
+++ b/tests/cell/test_late_orders.py
@@ -194,7 +194,7 @@
 
         async def store_slowly(job):
             await asyncio.sleep(1)
-            await store(job)
+            return await store(job)
 
         starter.progress.store_now = store_slowly
         await submit(cell)
--- a/tests/cell/test_slow_placements.py
+++ b/tests/cell/test_slow_placements.py
@@ -23,7 +23,7 @@
         async def store_slowly(step):
             starter.progress.store_now = store
             await asyncio.sleep(STORING_S)
-            await store(step)
+            return await store(step)
 
         starter.progress.store_now = store_slowly
         await cell.submit(cell.leader(), 'job', (Step(count=1, cpu_m=1000),))
--- a/tests/cell/test_workspace_caps.py
+++ b/tests/cell/test_workspace_caps.py
@@ -102,7 +102,7 @@
 
         async def store_slowly(job):
             await asyncio.sleep(CAP_APPLY_S + 1)
-            await store(job)
+            return await store(job)
 
         progress.store_now = store_slowly
         await cell.submit(cell.leader(), 'job', TASKS, 'lab')
