Send no stop once the leadership has run out

Callers see: nothing so far; a run that the next leader has adopted could be stopped, and its work be lost.

Cause: starts and status polls check that the leadership still holds when they are sent. Stops wait for others in flight, and were sent without that check: a leader that wakes from a pause of some seconds sends the next stop of each worker before it has read that another entry leads. Workers that have seen the token of the next leader refuse them; others do not.

Evidence: test_woken_leader_sends_no_orders, 1,000 tasks cancelled 0.1 s before a pause of 6 s, workers out of reach: before, 4 stops are sent under a leadership that has run out, one for each worker. With workers that answer, none was sent before either. Ruled out: starts and polls, which the test watches as well.

Change: a session sends a stop only while orders may be sent. The periodic checks request it again if the entry still leads. The test passes.

--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -201,9 +201,9 @@
         self.poll_requested.set()
 
     async def stop(self, task: TaskRef) -> None:
-        """Request that a run stops; its capacity stays reserved until the worker lists it as ended."""
+        """Request that a run stops, unless orders may not be sent now; its capacity stays reserved until it is listed as ended."""
         known = self.run_table.runs.get(task)
-        if known is None:
+        if known is None or not self.observer.may_act():
             return
         known.stop(self.now())
         try:
--- a/tests/cell/test_paused_leader.py
+++ b/tests/cell/test_paused_leader.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marigoldlift.submissions.model import Step
+from tests.cell.actions import cut_off, set_task_duration
 
 ELECTION_S = 1.5
 STEPS = (Step(count=6, cpu_m=2000),)
@@ -31,3 +32,49 @@
         await cell.wait_for_outcomes(['job'], 30)
 
     run_scenario(scenario, seed=seed)
+
+
+def watch_orders(entry):
+    """Return the orders that an entry sends although it may not act, by the name of the call."""
+    sent = []
+
+    def watch(name):
+        send = getattr(entry.calls, name)
+
+        async def call(*args):
+            if not entry.node.election.may_act():
+                sent.append(name)
+            return await send(*args)
+
+        setattr(entry.calls, name, call)
+
+    for order in ('start', 'stop', 'poll'):
+        watch(order)
+    return sent
+
+
+@pytest.mark.parametrize('is_silent', [True, False])
+def test_woken_leader_sends_no_orders(run_scenario, is_silent):
+    """Guards against orders under a leadership that has run out: stops that waited are sent one after the other."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 100)
+        first = cell.leader()
+        await cell.submit(first, 'job', (Step(count=1000, cpu_m=10),))
+        await cell.submit(first, 'other', STEPS)
+        await asyncio.sleep(3)
+        sent = watch_orders(first)
+        if is_silent:
+            for worker in cell.workers:
+                cut_off(cell, worker)
+            await asyncio.sleep(0.8)
+        await first.node.acceptance.cancel('job', 3.0)
+        await asyncio.sleep(0.1)
+        first.gate.pause()
+        await asyncio.sleep(6)
+        first.gate.resume()
+        await asyncio.sleep(3)
+        assert not sent
+
+    run_scenario(scenario)
