--- a/marigoldlift/platform/store.py
+++ b/marigoldlift/platform/store.py
@@ -1,7 +1,6 @@
 """Client for the platform's store, used as a keyed log with one partition."""
 
 import base64
-import binascii
 import struct
 from collections.abc import Iterator, Sequence
 from types import MappingProxyType
@@ -163,10 +162,10 @@
         try:
             page = newest_decoder.decode(reply.body)
             records = [
-                StoredRecord(item.offset, item.key, base64.b64decode(item.value))
+                StoredRecord(item.offset, item.key, base64.b64decode(item.value, validate=True))
                 for item in page.items
             ]
-        except (MalformedMessageError, binascii.Error) as fault:
+        except (MalformedMessageError, ValueError) as fault:
             raise LogUnavailableError(f'snapshot cannot be read: {fault}') from fault
         return SnapshotPage(page.end, records, page.more)
 
--- a/marigoldlift/platform/tests/test_store.py
+++ b/marigoldlift/platform/tests/test_store.py
@@ -71,6 +71,18 @@
     assert PART_PAUSE_S * 7 > PAGE_IDLE_TIMEOUT_S
 
 
+@pytest.mark.parametrize('content', ['é', 'a', '=', '\x00'])
+async def test_page_with_an_unreadable_value_is_unanswered(server, log, content):
+    """Guards against an exception that ends the process, and each that is started in its place."""
+
+    async def answer(_request):
+        return web.json_response({'items': [{'key': 's/1', 'offset': 1, 'value': content}]})
+
+    server.reply = answer
+    with pytest.raises(LogUnavailableError):
+        await log.newest('')
+
+
 @pytest.mark.parametrize('kept', [2, LENGTH.size, 128 * 1024])
 async def test_record_larger_than_a_read_is_read_whole(server, log, kept):
     """Guards against an entry that asks for the same part of a large configuration again and again."""
