Report a record as in doubt if the fence came after a lost answer

Callers see: none does so far. An entry could tell that a record was refused, so that it never takes effect, which is stored.

Cause: the appender resends a batch without an answer. If the log then answered that a later epoch exists, all records of the batch were reported as refused, although the first attempt may have stored them.

Evidence: test_record_in_doubt_is_not_reported_as_refused_by_a_fence: before, AppendRefusedError, with the record in the log. Only the records of a leader meet it, which it would write again; callers of an entry would, if the log answered one of its appends with an unexpected sequence number.

Change: such a batch ends as one whose outcome is unknown. The test passes.

--- a/marigoldlift/replication/appender.py
+++ b/marigoldlift/replication/appender.py
@@ -253,8 +253,9 @@
                 self.abandon_batch()
             await asyncio.sleep(pause)
             pause = min(pause * 2, MAX_BACKOFF_S)
+        ended = AppendOutcomeUnknownError if self.outcome_unknown else AppendRefusedError
         for entry in self.batch:
-            entry.settle(AppendRefusedError('a later epoch of the producer exists'))
+            entry.settle(ended('a later epoch of the producer exists'))
 
     async def try_batch(self) -> bool:
         """Send the batch once; return whether it is stored."""
--- a/marigoldlift/replication/tests/test_appender.py
+++ b/marigoldlift/replication/tests/test_appender.py
@@ -109,6 +109,23 @@
         task.cancel()
 
 
+async def test_record_in_doubt_is_not_reported_as_refused_by_a_fence(client):
+    """Guards against telling a caller that nothing was stored after an answer was lost and the epoch ended."""
+    clock = asyncio.get_running_loop().time
+    earlier = Appender(client, Producer('leader', 5), clock, Metrics())
+    later = Appender(client, Producer('leader', 9), clock, Metrics())
+    running = asyncio.create_task(earlier.run())
+    client.fault = LogFault.lose
+    waiting = asyncio.create_task(earlier.append(cancelled(1), 5))
+    await asyncio.sleep(0.5)
+    client.fault = None
+    assert await later.fence()
+    with pytest.raises(AppendOutcomeUnknownError):
+        await waiting
+    assert [stored.key for stored in client.log.records] == ['c/job1']
+    running.cancel()
+
+
 async def test_unanswered_batch_is_abandoned_after_its_callers_have_left(client):
     """Guards against a record that is stored minutes after its caller was told that the outcome is unknown."""
     loop = asyncio.get_running_loop()
