Let tasks that take minutes run to their end

Callers see: a submission with tasks of more than 200 s stays running and never completes. Each task is stopped after 2 s and started again, and its worker rests for 4 s each time; without checkpoints all work is lost.

Cause: a run whose percent has not grown for 2 s counted as one that stands still. Workers report whole percents, so a task of 250 s shows no progress for 2.5 s. The stand-in reported fractions, and tests had tasks of 100 s at most.

Ruled out: workers that are silent, since only the runs of those that answer are checked.

Change: a run may go without progress for 2 s or four times the estimated time of a percent, whichever is longer: estimates are rough, workers slow, and data may be on another rack. Up to 50 s of estimate nothing changes.

--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -8,14 +8,12 @@
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.session_manager import SessionManager
+from marigoldlift.scheduling.stalls import Stalls
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.supervision import FaultBoundary, ItemKind
 
 __all__ = ('RunChecks',)
 
-#: Time without progress after which a run is stopped and counted as a failure of its worker, in s.
-STALL_S = 2.0
-
 #: Progress from which a run is never counted as stalled, in percent; polls report whole percents.
 DONE_PERCENT = 99
 
@@ -40,6 +38,7 @@
         self.session_manager = session_manager
         self.starter = starter
         self.clock = clock
+        self.stalls = Stalls()
 
     def check_runs(self) -> None:
         """Check the runs of all workers."""
@@ -81,6 +80,7 @@
             self.starter.request_stop(session, run.task)
         elif self.is_stalled(session, run, now):
             logger.info('run stands still: task={} worker={}', run.task.name, session.worker.id)
+            self.stalls.note(run)
             self.session_manager.health(session.worker.id).record_failure(now)
             step.avoid_worker(run.task.index, session.worker.id, now)
             self.starter.request_stop(session, run.task)
@@ -94,4 +94,4 @@
             return False
         if run.percent >= DONE_PERCENT:
             return False
-        return now - max(run.moved_at, run.started_at) > STALL_S
+        return now - max(run.moved_at, run.started_at) > self.stalls.allowed_s(run)
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -474,8 +474,8 @@
 
 
 def percent(held: HeldTask, now: float) -> float:
-    """Return the progress of a run, in percent."""
-    return (now - held.started_at) / max(held.ends_at - held.started_at, TICK_S) * 100
+    """Return the progress of a run, in whole percent as workers report it."""
+    return (now - held.started_at) * 100 // max(held.ends_at - held.started_at, TICK_S)
 
 
 def is_same_step(one: TaskRef, other: TaskRef) -> bool:
