Look again at a submission after opening its steps has raised

Callers see: a submission stays running without anything to run: the step after one that is complete is never opened, until another entry leads.

Cause: the end of the last task of a step first marks the step as complete and then opens those that depend on it. If that raised, the end was handled again, but the step was complete by then, so that nobody opened the next one. At an occurrence that was due, the note to look for it was gone as well. Seen by reading; no run in which it raises is known.

Ruled out: an outcome that is lost when a stop at its end raises; it is part of the record that was noted before (tried, not kept as a test).

Change: WaitingSteps.open_due that raises leaves a second look at the submission after 1 s, whoever has called it.

--- a/marigoldlift/scheduling/waiting_steps.py
+++ b/marigoldlift/scheduling/waiting_steps.py
@@ -55,8 +55,20 @@
             step.job.note_waiting(step)
 
     def open_due(self, job: JobRun) -> None:
-        """Open the steps of a submission whose turn has come, and note when to look for more."""
-        wall_ms = time.time() * MS_PER_S
+        """Open the steps of a submission whose turn has come, and note when to look for more; if that raises, look again."""
+        try:
+            self.open_steps(job, time.time() * MS_PER_S)
+        except Exception:
+            self.look_again(job)
+            raise
+
+    def open_steps(self, job: JobRun, wall_ms: float) -> None:
+        """Open the steps of a submission whose turn has come, and note when to look for more.
+
+        Args:
+            job: the submission.
+            wall_ms: Unix time in ms.
+        """
         self.put_back_worthless(job, wall_ms)
         for step in job.open_due(wall_ms):
             self.add(step)
@@ -64,7 +76,12 @@
         if due_ms is not None and not wall_ms < job.opens_at_ms <= due_ms:
             job.opens_at_ms = due_ms
             heapq.heappush(self.due_times, (due_ms, job.job.offset, weakref.ref(job)))
-        if job.queue.hidden(wall_ms) and job.second_look_at <= self.clock():
+        if job.queue.hidden(wall_ms):
+            self.look_again(job)
+
+    def look_again(self, job: JobRun) -> None:
+        """Look again at a submission after a pause, unless that is noted already."""
+        if job.second_look_at <= self.clock():
             job.second_look_at = self.clock() + RECHECK_MS / MS_PER_S
             heapq.heappush(
                 self.second_looks, (job.second_look_at, job.job.offset, weakref.ref(job))
--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marigoldlift.orders.runs import LATE_ORDER_S
+from marigoldlift.scheduling.waiting_steps import crowded_numbers
 from marigoldlift.submissions.model import AdvicePolicy, Step, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Progress
 from tests.cell.actions import FailsFirst
@@ -167,6 +168,23 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize('failures', [1, 3])
+def test_next_step_is_opened_after_an_exception(run_scenario, monkeypatch, failures):
+    """Guards against LOST: the step after one that is complete is never opened, although its end is handled again."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        steps = (Step(count=2, cpu_m=1000), Step(count=2, cpu_m=1000, after=(0,)))
+        await cell.submit(cell.leader(), 'chain', steps)
+        await asyncio.sleep(0.1)
+        failing = FailsFirst(crowded_numbers, failures)
+        monkeypatch.setattr('marigoldlift.scheduling.waiting_steps.crowded_numbers', failing)
+        await cell.wait_for_outcomes(['chain'], SETTLED_S)
+        assert failing.failures_left < 0
+
+    run_scenario(scenario)
+
+
 def test_advice_is_requested_again_after_an_exception(run_scenario):
     """Guards against steps that wait for ever for advice after the request for it raised an exception."""
 
