Contain an exception of a takeover to its submission

Callers see: nothing is placed any more. One process after the other takes over and ends by itself.

Cause: a takeover counts the starts that earlier leaders left without an answer, and what they placed on workers that have not answered yet. An exception over one submission ended the takeover, and with it the process; the next leader reads the same records. Seen by reading; no record that raises is known.

Ruled out: opening, which was contained; closing of sessions and reading of entries, which are.

Change: a submission whose unanswered starts cannot be counted is set back and opened again with them, as one whose opening raises, so that no task of it is started meanwhile. One whose placements cannot be counted towards its cap is left out there, and logged.

--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -166,8 +166,8 @@
                 self.events.run_times.restore(self.parts.state.run_times)
         await self.open_accepted()
         self.session_manager.open_recorded(self.parts.election.earlier_leaders)
-        for job in self.open_submissions.jobs.values():
-            self.session_manager.earlier_orders.adopt_starts(job.steps.values())
+        for job in tuple(self.open_submissions.jobs.values()):
+            self.events.adopt(job)
         self.planner.caps.usage.earlier_runs.begin()
         deadline = self.clock() + TAKEOVER_WAIT_S
         while self.clock() < deadline and not self.session_manager.all_runs_known():
--- a/marigoldlift/scheduling/earlier_runs.py
+++ b/marigoldlift/scheduling/earlier_runs.py
@@ -10,6 +10,7 @@
 from marigoldlift.submissions.model import Step, TaskRef
 from marigoldlift.submissions.records import StepProgress
 from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState, Job
+from marigoldlift.supervision import ItemKind
 from marigoldlift.workspaces.model import NO_WORKSPACE
 
 __all__ = ('EarlierRun', 'EarlierRuns')
@@ -45,8 +46,9 @@
     def begin(self) -> None:
         """Begin with the placements that the log holds at the takeover, before any worker has listed its runs."""
         for job in self.state.jobs.values():
-            for progress in job.progress.values():
-                self.collect(job, progress)
+            with self.session_manager.faults.contain(ItemKind.submission, job.submission.id):
+                for progress in job.progress.values():
+                    self.collect(job, progress)
 
     def collect(self, job: Job, progress: StepProgress) -> None:
         """Collect the placements of one step; those of an ended submission that had no answer may still be executed."""
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -1,6 +1,7 @@
 """Reactions to what the worker sessions report about runs: ends, losses, and runs of earlier leaders."""
 
 import asyncio
+from collections.abc import Iterable
 from functools import partial
 
 from loguru import logger
@@ -9,11 +10,12 @@
 from marigoldlift.orders.api import EndedRun, EndKind, HeldRun
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.run_times import LEARNING, RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager, restarted_worker
 from marigoldlift.scheduling.tasks import StepRun
-from marigoldlift.submissions.model import Step
+from marigoldlift.submissions.model import Step, SubmissionId
 from marigoldlift.submissions.records import Outcome
 from marigoldlift.supervision import FaultBoundary, ItemKind
 from marigoldlift.telemetry.metric_table import Metric
@@ -170,17 +172,30 @@
         return step.step
 
     def open_again(self) -> None:
-        """Try again to open the submissions whose opening has raised, and adopt the runs of those that are open then."""
+        """Try again to open the submissions whose opening has raised, with their runs on all workers."""
         opened = {job.id: job for job in self.open_submissions.open_again()}
         if not opened:
             return
+        held: dict[SubmissionId, list[tuple[WorkerSession, Run]]] = {name: [] for name in opened}
         for session in self.session_manager.sessions.values():
             for run in session.run_table.runs.values():
-                if run.task.submission in opened:
-                    held = HeldRun(run.task, run.run, run.checkpoint, run.percent)
-                    self.run_found(session, held)
-        for job in opened.values():
+                found = held.get(run.task.submission)
+                if found is not None:
+                    found.append((session, run))
+        for name, job in opened.items():
+            self.adopt(job, held[name])
+
+    def adopt(self, job: JobRun, held: Iterable[tuple[WorkerSession, Run]] = ()) -> None:
+        """Adopt runs of a submission, and its unanswered starts by earlier leaders.
+
+        If that raises, the submission is opened again, so that no task is started beside one that is left out.
+        """
+        try:
+            for session, run in held:
+                self.run_found(session, HeldRun(run.task, run.run, run.checkpoint, run.percent))
             self.session_manager.earlier_orders.adopt_starts(job.steps.values())
+        except Exception as fault:
+            self.open_submissions.set_back(job.id, fault)
 
     def note_begun(self, step: StepRun) -> None:
         """Store that a submission has started; one whose tasks are only placed still counts as queued."""
--- a/marigoldlift/scheduling/open_submissions.py
+++ b/marigoldlift/scheduling/open_submissions.py
@@ -59,9 +59,7 @@
         try:
             self.open_job(job)
         except Exception as fault:
-            self.faults.note(ItemKind.submission, submission, fault)
-            self.discard(submission)
-            self.unopened.add(submission)
+            self.set_back(submission, fault)
 
     def open_job(self, job: Job) -> None:
         """Queue the steps of a submission without an outcome."""
@@ -72,12 +70,15 @@
         self.planner.waiting.open_due(opened)
         self.close_if_done(opened)
 
-    def discard(self, submission: SubmissionId) -> None:
-        """Remove a submission that is not open completely; with an outcome, its steps leave the planner before the next pass."""
+    def set_back(self, submission: SubmissionId, fault: Exception) -> None:
+        """Remove a submission that is not open completely, so that it is opened again; its steps leave the planner."""
+        self.faults.note(ItemKind.submission, submission, fault)
+        self.unopened.add(submission)
         self.closed.pop(submission, None)
         incomplete = self.jobs.pop(submission, None)
         if incomplete is not None:
-            incomplete.outcome = Outcome.cancelled
+            # Not a final one, which a record of it that is still written would store.
+            incomplete.outcome = Outcome.queued
 
     def open_again(self) -> list[JobRun]:
         """Try to open the submissions whose opening has raised, unless that was just now, and return those that are open."""
--- a/marigoldlift/scheduling/tests/test_workspace_caps.py
+++ b/marigoldlift/scheduling/tests/test_workspace_caps.py
@@ -25,6 +25,7 @@
 )
 from marigoldlift.submissions.records import Outcome, Progress, StepProgress, UnansweredStart
 from marigoldlift.submissions.state import CellState, Job
+from marigoldlift.supervision import FaultBoundary
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 from marigoldlift.workspaces.directory import WorkspaceDirectory
@@ -59,6 +60,7 @@
         },
         held_tasks=held,
         earlier_orders=SimpleNamespace(unreachable={}, leaders=EarlierLeaders('e0', int)),
+        faults=FaultBoundary(int, Metrics()),
     )
 
 
--- a/tests/cell/test_unopened.py
+++ b/tests/cell/test_unopened.py
@@ -1,9 +1,11 @@
-"""Submissions whose opening raises at first."""
+"""Submissions whose opening, or whose part in a takeover, raises at first."""
 
 import asyncio
 
 import pytest
 
+from marigoldlift.orders.runs import Run
+from marigoldlift.scheduling.earlier_runs import EarlierRun
 from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.scheduling.waiting_steps import crowded_numbers
 from marigoldlift.submissions.model import Step, SubmissionId
@@ -19,6 +21,9 @@
     'queue': ('marigoldlift.scheduling.waiting_steps.crowded_numbers', crowded_numbers),
 }
 
+#: Calls that a takeover makes for the placements by earlier leaders.
+RAISING = {'earlier_orders.Run': Run, 'earlier_runs.EarlierRun': EarlierRun}
+
 
 @pytest.fixture
 def fail_openings(monkeypatch):
@@ -82,3 +87,29 @@
         assert not any(worker.held for worker in cell.workers.values())
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize('where', ['earlier_orders.Run', 'earlier_runs.EarlierRun'])
+def test_takeover_survives_a_submission_whose_earlier_starts_raise(
+    run_scenario, monkeypatch, where
+):
+    """Guards against leaders that end one after the other, and against starting a task again that may still run."""
+    exits = []
+    monkeypatch.setattr('marigoldlift.cell_node.os._exit', exits.append)
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 4)
+        cell.set_cap('lab', cpu_m=32_000)
+        first = cell.leader()
+        first.calls.faults.lost = 1
+        await cell.submit(first, 'job', STEPS, 'lab')
+        await asyncio.sleep(0.1)
+        target = f'marigoldlift.scheduling.{where}'
+        monkeypatch.setattr(target, FailsFirst(RAISING[where], 2))
+        first.kill()
+        await cell.wait_for_outcomes(['job'], SETTLED_S)
+        assert set(cell.checker.starts.values()) == {1}
+
+    run_scenario(scenario)
+    assert not exits
