Wait longer for every second poll that a worker leaves unanswered

Callers see: the tasks of a worker that is slow to answer, by half a second, end after 6 s and are started again elsewhere, although it runs them all the while.

Cause: a poll waits 0.4 s for its answer. A worker that needs longer counts as silent for ever, since each poll is given up before its answer comes. A silent worker gets no further lease, so that its tasks can be started elsewhere once that has lapsed.

Test: test_every_second_poll_waits_longer_for_a_worker_that_leaves_ them_unanswered, red before. Ruled out: workers that are silent for up to 4.5 s (test_silent_worker.py), which keep their tasks.

Weighed: a longer time-out of all polls (each lost answer and each worker that is cut off would be noticed later), and answers that are taken after their poll was given up (a status proves what does not run only for the time and token of its own poll).

Change: after an unanswered poll the next one waits 1 s, the one after that 0.4 s again, and so on. The test passes. Not measured: how much later a worker that was cut off is noticed, by at most 0.6 s.

--- a/marigoldlift/platform/tests/test_workers.py
+++ b/marigoldlift/platform/tests/test_workers.py
@@ -1,10 +1,17 @@
-"""Parsing of the lists of runs in a worker's answer to a poll."""
+"""Status polls of workers, and parsing of the lists of runs in their answers."""
+
+import asyncio
+from functools import partial
 
 import msgspec
 import pytest
+from aiohttp import web
 
+from marigoldlift.errors import WorkerUnavailableError
+from marigoldlift.orders.api import Worker
+from marigoldlift.platform.calls import HttpClient
 from marigoldlift.platform.wire import PollReply
-from marigoldlift.platform.workers import parse_poll
+from marigoldlift.platform.workers import PlatformWorkers, parse_poll
 
 HELD = ['5c0e7a21d94b36f8.0.1.17', 2, '', 41]
 ENDED = [58, '5c0e7a21d94b36f8.0.1.9', 1, 'done', '']
@@ -37,3 +44,43 @@
     assert poll([], page).more_ends
     assert not poll([], page).whole
     assert not poll([], page[1:]).more_ends
+
+
+@pytest.fixture
+async def may_answer(server):
+    """Return the event while which the server answers polls."""
+    allowed = asyncio.Event()
+
+    async def answer(_request):
+        await allowed.wait()
+        return web.json_response({'clock_ms': 7})
+
+    server.reply = answer
+    yield allowed
+    allowed.set()
+
+
+@pytest.fixture
+async def poll_worker(server):
+    """Return a function that polls the worker at the server."""
+    calls = HttpClient()
+    worker = Worker('w', server.address, 'a', 'service', True, 1, 8000, 8000, 0, ())
+    yield partial(PlatformWorkers(calls).poll, worker, 1, 0, None, 0)
+    await calls.close()
+
+
+async def test_every_second_poll_waits_longer_for_a_worker_that_leaves_them_unanswered(
+    monkeypatch, may_answer, poll_worker
+):
+    """Guards against runs that lapse with their lease on a worker that is only slow to answer."""
+    monkeypatch.setattr('marigoldlift.platform.workers.ANSWER_TIMEOUT_S', 0.05)
+    monkeypatch.setattr('marigoldlift.platform.workers.PATIENT_TIMEOUT_S', 10)
+    with pytest.raises(WorkerUnavailableError):
+        await poll_worker()
+    patient = asyncio.create_task(poll_worker())
+    await asyncio.sleep(0.2)
+    may_answer.set()
+    assert (await patient).clock_ms == 7
+    may_answer.clear()
+    with pytest.raises(WorkerUnavailableError):
+        await poll_worker()
--- a/marigoldlift/platform/workers.py
+++ b/marigoldlift/platform/workers.py
@@ -1,5 +1,6 @@
 """HTTP client for workers, and decoding of their entries in the platform's registry."""
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -25,6 +26,10 @@
 #: Longest wait for the answer to an order, in s; a healthy worker answers within a few ms.
 ANSWER_TIMEOUT_S = 0.4
 
+#: Wait for the answer to every second poll while a worker leaves them unanswered, in s, so that one which is slow to answer
+#: keeps its lease. The polls between them notice early that one which was cut off is back.
+PATIENT_TIMEOUT_S = 1.0
+
 #: Number of leading fields of a row that are used; a further field is a rough figure of resource usage.
 HELD_FIELDS = 4
 ENDED_FIELDS = 5
@@ -61,11 +66,16 @@
 
 
 class PlatformWorkers:
-    """Sends orders and status polls to workers over HTTP."""
+    """Sends orders and status polls to workers over HTTP.
+
+    Attributes:
+        unanswered_polls: number of consecutive status polls without an answer, by worker id; others are left out.
+    """
 
     def __init__(self, calls: HttpClient) -> None:
         """Use the shared client."""
         self.calls = calls
+        self.unanswered_polls: Counter[str] = Counter()
 
     async def start(self, worker: Worker, token: int, order: StartOrder) -> float:
         """Start a run and return the time of the worker's clock in ms."""
@@ -110,7 +120,14 @@
             fields['deadline_ms'] = until_ms
         if wait_ms:
             fields['wait_ms'] = wait_ms
-        reply = await self.order(worker, 'hold', fields, ANSWER_TIMEOUT_S + wait_ms / MS_PER_S)
+        is_patient = self.unanswered_polls[worker.id] % 2
+        timeout_s = PATIENT_TIMEOUT_S if is_patient else ANSWER_TIMEOUT_S
+        try:
+            reply = await self.order(worker, 'hold', fields, timeout_s + wait_ms / MS_PER_S)
+        except WorkerUnavailableError:
+            self.unanswered_polls[worker.id] += 1
+            raise
+        self.unanswered_polls.pop(worker.id, None)
         try:
             return parse_poll(poll_decoder.decode(reply.body))
         except MalformedMessageError as fault:
