--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -174,7 +174,7 @@
     def stop_dispatching(self) -> None:
         """Stop the dispatcher and cancel its tasks; what it was told but has not stored is stored by this entry."""
         if self.dispatcher is not None:
-            self.done_reports.add(self.dispatcher.tenure, self.dispatcher.events.unstored)
+            self.done_reports.add(self.dispatcher.tenure, self.dispatcher.events.unstored.tasks)
         for task in self.tenure_tasks:
             task.cancel()
         self.tenure_tasks.clear()
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -202,9 +202,9 @@
         self.poll_requested.set()
 
     async def stop(self, task: TaskRef) -> None:
-        """Request that a run stops; its capacity stays reserved until the worker lists it as ended."""
+        """Request that a run stops, unless orders may not be sent now; its capacity stays reserved until it is listed as ended."""
         known = self.run_table.runs.get(task)
-        if known is None:
+        if known is None or not self.observer.may_act():
             return
         known.stop(self.now())
         try:
@@ -223,14 +223,11 @@
         reached the worker. If this VM is cut off together with the worker, nobody else can learn what ends there.
         """
         token = self.token
-        listens = not self.observer.may_act()
-        if listens and self.acknowledgements.is_refused(token):
+        if self.acknowledgements.is_refused(token) and not self.observer.may_act():
             return False
         sent_at = self.now()
-        until_ms = None if listens else self.renewal(sent_at)
-        acknowledged = self.acknowledgements.next_number(
-            is_suspected=listens or self.suspected_at is not None
-        )
+        until_ms = self.renewal(sent_at)
+        acknowledged = self.next_acknowledgement()
         if acknowledged:
             self.acknowledgements.note_sent(token)
         try:
@@ -252,14 +249,21 @@
         self.process_status(found, sent_at, token)
         return True
 
+    def next_acknowledgement(self) -> int:
+        """Return the number of the last end that the next poll lets the worker forget, 0 for none."""
+        is_suspected = self.suspected_at is not None or not self.observer.may_act()
+        return self.acknowledgements.next_number(is_suspected=is_suspected)
+
     def renewal(self, now: float) -> int | None:
-        """Return the lease deadline that a poll carries, None while the worker does not answer or list its ends.
+        """Return the lease deadline that a poll carries, None for no renewal.
+
+        No lease is renewed once the leadership has run out, or while the worker does not answer or list its ends.
 
         The lease of a lost worker so ends as early as its last answered poll allows.
         """
         if self.poll_failed or not self.is_heard():
             return None
-        if self.ends.is_stalled(now):
+        if self.ends.is_stalled(now) or not self.observer.may_act():
             return None
         return self.clock.grant(now, self.lease_s)
 
--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -9,14 +9,12 @@
 from marigoldlift.scheduling.job_audit import JobAudit
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.session_manager import SessionManager
+from marigoldlift.scheduling.stalls import Stalls
 from marigoldlift.scheduling.starter import Starter
 from marigoldlift.supervision import FaultBoundary, ItemKind
 
 __all__ = ('RunChecks',)
 
-#: Time without progress after which a run is stopped and counted as a failure of its worker, in s.
-STALL_S = 2.0
-
 #: Progress from which a run is never counted as stalled, in percent; polls report whole percents.
 DONE_PERCENT = 99
 
@@ -46,6 +44,7 @@
         self.starter = starter
         self.clock = clock
         self.audit = JobAudit(open_submissions, session_manager, faults.metrics)
+        self.stalls = Stalls()
 
     def check_runs(self) -> None:
         """Check the runs of all workers."""
@@ -68,9 +67,11 @@
     def check_run(self, session: WorkerSession, run: Run, now: float, *, leaving: bool) -> None:
         """Stop a run if it must not continue.
 
-        Runs that no open submission expects on this worker are stopped, and a stop that had no effect is sent again.
-        Otherwise only runs that the worker has confirmed are stopped: if the worker leaves, or if they are stalled.
+        Runs that no open submission expects on this worker are stopped, and a stop that had no effect is sent again, but not
+        while their submission could not be opened. Otherwise only runs that the worker has confirmed are stopped: if the worker leaves, or if they are stalled.
         """
+        if run.task.submission in self.open_submissions.unopened:
+            return
         step = self.open_submissions.step_of(run.task)
         if (
             step is None
@@ -85,6 +86,7 @@
             self.starter.request_stop(session, run.task)
         elif self.is_stalled(session, run, now):
             logger.info('run stands still: task={} worker={}', run.task.name, session.worker.id)
+            self.stalls.note(run)
             self.session_manager.health(session.worker.id).record_failure(now)
             step.avoid_worker(run.task.index, session.worker.id, now)
             self.starter.request_stop(session, run.task)
@@ -98,4 +100,4 @@
             return False
         if run.percent >= DONE_PERCENT:
             return False
-        return now - max(run.moved_at, run.started_at) > STALL_S
+        return now - max(run.moved_at, run.started_at) > self.stalls.allowed_s(run)
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -12,7 +12,7 @@
 from marigoldlift.runtimes.learner import RunTimes
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.checks import RunChecks
-from marigoldlift.scheduling.events import RunEvents
+from marigoldlift.scheduling.events import RunEvents, finish_reported
 from marigoldlift.scheduling.parts import DispatcherParts
 from marigoldlift.scheduling.pending import build_pending
 from marigoldlift.scheduling.placement import Placer
@@ -77,7 +77,7 @@
         self.appender = Appender(
             parts.log, Producer(LEADER, tenure + 1), self.clock, parts.metrics
         )
-        self.progress = ProgressWriter(self.appender, tenure)
+        self.progress = ProgressWriter(self.appender, tenure, self.faults)
         self.events = RunEvents(parts.election, tenure, self.wake, parts.metrics, self.faults)
         self.session_manager = SessionManager(
             parts.registry,
@@ -166,8 +166,8 @@
                 self.events.run_times.restore(self.parts.state.run_times)
         await self.open_accepted()
         self.session_manager.open_recorded(self.parts.election.earlier_leaders)
-        for job in self.open_submissions.jobs.values():
-            self.session_manager.earlier_orders.adopt_starts(job.steps.values())
+        for job in tuple(self.open_submissions.jobs.values()):
+            self.events.adopt(job)
         self.planner.caps.usage.earlier_runs.begin()
         deadline = self.clock() + TAKEOVER_WAIT_S
         while self.clock() < deadline and not self.session_manager.all_runs_known():
@@ -230,6 +230,7 @@
         for check in (
             self.session_manager.refresh,
             self.session_manager.check,
+            self.events.open_again,
             self.checks.check_runs,
             self.planner.sample_idle,
             self.events.check_run_times,
@@ -268,7 +269,7 @@
             case Progress() if record.outcome in FINAL_OUTCOMES:
                 self.open_submissions.forget(record.submission)
             case _:
-                self.events.observe(record)
+                finish_reported(self.events, record)
 
 
 def check_loops(loops: Iterable[asyncio.Task[None]]) -> None:
--- a/marigoldlift/scheduling/done_reports.py
+++ b/marigoldlift/scheduling/done_reports.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
 
 from loguru import logger
 
@@ -15,13 +16,35 @@
 from marigoldlift.submissions.model import TaskRef
 from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState
 
-__all__ = ('DoneReports',)
+__all__ = ('DoneReports', 'UnstoredEnds')
 
 #: How long a record waits for the store, and pause after one that could not be stored, in s.
 WAIT_S = 5
 RETRY_S = 0.2
 
 
+class UnstoredEnds:
+    """Tasks that workers have told the leader to be done, which is not stored yet.
+
+    Attributes:
+        tasks: the tasks.
+    """
+
+    def __init__(self) -> None:
+        """Begin without tasks."""
+        self.tasks: set[TaskRef] = set()
+
+    def track(self, task: TaskRef, stored: Callable[[], None]) -> Callable[[], None]:
+        """Keep a task until it is stored, and return what to call then in place of `stored`."""
+        self.tasks.add(task)
+        return partial(self.forget, task, stored)
+
+    def forget(self, task: TaskRef, stored: Callable[[], None]) -> None:
+        """Forget a task that is stored."""
+        self.tasks.discard(task)
+        stored()
+
+
 class DoneReports:
     """Stores the ends of earlier tenures of this entry as soon as the log takes them.
 
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -1,6 +1,7 @@
 """Reactions to what the worker sessions report about runs: ends, losses, and runs of earlier leaders."""
 
 import asyncio
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from loguru import logger
@@ -9,18 +10,20 @@
 from marigoldlift.orders.api import EndedRun, EndKind, HeldRun
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.job_run import JobRun
+from marigoldlift.scheduling.done_reports import UnstoredEnds
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.run_times import LEARNING, RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager, restarted_worker
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.done_tasks import DoneTasks
-from marigoldlift.submissions.model import Step, TaskRef
+from marigoldlift.submissions.model import Step, SubmissionId
 from marigoldlift.submissions.records import Outcome, Record
 from marigoldlift.supervision import FaultBoundary, ItemKind
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 
-__all__ = ('RunEvents',)
+__all__ = ('RunEvents', 'finish_reported')
 
 #: Outcome of a start that the worker has confirmed.
 STARTED = 'started'
@@ -37,7 +40,7 @@
         session_manager: sessions with the workers; set once, before the first session is opened.
         run_times: learns from the ends, None if that is switched off.
         ready: whether the takeover is complete.
-        unstored: tasks that workers have told to be done, which is not stored yet.
+        unstored: ends that are not stored yet.
         wake: set when a scheduling pass may be able to place something.
     """
 
@@ -61,7 +64,7 @@
         self.wake = wake
         self.clock = election.clock
         self.ready = False
-        self.unstored: set[TaskRef] = set()
+        self.unstored = UnstoredEnds()
         self.claimed_at = self.clock()
 
     def may_act(self) -> bool:
@@ -93,7 +96,7 @@
         """
         self.metrics.add(Metric.task_ends, outcome=ended.kind.value)
         step = self.open_submissions.step_of_run(ended.task)
-        stored = partial(session.ends.store_confirmed, ended.number)
+        stored: Callable[[], None] = partial(session.ends.store_confirmed, ended.number)
         if step is None:
             self.open_submissions.after_progress(ended.task.submission, stored)
             return
@@ -105,27 +108,10 @@
         step.save(ended.task.index, ended.checkpoint)
         step.last_run = max(step.last_run, ended.run)
         if ended.kind is EndKind.done and not step.step.long_running:
-            self.unstored.add(ended.task)
-            stored = partial(self.done_stored, session, ended)
+            stored = self.unstored.track(ended.task, stored)
         self.open_submissions.progress.note(step.job, stored, step)
         self.process_end(step, session, ended)
 
-    def done_stored(self, session: WorkerSession, ended: EndedRun) -> None:
-        """Note that the end of a task that is done is stored."""
-        self.unstored.discard(ended.task)
-        session.ends.store_confirmed(ended.number)
-
-    def observe(self, record: Record) -> None:
-        """Finish tasks that are done by what an earlier leader was told; runs of them are stopped."""
-        if not isinstance(record, DoneTasks):
-            return
-        for task in record.tasks():
-            step = self.open_submissions.step_of_run(task)
-            if step is not None and task.index not in step.done:
-                logger.info('task was done under an earlier leader: task={}', task.name)
-                self.finish(step, task.index, None)
-                self.open_submissions.progress.note(step.job, step=step)
-
     def process_end(self, step: StepRun, session: WorkerSession, ended: EndedRun) -> None:
         """Finish the task of a run that is done, otherwise requeue it or fail its submission after too many failures.
 
@@ -198,6 +184,32 @@
             step.gang_started_at = self.clock()
         return step.step
 
+    def open_again(self) -> None:
+        """Try again to open the submissions whose opening has raised, with their runs on all workers."""
+        opened = {job.id: job for job in self.open_submissions.open_again()}
+        if not opened:
+            return
+        held: dict[SubmissionId, list[tuple[WorkerSession, Run]]] = {name: [] for name in opened}
+        for session in self.session_manager.sessions.values():
+            for run in session.run_table.runs.values():
+                found = held.get(run.task.submission)
+                if found is not None:
+                    found.append((session, run))
+        for name, job in opened.items():
+            self.adopt(job, held[name])
+
+    def adopt(self, job: JobRun, held: Iterable[tuple[WorkerSession, Run]] = ()) -> None:
+        """Adopt runs of a submission, and its unanswered starts by earlier leaders.
+
+        If that raises, the submission is opened again, so that no task is started beside one that is left out.
+        """
+        try:
+            for session, run in held:
+                self.run_found(session, HeldRun(run.task, run.run, run.checkpoint, run.percent))
+            self.session_manager.earlier_orders.adopt_starts(job.steps.values())
+        except Exception as fault:
+            self.open_submissions.set_back(job.id, fault)
+
     def note_begun(self, step: StepRun) -> None:
         """Store that a submission has started; one whose tasks are only placed still counts as queued."""
         if not step.job.begun:
@@ -260,3 +272,20 @@
         if self.may_act() and now - self.claimed_at > CLAIM_PAUSE_S:
             self.claimed_at = now
             self.open_submissions.starter.spawn(self.election.restart_tenure())
+
+
+def finish_reported(events: RunEvents, record: Record) -> None:
+    """Finish the tasks that are done by what an earlier leader was told, and stop runs of them.
+
+    Args:
+        events: events of the present tenure.
+        record: a record of the log; those of other kinds are ignored.
+    """
+    if not isinstance(record, DoneTasks):
+        return
+    for task in record.tasks():
+        step = events.open_submissions.step_of_run(task)
+        if step is not None and task.index not in step.done:
+            logger.info('task was done under an earlier leader: task={}', task.name)
+            events.finish(step, task.index, None)
+            events.open_submissions.progress.note(step.job, step=step)
