Search the model cell over a rolling replacement of workers

Workers drain and leave, others start under new ids, the domain of the leader is cut off with it, and all entries are killed soon after. The load has chains with long tasks, tickets for a share of the workers, runs that fail, cancellations and submissions handed in twice.

--- a/standins/cell/invariants.py
+++ b/standins/cell/invariants.py
@@ -30,10 +30,12 @@
         ended_failed: number of ends `failed`, acknowledged or not, by task.
         unanswered: loop time at which the newest start was sent that has no answer and that no status has listed, by task,
             in s.
+        own_faults: number of runs that are still to fail through their own fault, by task.
     """
 
     def __init__(self) -> None:
         """Start without submissions or runs."""
+        self.own_faults: dict[TaskRef, int] = {}
         self.violations: list[str] = []
         self.submissions: dict[str, Submission] = {}
         self.starts: Counter[TaskRef] = Counter()
@@ -129,6 +131,12 @@
                 self.record_violation(f'ORDER before {earlier.name}', task, worker)
                 return
 
+    def takes_fault(self, task: TaskRef) -> bool:
+        """Return whether a run that is about to be done fails through its own fault."""
+        left = self.own_faults.get(task, 0)
+        self.own_faults[task] = max(0, left - 1)
+        return left > 0
+
     def end(self, task: TaskRef, worker: str, kind: str, run: int) -> None:
         """Record the end of a run."""
         self.running.get(task, set()).discard(worker)
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -92,9 +92,12 @@
         fails: whether its tasks end as failed.
         slowness: how many times as long its tasks take.
         ends_page: largest number of ends in one status.
+        leaving_ms: time left that it reports while it drains, in ms; None if it does not.
     """
 
     slowness: float = 1
+    failure_domain: str = 'a'
+    leaving_ms: float | None = None
 
     def __init__(
         self,
@@ -167,7 +170,7 @@
         return Worker(
             id=self.name,
             address=WORKER_ADDRESS,
-            failure_domain='a',
+            failure_domain=self.failure_domain,
             service='service',
             ready=not self.draining,
             born_ms=self.born_ms,
@@ -175,6 +178,7 @@
             mem_mb=self.kind.mem_mb,
             gpus=self.kind.gpus,
             labels=self.kind.labels,
+            leaving_ms=self.leaving_ms,
         )
 
     def clock_ms(self) -> float:
@@ -315,6 +319,8 @@
         now = asyncio.get_running_loop().time()
         for task, held in list(self.held.items()):
             kind = self.due_end(held, now)
+            if kind is EndKind.done and self.checker.takes_fault(task):
+                kind = EndKind.failed
             if kind is not None:
                 self.finish(task, kind)
 
--- a/tests/cell/model.py
+++ b/tests/cell/model.py
@@ -3,14 +3,14 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from contextvars import Context
 from typing import Any
 
 import msgspec
 
 from marigoldlift.cell_node import CellNode, NodeLimits, NodeParts
-from marigoldlift.errors import AppendRefusedError
+from marigoldlift.errors import AppendRefusedError, PlatformError
 from marigoldlift.ids import WorkspaceId
 from marigoldlift.leadership.election import Candidate
 from marigoldlift.orders.api import Worker
@@ -65,10 +65,16 @@
             'capacity': {'cpu': worker.cpu_m, 'mem_mb': worker.mem_mb, 'gpu': worker.gpus},
             'labels': worker.labels,
             'born': worker.born_ms,
+            'remaining_ms': worker.leaving_ms,
         }
     )
 
 
+def always(one: str, other: str) -> bool:
+    """Return that one name goes with another, where a test sets no other rule."""
+    return True
+
+
 class ModelAdvice:
     """Placement advice that serves one call at a time for each relay.
 
@@ -76,6 +82,7 @@
         policy: time that a call takes, in ms.
         allowed: workers that may run tasks; None for all.
         asked: number of calls by step name.
+        allows: returns whether a worker may run a step, by their names.
     """
 
     def __init__(self, workers: Mapping[str, MemoryWorker]) -> None:
@@ -83,6 +90,7 @@
         self.workers = workers
         self.policy = AdvicePolicy(450, 6.5, 2000)
         self.allowed: set[str] | None = None
+        self.allows: Callable[[str, str], bool] = always
         self.asked: Counter[str] = Counter()
         self.locks: dict[str, asyncio.Lock] = {}
 
@@ -105,10 +113,28 @@
         return {
             worker: ticket_text(step, self.workers[worker], self.policy.valid_ms)
             for worker in workers
-            if self.allowed is None or worker in self.allowed
+            if (self.allowed is None or worker in self.allowed) and self.allows(step, worker)
         }
 
 
+class EntryAdvice:
+    """Calls of one entry to the placement advice, directly or through another entry."""
+
+    def __init__(self, cell: 'ModelCell', caller: str) -> None:
+        """Call the advice of a cell."""
+        self.cell = cell
+        self.caller = caller
+
+    async def advise(
+        self, relay: str, step: str, workers: Sequence[str], wait_s: float
+    ) -> dict[str, str]:
+        """Return the tickets of the workers that may run a step, unless the caller does not reach the relay."""
+        if not self.cell.reaches_relay(self.caller, relay):
+            await asyncio.sleep(wait_s)
+            raise PlatformError('the relay does not answer')
+        return await self.cell.advice.advise(relay, step, workers, wait_s)
+
+
 class ModelLeaderCalls:
     """Appends records through another entry of the cell."""
 
@@ -137,6 +163,8 @@
         self.name = name
         self.calls = MemoryWorkers(cell.workers, cell.duration_of, cell.rng)
         self.log = LogClient(cell.log, cell.rng)
+        self.workers_log = LogClient(cell.workers_log, cell.rng)
+        self.failure_domain = 'a'
         self.incarnation_count = 0
         self.start()
 
@@ -145,14 +173,14 @@
         self.incarnation_count += 1
         self.gate = Gate(self.cell.loop)
         candidate = Candidate(
-            self.name, f'{self.name}-{self.incarnation_count}', 'a', self.name, 1.0
+            self.name, f'{self.name}-{self.incarnation_count}', self.failure_domain, self.name, 1.0
         )
         parts = NodeParts(
             log=self.log,
-            workers_log=LogClient(self.cell.workers_log, self.cell.rng),
+            workers_log=self.workers_log,
             decode_worker=decode_worker,
             calls=self.calls,
-            advice=self.cell.advice,
+            advice=EntryAdvice(self.cell, self.name),
             metrics=Metrics(),
             is_indirect=bool,
             leader_calls=ModelLeaderCalls(self.cell),
@@ -184,6 +212,8 @@
         is_listing: whether heartbeats of workers update the list of workers.
         list_lag_s: time until an entry that a worker writes is in the list of workers, in s.
         last_heartbeat_at: loop time of the last heartbeat of each listed worker, in s.
+        silent_workers: workers whose heartbeats do not reach the list of workers.
+        reaches_relay: returns whether an entry reaches another one that calls the advice for it, by their names.
     """
 
     def __init__(
@@ -213,6 +243,8 @@
         self.is_listing = True
         self.list_lag_s: float = 0
         self.last_heartbeat_at: dict[str, float] = {}
+        self.silent_workers: set[str] = set()
+        self.reaches_relay: Callable[[str, str], bool] = always
         self.list_workers()
         self.entries = [ModelEntry(self, f'e{number}') for number in range(entries)]
         self.ticking = loop.create_task(self.tick())
@@ -237,13 +269,27 @@
             return
         now = self.loop.time()
         for worker in self.workers.values():
-            if worker.up:
+            if worker.up and worker.name not in self.silent_workers:
                 self.write_entry(worker.name, registry_entry(worker.describe()))
                 self.last_heartbeat_at[worker.name] = now
             elif now - self.last_heartbeat_at.get(worker.name, now) > EXPIRY_S:
                 self.write_entry(worker.name, b'')
                 self.last_heartbeat_at.pop(worker.name)
 
+    def add_worker(self, name: str, cpu_m: int, failure_domain: str) -> None:
+        """Start a worker under a new id and list it."""
+        gangs = next(iter(self.workers.values())).gangs
+        started = MemoryWorker(name, cpu_m, self.checker, self.rng, gangs=gangs)
+        started.failure_domain = failure_domain
+        self.workers[name] = started
+        self.list_workers()
+
+    def remove_worker(self, name: str) -> None:
+        """Let a worker exit, with which its runs end, and remove its entry."""
+        self.workers[name].crash()
+        self.last_heartbeat_at.pop(name, None)
+        self.write_entry(name, b'')
+
     def write_entry(self, name: str, content: bytes) -> None:
         """Write the entry of a worker into the list of workers, at once or after the lag."""
         if self.list_lag_s:
