Let the test of a failed append of a placement raise again

It replaced `Appender.append`, which the progress writer does not call since it stores several records at once: none of its exceptions was raised. It now raises in `append_all`, and checks that it did.

--- a/tests/cell/test_faults.py
+++ b/tests/cell/test_faults.py
@@ -61,17 +61,18 @@
     async def scenario(cell):
         await asyncio.sleep(ELECTION_S)
         appender = cell.leader().node.dispatcher.appender
-        append = appender.append
+        append = appender.append_all
         failing = FailsFirst(append, 2)
 
-        async def fail(record, wait_s):
-            if isinstance(record, Progress):
-                return await failing(record, wait_s)
-            return await append(record, wait_s)
+        async def fail(records, wait_s, doubt_s=0):
+            if any(isinstance(record, Progress) for record in records):
+                return await failing(records, wait_s, doubt_s)
+            return await append(records, wait_s, doubt_s)
 
-        appender.append = fail
+        appender.append_all = fail
         await submit(cell)
         await cell.wait_for_outcomes(['job'], SETTLED_S)
+        assert failing.failures_left < 0
 
     run_scenario(scenario)
 
