Note the record of an end after the end is handled

What callers see: a task that is done runs again (TWICE) after an unexpected exception. Cause: the record of an end is noted before the end is handled. If that raises, the end counts as unhandled and is kept, but its record, which does not tell of it, is stored and lets the worker forget it.

--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -109,8 +109,9 @@
         step.last_run = max(step.last_run, ended.run)
         if ended.kind is EndKind.done and not step.step.long_running:
             stored = self.unstored.track(ended.task, stored)
-        self.open_submissions.progress.note(step.job, stored, step)
         self.process_end(step, session, ended)
+        # An end whose handling has raised must not be acknowledged.
+        self.open_submissions.progress.note(step.job, stored, step)
 
     def process_end(self, step: StepRun, session: WorkerSession, ended: EndedRun) -> None:
         """Finish the task of a run that is done, otherwise requeue it or fail its submission after too many failures.
