Open the steps that follow a complete one again if that has raised

What callers see: a step whose predecessors are complete waits until the next leader takes over. Cause: a step counts as complete before those that depend on it are opened, and only the first end that completes it opens them. tests/cell/test_single_faults.py::test_next_step_is_opened_after_an_exception failed before, passes now; those that count calls of a round are unchanged.

--- a/marigoldlift/scheduling/open_submissions.py
+++ b/marigoldlift/scheduling/open_submissions.py
@@ -94,6 +94,8 @@
         job = step.job
         if step.key not in job.complete:
             job.complete_step(step)
+        if job.outcome is None:
+            # Also for a step that was complete before: opening those that follow may have raised then.
             self.planner.waiting.open_due(job)
             self.close_if_done(job)
         job.forget_complete(step)
