Move runs from workers that drain when a leader takes over

Cause: the time at which a worker leaves is recorded where its entry changes, and not where a session is opened with a worker that drains already. tests/cell/test_draining_workers.py::test_new_leader_moves_runs_from_a_draining_worker failed before, passes now.

--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -142,9 +142,15 @@
         session = self.new_session(worker, tenure)
         session.token = max(session.token, self.closed_tokens.pop(worker.id, 0))
         self.sessions[worker.id] = session
+        self.note_leaving(worker)
         self.start_polling(session)
         return session
 
+    def note_leaving(self, worker: Worker) -> None:
+        """Record the earliest time at which a draining worker leaves."""
+        if worker.leaving_ms is not None:
+            self.leave_at[worker.id] = self.clock() + worker.leaving_ms / MS_PER_S
+
     def new_session(self, worker: Worker, tenure: int) -> WorkerSession:
         """Return a session that is not open yet."""
         return WorkerSession(
@@ -182,8 +188,7 @@
             logger.info('worker drains: worker={} remaining_ms={}', worker.id, worker.leaving_ms)
         session.worker = worker
         session.run_table.resize(worker)
-        if worker.leaving_ms is not None:
-            self.leave_at[worker.id] = self.clock() + worker.leaving_ms / MS_PER_S
+        self.note_leaving(worker)
         self.observer.capacity_changed()
 
     def replace(self, session: WorkerSession, worker: Worker) -> None:
