Renew tickets of the workers that a step does not avoid first

What callers see: a submission is failed beside a worker that could run it. Cause: after a failure the expired tickets of the worker with the most room are renewed, though the task avoids it. With that ticket nothing else is asked for, and the task runs there again. tests/cell/test_avoided_workers.py::test_failed_task_gets_a_ticket_for_another_worker failed before, passes now.

--- a/marigoldlift/scheduling/tickets.py
+++ b/marigoldlift/scheduling/tickets.py
@@ -80,6 +80,18 @@
     return max(MIN_WORKERS_PER_CALL, int(fixed * SMALLEST_COST_SHARE))
 
 
+def preferred(
+    approved: Sequence[WorkerSession], avoided: Container[str]
+) -> Sequence[WorkerSession]:
+    """Return the workers that a step does not avoid, all of them if there are no others.
+
+    Args:
+        approved: workers that the advice allows.
+        avoided: ids of the workers that the step currently avoids.
+    """
+    return [session for session in approved if session.worker.id not in avoided] or approved
+
+
 class TicketManager:
     """Requests tickets before tasks are started, and stores them in the steps."""
 
@@ -205,7 +217,7 @@
         placeable = sum(room[session] for session in approved if session.worker.id not in avoided)
         unasked = [session for session in room if session.worker.id not in step.tickets]
         if placeable >= needed or (has_reservation and not unasked):
-            return self.expired(step, approved, admitted)
+            return self.expired(step, preferred(approved, avoided), admitted)
         if not unasked:
             return []
         missing = admitted - placeable if step.step.gang else admitted
@@ -216,7 +228,7 @@
         if not is_pressing and not is_useful(placeable, unjudged, useful_at, share):
             return []
         asked = choose_candidates(room, unasked, missing, share, at_least)
-        return asked + self.expired(step, approved, admitted)
+        return asked + self.expired(step, preferred(approved, avoided), admitted)
 
     def expired(
         self, step: StepRun, approved: Sequence[WorkerSession], admitted: int
