Settle starts and records whose call alone was cancelled

What callers see: a submission stands still until the next leader takes over. Cause: a cancellation that reaches a background task through one of its calls, not from the task's owner, ends the task silently. The start keeps its task, or no further record of the submission is stored.

--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -159,7 +159,7 @@
         if self.run_table.runs.get(known.task) is known:
             self.reports.release_ended(known, self.now())
 
-    def mark_uncertain(self, known: Run, fault: Exception, token: int | None = None) -> None:
+    def mark_uncertain(self, known: Run, fault: BaseException, token: int | None = None) -> None:
         """Raise the token: once the worker has seen the new one, it rejects the old order.
 
         A run that has moved to the session of the worker's next incarnation is left unchanged: that session has
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -12,7 +12,7 @@
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.records import Outcome, Progress, StepProgress, UnansweredStart
-from marigoldlift.supervision import FaultBoundary, ItemKind, TaskSet
+from marigoldlift.supervision import FaultBoundary, ItemKind, TaskSet, is_ending
 
 __all__ = ('ProgressWriter',)
 
@@ -134,7 +134,7 @@
 
     async def write(self, change: Change) -> None:
         """Retry until the records of all parts are stored, then call the callbacks."""
-        while not await self.store(change):
+        while not await self.store_uninterrupted(change):
             await asyncio.sleep(change.pause_s)
         self.writing.discard(change.job.id)
         if change.job.id in self.changed:
@@ -143,6 +143,15 @@
         for stored in change.callbacks:
             stored()
 
+    async def store_uninterrupted(self, change: Change) -> bool:
+        """Try once as `store` does; a cancellation of the append alone counts as one that failed."""
+        try:
+            return await self.store(change)
+        except asyncio.CancelledError:
+            if is_ending():
+                raise
+        return False
+
     async def store(self, change: Change) -> bool:
         """Try once to append the progress records of some parts and return whether all were stored."""
         try:
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -1,5 +1,6 @@
 """Sends start and stop orders to workers and handles refusals."""
 
+import asyncio
 from collections.abc import Coroutine
 from contextlib import ExitStack
 from typing import Protocol
@@ -15,7 +16,7 @@
 from marigoldlift.scheduling.stop_queue import StopQueue
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.submissions.model import TaskRef
-from marigoldlift.supervision import TaskSet
+from marigoldlift.supervision import TaskSet, is_ending
 
 __all__ = ('Starter',)
 
@@ -131,7 +132,9 @@
         try:
             with counted:
                 await self.order(step, session, ordered)
-        except Exception as fault:
+        except (Exception, asyncio.CancelledError) as fault:
+            if is_ending():
+                raise
             logger.opt(exception=fault).error('order of a start ended by a fault')
             if session.run_table.runs.get(ordered.task) is ordered:
                 session.mark_uncertain(ordered, fault)
--- a/marigoldlift/supervision.py
+++ b/marigoldlift/supervision.py
@@ -13,7 +13,7 @@
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 
-__all__ = ('FaultBoundary', 'ItemKind', 'TaskSet', 'exit_on_failure')
+__all__ = ('FaultBoundary', 'ItemKind', 'TaskSet', 'exit_on_failure', 'is_ending')
 
 #: Pause of an item after its first exception, and longest one, in s; it doubles with each further exception.
 FIRST_PAUSE_S = 0.5
@@ -120,6 +120,12 @@
             task.cancel()
 
 
+def is_ending() -> bool:
+    """Return whether the running task was asked to end; otherwise a cancellation that reaches it is that of a call."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def exit_on_failure(task: asyncio.Task[None]) -> None:
     """Exit the process if a loop has failed, so that a restart recovers from the stored records."""
     if task.cancelled() or task.exception() is None:
