Log how late a missed deadline of a call was noticed

AnswerDeadline replaces asyncio.timeout in the HTTP client and the advice calls, with the same behaviour; its error names the wait and how late the deadline was noticed, which ends up in both lines.

marigoldlift/platform/tests/test_calls.py, with a server in another thread, is red in its first test: an answer that had arrived in time counts as missing if the event loop was held up at the deadline.

--- a/marigoldlift/platform/advice.py
+++ b/marigoldlift/platform/advice.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from marigoldlift.answer_deadline import AnswerDeadline
 from marigoldlift.decoding import JsonDecoder
 from marigoldlift.errors import MalformedMessageError, PlatformError
 from marigoldlift.platform.calls import CallUnansweredError, HttpClient, Reply
@@ -73,7 +74,7 @@
         if relay != self.own_address:
             url = f'http://{relay}{ADVISE_PATH}'
         try:
-            async with asyncio.timeout(wait_s):
+            async with AnswerDeadline(wait_s):
                 return await self.request_tickets(url, body, wait_s)
         except CallUnansweredError as fault:
             raise PlatformError(str(fault)) from fault
--- a/marigoldlift/platform/calls.py
+++ b/marigoldlift/platform/calls.py
@@ -6,6 +6,8 @@
 import aiohttp
 import msgspec
 
+from marigoldlift.answer_deadline import AnswerDeadline
+
 __all__ = ('CallUnansweredError', 'HttpClient', 'Reply')
 
 #: How long an idle connection is kept open, in s; the platform charges for each new connection to a worker.
@@ -105,7 +107,7 @@
             total=None, sock_connect=idle_timeout_s, sock_read=idle_timeout_s
         )
         try:
-            async with asyncio.timeout(wait_s):
+            async with AnswerDeadline(wait_s):
                 async with self.session.request(
                     method,
                     url,
--- /dev/null
+++ b/marigoldlift/platform/tests/test_calls.py
@@ -0,0 +1,86 @@
+"""Deadlines of the HTTP client, with a server in another thread."""
+
+import asyncio
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import pytest
+
+from marigoldlift.platform.calls import CallUnansweredError, HttpClient
+
+WAIT_S = 0.3
+SERVING_S = 0.1
+HELD_UP_S = 0.5
+
+#: Time for the request to leave, in s.
+SENDING_S = 0.05
+
+
+class SlowAnswers(BaseHTTPRequestHandler):
+    """Answers after `SERVING_S`; at `/never` after the deadline of any call here."""
+
+    protocol_version = 'HTTP/1.1'
+
+    def do_POST(self):
+        """Read the request, and answer."""
+        self.rfile.read(int(self.headers['Content-Length']))
+        time.sleep(SERVING_S if self.path == '/soon' else 2 * HELD_UP_S)
+        self.send_response(200)
+        self.send_header('Content-Length', '2')
+        self.end_headers()
+        self.wfile.write(b'{}')
+
+    def log_message(self, *_):
+        """Log nothing."""
+
+
+@pytest.fixture
+def url():
+    """Return the address of a running server."""
+    server = ThreadingHTTPServer(('127.0.0.1', 0), SlowAnswers)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield 'http://127.0.0.1:{}'.format(server.server_address[1])
+    server.shutdown()
+    server.server_close()
+
+
+@pytest.fixture
+async def client():
+    """Return a client."""
+    opened = HttpClient()
+    yield opened
+    await opened.close()
+
+
+async def hold_up_loop():
+    """Hold the event loop up from the time at which the request has left."""
+    await asyncio.sleep(SENDING_S)
+    time.sleep(HELD_UP_S)
+
+
+@pytest.mark.parametrize('calls', [1, 20])
+async def test_answer_in_time_counts_though_it_is_read_late(url, client, calls):
+    """Guards against answers that count as missing because the own event loop was held up when the deadline passed."""
+    holding = asyncio.create_task(hold_up_loop())
+    replies = await asyncio.gather(
+        *(client.post(f'{url}/soon', b'{}', WAIT_S) for _ in range(calls))
+    )
+    await holding
+    assert [reply.status for reply in replies] == [200] * calls
+
+
+async def test_missing_answer_is_noticed_at_the_deadline(url, client):
+    """Guards against a deadline that an idle entry notices late."""
+    began_at = time.monotonic()
+    with pytest.raises(CallUnansweredError, match='noticed_late_s'):
+        await client.post(f'{url}/never', b'{}', WAIT_S)
+    assert WAIT_S <= time.monotonic() - began_at < WAIT_S + SERVING_S
+
+
+async def test_missing_answer_is_noticed_by_an_entry_that_was_held_up(url, client):
+    """Guards against a deadline that never passes once the event loop was held up."""
+    holding = asyncio.create_task(hold_up_loop())
+    with pytest.raises(CallUnansweredError):
+        await client.post(f'{url}/never', b'{}', WAIT_S)
+    await holding
--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -7,6 +7,7 @@
 import msgspec
 from loguru import logger
 
+from marigoldlift.answer_deadline import AnswerDeadline
 from marigoldlift.errors import PlatformError
 from marigoldlift.submissions.model import AdvicePolicy
 
@@ -244,5 +245,5 @@
             TimeoutError: no answer within the timeout.
         """
         wait_s = booking.answer_at - self.clock() + ANSWER_MARGIN_S
-        async with asyncio.timeout(wait_s):
+        async with AnswerDeadline(wait_s):
             return await self.calls.advise(booking.relay.address, step, workers, wait_s)
