--- a/marigoldlift/answer_deadline.py
+++ b/marigoldlift/answer_deadline.py
@@ -42,6 +42,4 @@
             return await self.limit.__aexit__(kind, fault, trace)
         except TimeoutError as passed:
             late_s = self.loop.time() - self.due_at
-            raise TimeoutError(
-                f'wait_s={self.wait_s:.3f} noticed_late_s={late_s:.3f}'
-            ) from passed
+            raise TimeoutError(f'wait_s={self.wait_s:.3f} noticed_late_s={late_s:.3f}') from passed
--- a/marigoldlift/platform/calls.py
+++ b/marigoldlift/platform/calls.py
@@ -1,6 +1,5 @@
 """HTTP client that is shared by the adapters of all services of the platform."""
 
-import asyncio
 from collections.abc import Mapping
 
 import aiohttp
--- a/marigoldlift/scheduling/advice.py
+++ b/marigoldlift/scheduling/advice.py
@@ -1,6 +1,5 @@
 """Calls to the placement advice, distributed over the entries because it serves one call per entry at a time."""
 
-import asyncio
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
--- /dev/null
+++ b/tests/cell/test_slow_rounds.py
@@ -0,0 +1,84 @@
+"""Many waiting steps at a leader that needs long for each of them."""
+
+import asyncio
+from contextvars import Context
+
+import pytest
+
+from marigoldlift.submissions.model import AdvicePolicy, Step
+from tests.cell.actions import set_task_duration
+
+ELECTION_S = 1.5
+ADVICE = AdvicePolicy(10, 0.15, 2000)
+TASK_S = 0.2
+
+#: Processor time of an attempt to place a step, in s; on a VM with 0.12 cores, 500 waiting steps took up to 0.8 s.
+ATTEMPT_S = 0.005
+SUBMISSIONS = 300
+
+#: Time within which all are done, in s: two attempts each, and twice that time for other work, take 9 s.
+LIMIT_S = 30
+
+
+class SlowAttempts:
+    """Charges the leader for each attempt to place a step.
+
+    Attributes:
+        used_s: processor time of the present round, in s.
+    """
+
+    def __init__(self, cell, leader):
+        """Charge a leader."""
+        self.loop = cell.loop
+        self.gate = leader.gate
+        self.used_s = 0
+        self.dispatcher = leader.node.dispatcher
+        planner = self.dispatcher.planner
+        self.place = planner.place
+        planner.place = self.charge
+        self.run_once = self.dispatcher.run_once
+        self.dispatcher.run_once = self.run_round
+        for timed in (planner, planner.tickets, self.dispatcher):
+            timed.clock = self.now
+
+    def now(self):
+        """Return the time within a round, in s."""
+        return self.loop.time() + self.used_s
+
+    def charge(self, step):
+        """Try to place a step."""
+        self.used_s += ATTEMPT_S
+        self.place(step)
+
+    def run_round(self):
+        """Run a round; the other callbacks of the leader wait until its time has passed."""
+        self.run_once()
+        if self.used_s:
+            self.gate.pause()
+            self.loop.call_later(self.used_s, self.resume, context=Context())
+
+    def resume(self):
+        """Let the leader run on."""
+        self.used_s = 0
+        self.gate.resume()
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_many_waiting_steps_hold_up_neither_renewals_nor_each_other(run_scenario, seed):
+    """Guards against LOST: long passes cost the leadership, and tickets ran out before the step's next turn came."""
+
+    async def scenario(cell):
+        set_task_duration(cell, TASK_S)
+        cell.advice.policy = ADVICE
+        await asyncio.sleep(ELECTION_S)
+        leader = cell.leader()
+        SlowAttempts(cell, leader)
+        names = [f'job{number}' for number in range(SUBMISSIONS)]
+        steps = (Step(count=2, cpu_m=50),)
+        await asyncio.gather(
+            *(cell.submit(cell.entries[0], name, steps, advice=ADVICE) for name in names)
+        )
+        await cell.wait_for_outcomes(names, LIMIT_S)
+        assert cell.leader() is leader
+
+    run_scenario(scenario, seed=seed)
