Count answers that had arrived when their deadline passed

Cause: a process whose event loop was held up finds the deadline of a call passed in the turn in which it reads the answer, and asyncio.timeout then cancels the call although its answer is there. On a leader short of processor this makes starts doubtful (token raised, polls, other starts of that worker refused) and pauses advice relays, which is more work for the same processor.

Change: once the deadline has passed, the loop reads and handles what is there for eight more turns before the wait ends. These take no time while it is idle. The safety of orders does not depend on the length of the wait: a start counts as one that may run until its outcome is known.

--- a/marigoldlift/answer_deadline.py
+++ b/marigoldlift/answer_deadline.py
@@ -1,16 +1,20 @@
-"""Deadline for the answer to a call."""
+"""Deadline for the answer to a call, which allows for answers that this process itself reads late."""
 
 import asyncio
 from types import TracebackType
 
 __all__ = ('AnswerDeadline',)
 
+#: Turns of the event loop that may begin after the deadline before the wait ends. The first reads what has arrived by then, and
+#: an answer passes through some more until its caller has it; while the loop is idle, all of them together take well under 1 ms.
+READ_TURNS = 8
+
 
 class AnswerDeadline:
     """Context that raises `TimeoutError` if its body has not ended in time.
 
-    The error tells how late this process has noticed the deadline: a late one may have been missed by this process, whose
-    event loop was held up, and not by the other side.
+    A process whose event loop was held up finds the deadline passed in the same turn in which it reads the answer, however
+    early that arrived. So the body is cancelled only after the loop has read and handled what was there at the deadline.
 
     Attributes:
         due_at: the deadline, in seconds of the event loop's clock.
@@ -21,25 +25,36 @@
         self.loop = asyncio.get_running_loop()
         self.wait_s = wait_s
         self.due_at = self.loop.time() + wait_s
-        self.limit = asyncio.timeout_at(self.due_at)
+        self.limit = asyncio.timeout(None)
+        self.next_turn: asyncio.Handle | None = None
 
     async def __aenter__(self) -> None:
         """Start to wait."""
         await self.limit.__aenter__()
+        self.next_turn = self.loop.call_at(self.due_at, self.read_on, READ_TURNS)
 
     async def __aexit__(
         self,
         kind: type[BaseException] | None,
         fault: BaseException | None,
         trace: TracebackType | None,
-    ) -> bool | None:
+    ) -> None:
         """End the wait.
 
         Raises:
-            TimeoutError: the deadline has passed.
+            TimeoutError: the deadline has passed; the error tells how late this process has noticed it.
         """
+        if self.next_turn is not None:
+            self.next_turn.cancel()
         try:
-            return await self.limit.__aexit__(kind, fault, trace)
+            await self.limit.__aexit__(kind, fault, trace)
         except TimeoutError as passed:
             late_s = self.loop.time() - self.due_at
             raise TimeoutError(f'wait_s={self.wait_s:.3f} noticed_late_s={late_s:.3f}') from passed
+
+    def read_on(self, turns: int) -> None:
+        """Let the event loop read for a number of further turns, then end the wait."""
+        if turns:
+            self.next_turn = self.loop.call_soon(self.read_on, turns - 1)
+        else:
+            self.limit.reschedule(self.loop.time())
