Judge by the worker's clock whether a run stands still

Cause: a run counted as standing still 2 s after its placement or after the status that last showed progress was read. A leader short of processor, or with a slow log, sends a start and reads a status later than that, so it stopped healthy runs and avoided their workers.

Change: progress is compared between statuses, on the clock that the worker tells in them, from its answer to the start on.

--- a/marigoldlift/orders/reports.py
+++ b/marigoldlift/orders/reports.py
@@ -95,17 +95,22 @@
         if known is not None:
             self.release_ended(known, now)
 
-    def handle_running(self, held: HeldRun, now: float) -> None:
+    def handle_running(self, held: HeldRun, now: float, clock_ms: float) -> None:
         """Update a run that the worker lists as running; an unknown one is offered to the observer.
 
         A run that has ended is skipped, since a late answer may still list it.
+
+        Args:
+            held: what the worker lists.
+            now: time of the monotonic clock in seconds.
+            clock_ms: reading of the worker's clock in the same status.
         """
         known = self.run_table.runs.get(held.task)
         if known is not None:
             if known.run == held.run:
-                known.confirm(held, now)
+                known.confirm(held, now, clock_ms)
         elif (held.task, held.run) not in self.run_table.ended:
-            self.adopt_run(held, now)
+            self.adopt_run(held, now, clock_ms)
 
     def handle_absent(self, present: set[TaskRef], sent_at: float, token: int) -> None:
         """Report runs that are listed neither as running nor as ended, or whose start can be sent again.
@@ -120,12 +125,12 @@
             elif known.may_repeat(sent_at, token):
                 self.observer.start_missed(self.session, known)
 
-    def adopt_run(self, held: HeldRun, now: float) -> None:
+    def adopt_run(self, held: HeldRun, now: float, clock_ms: float) -> None:
         """Adopt a run that an earlier leader has started, unless the observer stops it."""
         step = self.find_demand(held)
         if step is not None:
             adopted = Run(held.task, held.run, step, Phase.held, now)
-            adopted.confirm(held, now)
+            adopted.confirm(held, now, clock_ms)
             if not step.gang:
                 adopted.measured = MeasuredSpan(now, held.percent / 100)
             self.run_table.take(adopted)
--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -67,7 +67,8 @@
 
     Attributes:
         since: when its start was last sent or its presence confirmed, in seconds of the monotonic clock.
-        moved_at: when its percentage last grew, in seconds of the monotonic clock.
+        moved_ms: when the worker first listed the present percentage, on its own clock, in ms; None if it has not told yet.
+        seen_ms: when the worker last listed the run, on its own clock, in ms.
         unanswered: its start has not been answered yet, and no status poll has listed it.
         listed: a status poll of the session's own incarnation of the worker has listed it.
         fence: lowest fencing token that, once the worker has seen it, makes it reject the unanswered start; None if
@@ -89,13 +90,13 @@
         'is_repeated',
         'listed',
         'measured',
-        'moved_at',
+        'moved_ms',
         'ordered',
         'percent',
         'phase',
         'run',
+        'seen_ms',
         'since',
-        'started_at',
         'step',
         'stop_sent_at',
         'task',
@@ -110,8 +111,8 @@
         self.step = step
         self.phase = phase
         self.since = now
-        self.started_at = now
-        self.moved_at = now
+        self.moved_ms: float | None = None
+        self.seen_ms: float = 0
         self.stop_sent_at: float | None = None
         self.unanswered = phase is Phase.sent
         self.fence: int | None = None
@@ -143,11 +144,18 @@
         self.doubted_at = ordered_at
         self.is_repeated = self.step.long_running
 
-    def confirm(self, held: HeldRun, now: float) -> None:
-        """Record that the worker lists the run as present."""
-        if held.percent > self.percent:
+    def confirm(self, held: HeldRun, now: float, clock_ms: float) -> None:
+        """Record that the worker lists the run as present.
+
+        Args:
+            held: what the worker lists.
+            now: time of the monotonic clock in seconds.
+            clock_ms: reading of the worker's clock in the same status.
+        """
+        if held.percent > self.percent or self.moved_ms is None:
             self.percent = held.percent
-            self.moved_at = now
+            self.moved_ms = clock_ms
+        self.seen_ms = max(self.seen_ms, clock_ms)
         self.checkpoint = held.checkpoint or self.checkpoint
         self.listed = True
         self.note_executed(now)
@@ -161,8 +169,22 @@
         if self.phase is Phase.sent:
             self.phase = Phase.held
 
-    def note_begun(self, now: float) -> None:
-        """Record that the worker has answered the start, with which the work begins."""
+    def stood_still_ms(self) -> float:
+        """Return for how long the worker has listed the run without progress, by its own clock, in ms.
+
+        The time at which a status is read tells nothing, since this process may read it late.
+        """
+        return 0 if self.moved_ms is None else self.seen_ms - self.moved_ms
+
+    def note_begun(self, now: float, clock_ms: float) -> None:
+        """Record that the worker has answered the start, with which the work begins.
+
+        Args:
+            now: time of the monotonic clock in seconds.
+            clock_ms: reading of the worker's clock in its answer.
+        """
+        if self.moved_ms is None:
+            self.moved_ms = clock_ms
         if not self.checkpoint:
             self.measured = MeasuredSpan(now)
 
@@ -178,6 +200,8 @@
         self.unanswered = True
         self.fence = token
         self.since = now
+        self.moved_ms = None
+        self.seen_ms = 0
 
     def is_surely_absent(self, sent_at: float, token: int) -> bool:
         """Return whether a status poll that omits the run proves that it neither runs nor will start.
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -145,7 +145,7 @@
         self.last_answer_at = self.now()
         self.clock.note(clock_ms, self.last_answer_at)
         known.note_executed(self.last_answer_at)
-        known.note_begun(self.last_answer_at)
+        known.note_begun(self.last_answer_at, clock_ms)
         return True
 
     def give_up_runs(self) -> int:
@@ -282,7 +282,7 @@
         present = {ended.task for ended in found.ended if ended.number in self.ends.unhandled}
         for held in found.running:
             present.add(held.task)
-            self.reports.handle_running(held, now)
+            self.reports.handle_running(held, now, found.clock_ms)
         if found.whole:
             self.reports.handle_absent(present, sent_at, token)
         if token == self.token and not self.synced:
--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -13,6 +13,8 @@
 
 __all__ = ('RunChecks',)
 
+MS_PER_S = 1000
+
 #: Time without progress after which a run is stopped and counted as a failure of its worker, in s.
 STALL_S = 2.0
 
@@ -77,19 +79,20 @@
             return
         if leaving and session.answers():
             self.starter.request_stop(session, run.task)
-        elif self.is_stalled(session, run, now):
+        elif is_stalled(session, run):
             logger.info('run stands still: task={} worker={}', run.task.name, session.worker.id)
             self.session_manager.health(session.worker.id).record_failure(now)
             step.avoid_worker(run.task.index, session.worker.id, now)
             self.starter.request_stop(session, run.task)
 
-    def is_stalled(self, session: WorkerSession, run: Run, now: float) -> bool:
-        """Return whether a run makes no progress although its worker answers.
 
-        A run that is almost complete does not count: a member of a gang that has done its work waits for the others.
-        """
-        if run.step.long_running or run.step.fills or not session.answers():
-            return False
-        if run.percent >= DONE_PERCENT:
-            return False
-        return now - max(run.moved_at, run.started_at) > STALL_S
+def is_stalled(session: WorkerSession, run: Run) -> bool:
+    """Return whether a run makes no progress although its worker answers.
+
+    A run that is almost complete does not count: a member of a gang that has done its work waits for the others.
+    """
+    if run.step.long_running or run.step.fills or not session.answers():
+        return False
+    if run.percent >= DONE_PERCENT:
+        return False
+    return run.stood_still_ms() > STALL_S * MS_PER_S
--- a/tests/cell/test_capacity.py
+++ b/tests/cell/test_capacity.py
@@ -116,7 +116,7 @@
         dispatcher.session_manager.update(
             session, msgspec.structs.replace(entry, cpu_m=0, mem_mb=0, gpus=0)
         )
-        session.reports.adopt_run(HeldRun(task_ref('unknown'), 1, '', 0), 0)
+        session.reports.adopt_run(HeldRun(task_ref('unknown'), 1, '', 0), 0, 0)
         dispatcher.session_manager.update(session, entry)
         assert not fitting_tasks(session, Step(count=1, cpu_m=1))
         assert not fitting_tasks(session, Step(count=1, mem_mb=1))
