Limit the starts in flight by the time that they take of the leader

Cause: up to 128 starts are in flight, which take 0.2 s on the small VM that the limit was found on, and 1.5 s on one with a tenth of its processor: longer than a start may take without an answer (0.4 s) and a leadership without a renewal (0.7 s).

A worker that answers late does not count, since only the own delay is measured.

--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -149,7 +149,10 @@
 
     async def pause(self) -> None:
         """Pause after a pass, then wait for a change, at most one tick."""
-        await asyncio.sleep(max(MIN_PASS_PAUSE_S, self.round_s * PASS_PAUSE_FACTOR))
+        pause_s = max(MIN_PASS_PAUSE_S, self.round_s * PASS_PAUSE_FACTOR)
+        until = self.clock() + pause_s
+        await asyncio.sleep(pause_s)
+        self.starter.limits.note_delay(self.clock() - until)
         with contextlib.suppress(TimeoutError):
             # asyncio.wait_for of Python 3.11 swallows a cancellation that arrives while the event is being set.
             async with asyncio.timeout(TICK_S):
