Give gangs that are starting the first turns of each pass

Cause: a pass that ends early, or at the limit of the starts in flight, may leave out a gang whose first members have started. Its missing members are neither started nor the others stopped in time, and those end as 'alone'. More likely since passes are bounded and the limit adapts.

Change: such gangs come first whatever time there is, and before the limit ends the pass.

--- a/marigoldlift/scheduling/pass_order.py
+++ b/marigoldlift/scheduling/pass_order.py
@@ -36,7 +36,7 @@
     def turns(
         self, ready: Sequence[StepRun], limit_s: float, clock: Callable[[], float]
     ) -> Iterator[StepRun]:
-        """Yield the steps in the order of their turns, the first few of them in any case.
+        """Yield the steps in the order of their turns.
 
         Args:
             ready: the steps, the most urgent first.
@@ -44,36 +44,39 @@
             clock: monotonic clock in seconds.
         """
         until = clock() + limit_s
-        steps = self.arrange(ready)
+        first = self.begin(ready)
+        steps = list(dict.fromkeys((*first, *self.in_turn(ready))))
         for number, step in enumerate(steps):
-            if number >= FIRST_STEPS and clock() >= until:
+            if number >= len(first) and clock() >= until:
                 self.end_early(steps[:number])
                 return
             yield step
         self.end()
 
-    def arrange(self, ready: Sequence[StepRun]) -> Sequence[StepRun]:
-        """Return the steps in the order of their turns, and drop the reservation of the last pass.
+    def begin(self, ready: Sequence[StepRun]) -> Sequence[StepRun]:
+        """Drop the reservation of the last pass, and return the steps that come first, whatever time there is.
 
-        Its step comes first, since it keeps its workers only with a turn.
+        These are gangs that are starting, whose members wait for a limited time only, then the most urgent steps, and that of the
+        reservation, which keeps its workers only with a turn.
 
         Args:
             ready: the steps, the most urgent first.
         """
-        reserving = self.reserving
-        self.reserving = None
-        if not self.tried:
-            return ready
         waiting = frozenset(ready)
         self.tried &= waiting
         self.answered &= waiting
-        first = [
-            step for number, step in enumerate(ready) if number < FIRST_STEPS or step is reserving
-        ]
-        return list(dict.fromkeys((*first, *self.in_turn(ready))))
+        first = [step for step in ready if step.gang_started_at is not None]
+        first.extend(ready[:FIRST_STEPS])
+        if self.tried and self.reserving is not None and self.reserving in waiting:
+            first.append(self.reserving)
+        self.reserving = None
+        return tuple(dict.fromkeys(first))
 
     def in_turn(self, ready: Iterable[StepRun]) -> Iterator[StepRun]:
-        """Yield those with an answer, then those without a turn yet, then the others."""
+        """Yield those with an answer, then those without a turn yet, then the others; by rank alone while there is time."""
+        if not self.tried:
+            yield from ready
+            return
         rest = []
         untried = []
         for step in ready:
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -123,18 +123,20 @@
             self.caps.reserve(gang)
         limit_s = max(PLACING_S, (self.clock() - now) * PLACING_FACTOR)
         for candidate in self.order.turns(ready, limit_s, self.clock):
-            if self.starter.limits.is_reached():
+            if self.starter.limits.is_reached() and candidate.gang_started_at is None:
                 break
             with self.faults.contain(ItemKind.submission, candidate.job.id):
-                if self.failed_placements < MAX_FAILED_PLACEMENTS or self.pending.is_overdue(
-                    candidate
-                ):
-                    self.place(candidate)
+                self.try_step(candidate)
         self.has_passed = True
         if self.wait_report.is_due():
             self.wait_report.report(ready, self.pool)
             report_waiting(self.caps, ready, self.pending.reasons)
 
+    def try_step(self, step: StepRun) -> None:
+        """Place a step, unless too many could not be placed in this pass."""
+        if self.failed_placements < MAX_FAILED_PLACEMENTS or self.pending.is_overdue(step):
+            self.place(step)
+
     def ready_steps(self, now: float, wall_ms: float) -> list[StepRun]:
         """Return the steps that may be placed now, the most urgent first.
 
