--- a/marigoldlift/scheduling/pass_order.py
+++ b/marigoldlift/scheduling/pass_order.py
@@ -9,6 +9,11 @@
 #: Most urgent steps that come first in each pass, so that those of lower rank do not take what becomes free.
 FIRST_STEPS = 4
 
+#: Longest time for the turns of one pass, in s, and as a multiple of the time that the ranking has taken. The leadership is renewed
+#: every 0.2 s and lost after 0.7 s, and other work of the leader waits meanwhile.
+TURNS_S = 0.05
+TURNS_FACTOR = 2
+
 
 class PassOrder:
     """Gives each step its turn although each pass ends early.
@@ -17,6 +22,7 @@
     since their tickets run out within seconds and would have to be asked for again; then those that had no turn yet.
 
     Attributes:
+        turns_s: time for the turns of a pass, in s, unless the ranking has taken long.
         tried: steps that had their turn since a pass last had time for all.
         answered: steps whose question to the advice has ended since their last turn.
         reserving: step that workers are reserved for in this pass.
@@ -24,6 +30,7 @@
 
     def __init__(self) -> None:
         """Start without steps."""
+        self.turns_s = TURNS_S
         self.tried: set[StepRun] = set()
         self.answered: set[StepRun] = set()
         self.reserving: StepRun | None = None
@@ -34,16 +41,17 @@
             reasons.clear()
 
     def turns(
-        self, ready: Sequence[StepRun], limit_s: float, clock: Callable[[], float]
+        self, ready: Sequence[StepRun], began_at: float, clock: Callable[[], float]
     ) -> Iterator[StepRun]:
         """Yield the steps in the order of their turns.
 
         Args:
             ready: the steps, the most urgent first.
-            limit_s: time for all turns, in s.
+            began_at: when the pass has begun to rank them, in seconds of the monotonic clock.
             clock: monotonic clock in seconds.
         """
-        until = clock() + limit_s
+        ranked_at = clock()
+        until = ranked_at + max(self.turns_s, (ranked_at - began_at) * TURNS_FACTOR)
         first = self.begin(ready)
         steps = list(dict.fromkeys((*first, *self.in_turn(ready))))
         for number, step in enumerate(steps):
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -39,11 +39,6 @@
 #: Share of free CPU below which tasks that have time leave the fast workers to others; above it the fast ones hold all work.
 TIGHT_SHARE = 0.7
 
-#: Longest time for the placing in one pass, in s, and as a multiple of the time that the ranking has taken. The leadership is renewed
-#: every 0.2 s and lost after 0.7 s, and other work of the leader waits meanwhile.
-PLACING_S = 0.05
-PLACING_FACTOR = 2
-
 #: Time within which all members of a gang must be started, as a share of the time that a started member waits for them.
 GANG_START_SHARE = 0.4
 
@@ -121,8 +116,7 @@
         self.caps.begin_pass(self.waiting)
         for gang in filter(self.pending.is_overdue, ready):
             self.caps.reserve(gang)
-        limit_s = max(PLACING_S, (self.clock() - now) * PLACING_FACTOR)
-        for candidate in self.order.turns(ready, limit_s, self.clock):
+        for candidate in self.order.turns(ready, now, self.clock):
             if self.starter.limits.is_reached() and candidate.gang_started_at is None:
                 break
             with self.faults.contain(ItemKind.submission, candidate.job.id):
--- a/marigoldlift/scheduling/start_limits.py
+++ b/marigoldlift/scheduling/start_limits.py
@@ -57,7 +57,8 @@
     @property
     def most(self) -> int:
         """Return the number of starts in flight above which no further task is placed."""
-        return min(MAX_STARTS, max(MIN_STARTS, round(PROCESSOR_S / self.start_s)))
+        start_s = max(self.start_s, PROCESSOR_S / MAX_STARTS)
+        return max(MIN_STARTS, round(PROCESSOR_S / start_s))
 
     def note_delay(self, delay_s: float) -> None:
         """Measure how long a start holds up the event loop.
--- a/marigoldlift/scheduling/tests/test_pass_order.py
+++ b/marigoldlift/scheduling/tests/test_pass_order.py
@@ -7,8 +7,7 @@
 from marigoldlift.scheduling.pass_order import FIRST_STEPS, PassOrder
 
 STEPS = 30
-TURN_S = 0.01
-LIMIT_S = 0.1
+TURN_S = 0.005
 
 
 class FakeStep(SimpleNamespace):
@@ -31,7 +30,7 @@
 def run_pass(order, ready, turn_s=TURN_S):
     """Return the ranks of the steps that have a turn in a pass."""
     ranks = []
-    for step in order.turns(ready, LIMIT_S, lambda: turn_s * len(ranks)):  # noqa: WPS426 one list a pass
+    for step in order.turns(ready, 0, lambda: turn_s * len(ranks)):  # noqa: WPS426 one list a pass
         ranks.append(step.rank)
     return ranks
 
--- a/marigoldlift/scheduling/trial_parts.py
+++ b/marigoldlift/scheduling/trial_parts.py
@@ -64,6 +64,8 @@
         self.placed: dict[StepRun, list[WorkerSession]] = {}
         self.limits = StartLimits(do_nothing)
         self.limits.total = starter.limits.total
+        # An answer says where tasks go, not how many starts the leader sends at once.
+        self.limits.start_s = 0
         for session, count in starter.limits.counts.items():
             self.limits.counts[sessions.sessions.get(session.worker.id, session)] += count
 
--- a/marigoldlift/scheduling/trial_pass.py
+++ b/marigoldlift/scheduling/trial_pass.py
@@ -6,6 +6,7 @@
 
 import copy
 import itertools
+import math
 from collections.abc import Iterable, Mapping, Sequence
 
 from marigoldlift.orders.session import WorkerSession
@@ -81,6 +82,7 @@
             faults,
         )
         self.gang_limit_s = planner.gang_limit_s
+        self.order.turns_s = math.inf
         self.wait_report.reported_at = self.clock()
         for step in planner.waiting:
             if step.todo:
--- a/tests/cell/test_slow_rounds.py
+++ b/tests/cell/test_slow_rounds.py
@@ -5,8 +5,10 @@
 
 import pytest
 
-from marigoldlift.submissions.model import AdvicePolicy, Step
+from marigoldlift.scheduling.placement_report import explain_job, trial_job
+from marigoldlift.submissions.model import AdvicePolicy, Step, Submission, SubmissionId
 from tests.cell.actions import set_task_duration
+from tests.cell.model import policy
 
 ELECTION_S = 1.5
 ADVICE = AdvicePolicy(10, 0.15, 2000)
@@ -15,6 +17,8 @@
 #: Processor time of an attempt to place a step, in s; on a VM with 0.12 cores, 500 waiting steps took up to 0.8 s.
 ATTEMPT_S = 0.005
 SUBMISSIONS = 300
+STEPS = 30
+TASKS = 3
 
 #: Time between two submissions, in s: about one and a half times as many as the leader can place.
 INTERVAL_S = 0.02
@@ -70,6 +74,36 @@
         self.gate.resume()
 
 
+class PassingTime:
+    """Clock on which each reading takes as long as an attempt to place a step."""
+
+    def __init__(self, cell):
+        """Start at the time of the cell."""
+        self.loop = cell.loop
+        self.used_s = 0
+
+    def __call__(self):
+        """Return the time in s."""
+        self.used_s += ATTEMPT_S
+        return self.loop.time() + self.used_s
+
+
+def test_explanation_reaches_each_step_and_task(run_scenario):
+    """Guards against an answer that names no place, only because the pass on copies had no time for the step."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        planner = cell.leader().node.dispatcher.planner
+        steps = (Step(count=TASKS, cpu_m=50),) * STEPS
+        wide = Submission(SubmissionId('trial'), '', steps, policy(), 'e0')
+        planner.clock = PassingTime(cell)
+        told = explain_job(planner, trial_job(wide, planner.clock()), 'e0').steps
+        assert len(told) == STEPS
+        assert {sum(place.tasks for place in step.places) for step in told} == {TASKS}
+
+    run_scenario(scenario)
+
+
 async def submit_all(cell, names, interval_s):
     """Hand in submissions of one step each, one after the other."""
     for name in names:
