--- a/marigoldlift/platform/calls.py
+++ b/marigoldlift/platform/calls.py
@@ -5,7 +5,7 @@
 import aiohttp
 import msgspec
 
-from marigoldlift.call_timeout import call_timeout
+from marigoldlift.answer_deadline import AnswerDeadline
 
 __all__ = ('CallUnansweredError', 'HttpClient', 'Reply')
 
@@ -106,7 +106,7 @@
             total=None, sock_connect=idle_timeout_s, sock_read=idle_timeout_s
         )
         try:
-            async with call_timeout(wait_s):
+            async with AnswerDeadline(wait_s):
                 async with self.session.request(
                     method,
                     url,
