Tests: a gang that is reported as done is started again in part (red)

RunEvents.finish stops the run of one index. In a gang the step is done with it, but the other members stay placed: those whose placement is still being stored pass Starter.is_start_valid and are started. Seen: starts [0, 1] for the two members; the second is stopped after 2.4 s as a run that stands still, which counts as a failure of its worker. Members that already run end as broken when the first is stopped, so that case holds.

--- a/tests/cell/test_done_reports.py
+++ b/tests/cell/test_done_reports.py
@@ -11,6 +11,7 @@
 
 ELECTION_S = 1.5
 CHAIN = (Step(count=1, cpu_m=1000), Step(count=3, cpu_m=1000, after=(0,)))
+GANG_CHAIN = (Step(count=2, cpu_m=1000, gang=True), Step(count=3, cpu_m=1000, after=(0,)))
 EARLIER_TENURE = 0
 
 
@@ -57,3 +58,33 @@
         assert not [key for key in cell.log.newest if key.startswith('e/')]
 
     run_scenario(scenario, workers=6)
+
+
+def test_gang_member_is_not_started_after_a_report(run_scenario):
+    """Guards against a start of a gang that is known as done, and a worker that is blamed as its member waits for the others."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_duration(cell, 5.0)
+        leader = cell.leader()
+        progress = leader.node.dispatcher.progress
+        usual_store = progress.store_now
+
+        async def store_slowly(step):
+            await usual_store(step)
+            if step.step.gang:
+                await asyncio.sleep(0.3)
+
+        progress.store_now = store_slowly
+        await cell.submit(leader, 'job', GANG_CHAIN)
+        await asyncio.sleep(0.15)
+        members = [TaskRef(SubmissionId('job'), 0, 0, index) for index in range(2)]
+        assert not any(cell.checker.starts[member] for member in members)
+        # The run that the report names has ended at a worker that has left.
+        cell.checker.ended_done.update(members)
+        store_report(cell)
+        await asyncio.sleep(1)
+        assert cell.checker.starts[TaskRef(SubmissionId('job'), 0, 1, 0)] == 1
+        assert [cell.checker.starts[member] for member in members] == [0, 0]
+
+    run_scenario(scenario, workers=6)
