Drop every report of an earlier leader, and stop all of a gang that is reported as done

A report that is stored after the leader has collected the records of an ended submission stayed in the log for good: the outcome removes the submission, and with it the list of its reports. Their keys now count as obsolete. Of a gang that is reported as done while its placement is stored, the members other than the reported one were started; one of them waited for the others until its worker was blamed.

--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -289,4 +289,6 @@
         if step is not None and task.index not in step.done:
             logger.info('task was done under an earlier leader: task={}', task.name)
             events.finish(step, task.index, None)
+            if step.step.gang:
+                events.open_submissions.starter.stop_step(step)
             events.open_submissions.progress.note(step.job, step=step)
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -9,7 +9,7 @@
 from marigoldlift.errors import MalformedMessageError
 from marigoldlift.ids import WorkspaceId
 from marigoldlift.submissions.access import Caller
-from marigoldlift.submissions.done_tasks import DoneTasks
+from marigoldlift.submissions.done_tasks import DoneTasks, done_tasks_key
 from marigoldlift.submissions.job import FINAL_OUTCOMES, FinishedJob, Job
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.submissions.records import (
@@ -199,7 +199,10 @@
             # After a restart the acceptance of another workspace may be read first.
             rejected = scoped_name(record.submission, ended.submission.workspace)
             self.rejected_acceptances.add(rejected)
-        self.early_records.pop(record.submission, None)
+        reports = ended.reports if ended else ()
+        self.obsolete_reports.update(done_tasks_key(record.submission, told) for told in reports)
+        early = self.early_records.pop(record.submission, ())
+        self.obsolete_reports.update(told.key for told in early if isinstance(told, DoneTasks))
         self.finished[record.submission] = FinishedJob(
             record.outcome,
             self.clock(),
--- a/tests/cell/test_done_reports.py
+++ b/tests/cell/test_done_reports.py
@@ -8,6 +8,7 @@
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 from marigoldlift.submissions.record_codec import encode_record, record_key
 from marigoldlift.submissions.records import Outcome
+from tests.cell.actions import set_task_duration
 
 ELECTION_S = 1.5
 CHAIN = (Step(count=1, cpu_m=1000), Step(count=3, cpu_m=1000, after=(0,)))
@@ -15,12 +16,6 @@
 EARLIER_TENURE = 0
 
 
-def set_duration(cell, duration_s):
-    """Let each task take the same time."""
-    for entry in cell.entries:
-        entry.calls.duration_of = lambda task: duration_s
-
-
 def store_report(cell):
     """Store the report of an earlier leader that task 0 of the first step is done."""
     report = DoneTasks(SubmissionId('job'), EARLIER_TENURE, [(0, 0, 0)])
@@ -33,7 +28,7 @@
 
     async def scenario(cell):
         await asyncio.sleep(ELECTION_S)
-        set_duration(cell, 0.5)
+        set_task_duration(cell, 0.5)
         leader = cell.leader()
         await cell.submit(leader, 'job', CHAIN)
         retention = leader.node.dispatcher.retention
@@ -55,7 +50,7 @@
             await asyncio.sleep(5)
         assert cell.outcome('job') is Outcome.complete
         assert 'f/job' in cell.log.newest
-        assert not [key for key in cell.log.newest if key.startswith('e/')]
+        assert not any(key.startswith('e/') for key in cell.log.newest)
 
     run_scenario(scenario, workers=6)
 
@@ -65,15 +60,16 @@
 
     async def scenario(cell):
         await asyncio.sleep(ELECTION_S)
-        set_duration(cell, 5.0)
+        set_task_duration(cell, 5.0)
         leader = cell.leader()
         progress = leader.node.dispatcher.progress
         usual_store = progress.store_now
 
         async def store_slowly(step):
-            await usual_store(step)
+            is_stored = await usual_store(step)
             if step.step.gang:
                 await asyncio.sleep(0.3)
+            return is_stored
 
         progress.store_now = store_slowly
         await cell.submit(leader, 'job', GANG_CHAIN)
--- a/tests/cell/test_unheard_ends.py
+++ b/tests/cell/test_unheard_ends.py
@@ -4,6 +4,7 @@
 
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 from tests.cell.test_superseded_leader import lose_log
+from tests.cell.actions import set_task_duration
 
 ELECTION_S = 1.5
 CUT_AT_S = 1.0
@@ -29,8 +30,7 @@
         shared: number of other workers that both sides reach.
     """
     await asyncio.sleep(ELECTION_S)
-    for entry in cell.entries:
-        entry.calls.duration_of = lambda task: task_s
+    set_task_duration(cell, task_s)
     leader = cell.leader()
     await cell.submit(leader, 'job', CHAIN)
     await asyncio.sleep(CUT_AT_S)
