--- a/tests/cell/test_late_starts.py
+++ b/tests/cell/test_late_starts.py
@@ -19,7 +19,7 @@
 
     async def store_now(step):
         await asyncio.sleep(delay_s)
-        await store(step)
+        return await store(step)
 
     progress.store_now = store_now
 
