--- a/marigoldlift/platform/advice.py
+++ b/marigoldlift/platform/advice.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from marigoldlift.call_timeout import call_timeout
+from marigoldlift.answer_deadline import AnswerDeadline
 from marigoldlift.decoding import JsonDecoder
 from marigoldlift.errors import MalformedMessageError, PlatformError
 from marigoldlift.platform.calls import CallUnansweredError, HttpClient, Reply
@@ -74,7 +74,7 @@
         if relay != self.own_address:
             url = f'http://{relay}{ADVISE_PATH}'
         try:
-            async with call_timeout(wait_s):
+            async with AnswerDeadline(wait_s):
                 return await self.request_tickets(url, body, wait_s)
         except CallUnansweredError as fault:
             raise PlatformError(str(fault)) from fault
--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -15,6 +15,8 @@
 
 __all__ = ('RunChecks',)
 
+MS_PER_S = 1000
+
 #: Progress from which a run is never counted as stalled, in percent; polls report whole percents.
 DONE_PERCENT = 99
 
@@ -84,14 +86,14 @@
             return
         if leaving and session.answers():
             self.starter.request_stop(session, run.task)
-        elif self.is_stalled(session, run, now):
+        elif self.is_stalled(session, run):
             logger.info('run stands still: task={} worker={}', run.task.name, session.worker.id)
             self.stalls.note(run)
             self.session_manager.health(session.worker.id).record_failure(now)
             step.avoid_worker(run.task.index, session.worker.id, now)
             self.starter.request_stop(session, run.task)
 
-    def is_stalled(self, session: WorkerSession, run: Run, now: float) -> bool:
+    def is_stalled(self, session: WorkerSession, run: Run) -> bool:
         """Return whether a run makes no progress although its worker answers.
 
         A run that is almost complete does not count: a member of a gang that has done its work waits for the others.
@@ -100,4 +102,4 @@
             return False
         if run.percent >= DONE_PERCENT:
             return False
-        return now - max(run.moved_at, run.started_at) > self.stalls.allowed_s(run)
+        return run.stood_still_ms() > self.stalls.allowed_s(run) * MS_PER_S
