--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -200,7 +200,9 @@
             rejected = scoped_name(record.submission, ended.submission.workspace)
             self.rejected_acceptances.add(rejected)
         reports = ended.reports if ended else ()
-        self.obsolete_reports.update(done_tasks_key(record.submission, tenure) for tenure in reports)
+        self.obsolete_reports.update(
+            done_tasks_key(record.submission, tenure) for tenure in reports
+        )
         early = self.early_records.pop(record.submission, ())
         self.obsolete_reports.update(one.key for one in early if isinstance(one, DoneTasks))
         self.finished[record.submission] = FinishedJob(
