Tests: tell connections that share a local port apart

Cause: the listener between entries looks for the process behind an accepted connection in /proc/net/tcp, by the connection's local port, and takes the first row. Connections to different servers may share a local port, and a closed one keeps its row for a while (TIME_WAIT, inode 0). So a connection was refused although nothing was cut, or was taken for one of the other failure domain; such a connection passes the cut of its own, and its heartbeats keep the entry alive.

Ruled out, by reading: links that outlive a cut while they connect (Flow.connect aborts the sink of a closed flow), and routes whose mode changes between accept and the first byte (both happen in one callback).

Change: both ports are compared.

test_partition_support.py: both tests are red on the old lookup, green now.

--- a/tests/integration/partition_support.py
+++ b/tests/integration/partition_support.py
@@ -66,6 +66,7 @@
 #: Loopback address and columns as /proc/net/tcp has them.
 LOOPBACK_HEX = '0100007F'
 LOCAL_COLUMN = 1
+STATE_COLUMN = 3
 INODE_COLUMN = 9
 
 HTTP_OK = 200
@@ -126,7 +127,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Hand the connection to the route of its caller; a cut route aborts it."""
         accepted = cast(asyncio.Transport, transport)
-        route = self.listener.route_from(accepted.get_extra_info('peername')[1])
+        route = self.listener.route_from(
+            accepted.get_extra_info('peername')[1],
+            accepted.get_extra_info('sockname')[1],
+        )
         if route is None or route.view.mode is RouteMode.cut:
             accepted.abort()
             return
@@ -140,14 +144,15 @@
 
     Attributes:
         routes: route by the failure domain of the caller.
-        caller_of: returns the failure domain whose entry uses a local port, None for none.
+        caller_of: returns the failure domain whose entry opened the connection between a local and
+            a remote port, None for none.
     """
 
     def __init__(
         self,
         domains: Iterable[str],
         target: str,
-        caller_of: Callable[[int], str | None],
+        caller_of: Callable[[int, int], str | None],
     ) -> None:
         """Make the routes to `target`."""
         self.routes = {domain: Route(RouteSettings(target)) for domain in domains}
@@ -167,9 +172,9 @@
             self.server.close()
         await asyncio.gather(*(route.stop() for route in self.routes.values()))
 
-    def route_from(self, port: int) -> Route | None:
-        """Return the route of the entry that uses a local port."""
-        caller = self.caller_of(port)
+    def route_from(self, local_port: int, remote_port: int) -> Route | None:
+        """Return the route of the entry that opened the connection between two ports."""
+        caller = self.caller_of(local_port, remote_port)
         return None if caller is None else self.routes[caller]
 
 
@@ -250,7 +255,7 @@
         await self.list_routes[vm_id].start()
         domains = self.layout.failure_domains
         grpc = address_of(self.ports[vm_id][0])
-        self.listeners[vm_id] = PeerListener(domains, grpc, self.domain_of_port)
+        self.listeners[vm_id] = PeerListener(domains, grpc, self.domain_of_caller)
         self.peer_addresses[vm_id] = await self.listeners[vm_id].start()
 
     async def start_entry(self, vm_id: str, **changes: Any) -> EntryProcess:
@@ -344,9 +349,9 @@
         """Return the VM ids of the entries that run."""
         return [vm_id for vm_id, entry in self.entries.items() if entry.process.returncode is None]
 
-    def domain_of_port(self, port: int) -> str | None:
-        """Return the failure domain of the entry that uses a local port."""
-        link = f'socket:[{inode_of(port)}]'
+    def domain_of_caller(self, local_port: int, remote_port: int) -> str | None:
+        """Return the failure domain of the entry that opened the connection between two ports."""
+        link = f'socket:[{inode_of(local_port, remote_port)}]'
         for vm_id in self.live_entries():
             if link in open_files(self.entries[vm_id].process.pid):
                 return self.layout.domain_of(vm_id)
@@ -742,12 +747,15 @@
     return f'{HOST}:{kept.getsockname()[1]}'
 
 
-def inode_of(port: int) -> str:
-    """Return the inode of the connected socket that uses a local port, empty for none."""
-    local = f'{LOOPBACK_HEX}:{port:04X}'
+def inode_of(local_port: int, remote_port: int) -> str:
+    """Return the inode of the socket that is connected from a port to another, empty for none.
+
+    Connections to different servers may share a local port.
+    """
+    ends = [f'{LOOPBACK_HEX}:{port:04X}' for port in (local_port, remote_port)]
     for line in Path('/proc/net/tcp').read_text().splitlines():
         columns = line.split()
-        if columns[LOCAL_COLUMN] == local:
+        if columns[LOCAL_COLUMN:STATE_COLUMN] == ends:
             return columns[INODE_COLUMN]
     return ''
 
