Tests: a gauge that a former leader keeps (red)

What on-call sees: an alert on untracked tasks that stays on for as long as the process of a former leader lives.

Cause: JobAudit.begin_turn alone sets the gauge, at the start of a turn; at the end of the tenure CellNode.stop_dispatching drops the dispatcher with the audit, and nothing resets the gauge.

Evidence: with two findings the leader hands over, as it reaches the log only through another entry; the gauge still says 2.

--- a/tests/cell/actions.py
+++ b/tests/cell/actions.py
@@ -1,11 +1,15 @@
 """Changes of a cell that several tests make."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
 from tests.cell.model import ModelCell
 
-__all__ = ('FailsFirst', 'cut_off', 'reconnect', 'set_task_duration')
+__all__ = ('FailsFirst', 'cut_off', 'hand_over', 'reconnect', 'set_task_duration')
+
+#: Time within which another entry leads once the leader hands over, in s.
+NEXT_LEADER_S = 3.0
 
 
 class FailsFirst:
@@ -41,3 +45,11 @@
     """Let all entries reach all workers."""
     for entry in cell.entries:
         entry.calls.unreachable.clear()
+
+
+async def hand_over(cell: ModelCell) -> None:
+    """Let the leader reach the log only through another entry, so that it hands over, and wait until one of the others leads."""
+    leader = cell.leader()
+    leader.node.election.is_indirect = lambda: True
+    await asyncio.sleep(NEXT_LEADER_S)
+    assert cell.leader() not in {None, leader}
