Store that a run is lost with its worker

Callers saw a submission stand still with room after a change of the leader, because of a worker that the earlier leader knew to be gone. Cause: RunEvents.run_vanished requeued the task without noting the progress, so that the record went on to place the task on that worker, and the next leader waited until all its leases had lapsed again.

--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -242,6 +242,8 @@
             step.gang_broken = True
         step.save(run.task.index, run.checkpoint)
         self.open_submissions.starter.requeue_task(step, run.task.index, session)
+        # Otherwise the next leader waits for this worker until all leases have lapsed again.
+        self.open_submissions.progress.note(step.job, step=step)
 
     def start_missed(self, session: WorkerSession, run: Run) -> None:
         """Send the start of a task that lasts to its worker again; elsewhere it may not run before no copy is left."""
