End the dispatcher of a restarted tenure that never begins

Operators saw calls to workers that are gone, which are priced, from an entry that no longer leads. Cause: after a refused token Election.restart_tenure forgets the tenure without telling the observers, since the claim that follows begins the next one. If that claim is not stored, or another entry leads by then, no tenure was left to end, and the dispatcher went on. Election now remembers that a restart is pending, and ends it with the next record of another leader.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -163,8 +163,8 @@
         self.holder = None if record.released else record
         if mine and not record.released and self.candidacy is not Candidacy.retired:
             self.confirm(record, offset)
-        elif self.tenure is not None:
-            self.tenures.unreleased = self.tenure
+        elif self.tenure is not None or self.tenures.is_restarting:
+            self.tenures.note_unreleased(self.tenure)
             self.end_tenure(record.node)
 
     def confirm(self, record: Leadership, offset: int) -> None:
@@ -176,6 +176,7 @@
     def begin_tenure(self, offset: int) -> None:
         """Become the leader."""
         self.tenure = offset
+        self.tenures.is_restarting = False
         self.earlier_leaders.superseded_at = self.clock()
         self.may_hand_over = not self.is_indirect()
         logger.info('leadership begins: tenure={}', offset)
@@ -185,6 +186,7 @@
         """Stop being the leader."""
         logger.info('leadership ends: tenure={} successor={}', self.tenure, successor)
         self.forget_tenure()
+        self.tenures.is_restarting = False
         self.notify_observers()
 
     def forget_tenure(self) -> None:
@@ -306,6 +308,7 @@
     async def restart_tenure(self) -> None:
         """Start a new tenure, whose number is above the offset of any earlier record."""
         self.forget_tenure()
+        self.tenures.is_restarting = True
         await self.write(renews=None)
 
     async def retire(self) -> None:
--- a/marigoldlift/leadership/tenures.py
+++ b/marigoldlift/leadership/tenures.py
@@ -17,6 +17,7 @@
         saw_begin: whether this entry has read the claim that began it, as one that started later has not.
         unreleased: number of a tenure of this entry that another entry has ended, until that is stored; None if there is
             none.
+        is_restarting: whether this entry has claimed a tenure in place of its present one, which has not begun yet.
     """
 
     def __init__(self) -> None:
@@ -25,6 +26,12 @@
         self.newest = NEW_TENURE
         self.saw_begin = False
         self.unreleased: int | None = None
+        self.is_restarting = False
+
+    def note_unreleased(self, tenure: int | None) -> None:
+        """Record that another entry has ended a tenure of this one; None if it had none left."""
+        if tenure is not None:
+            self.unreleased = tenure
 
     def admit(self, record: Leadership, offset: int, *, is_held: bool) -> bool:
         """Return whether a record takes effect, and note the tenure that it begins or renews.
