Clear the gauge of untracked tasks at the end of a tenure

On-call saw an alert that stayed on for as long as the process of a former leader lived. Cause: the audit of the leader alone sets `untracked_tasks`, and ends with its dispatcher. It is set to 0 then.

tests/cell/test_former_leader.py: red before, green now.

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -175,6 +175,7 @@
         """Stop the dispatcher and cancel its tasks; what it was told but has not stored is stored by this entry."""
         if self.dispatcher is not None:
             self.done_reports.add(self.dispatcher.tenure, self.dispatcher.events.unstored.tasks)
+            self.dispatcher.checks.audit.clear()
         for task in self.tenure_tasks:
             task.cancel()
         self.tenure_tasks.clear()
--- a/marigoldlift/scheduling/job_audit.py
+++ b/marigoldlift/scheduling/job_audit.py
@@ -113,10 +113,19 @@
 
     def begin_turn(self) -> None:
         """Publish the findings of the last turn, and begin the next one."""
+        self.publish()
+        self.found = dict.fromkeys(AuditFinding, 0)
+        self.turn = list(self.open_submissions.jobs.values())
+
+    def publish(self) -> None:
+        """Publish the findings."""
         for finding, count in self.found.items():
             self.metrics.set(Metric.untracked_tasks, count, finding=finding.value)
+
+    def clear(self) -> None:
+        """Publish that there is no finding, since this entry leads no more."""
         self.found = dict.fromkeys(AuditFinding, 0)
-        self.turn = list(self.open_submissions.jobs.values())
+        self.publish()
 
     def audit(self, job: JobRun) -> Iterator[UntrackedTask]:
         """Yield what is wrong with an open submission."""
