Forget the unanswered polls of workers that are polled no more

Operators saw memory that grows with each worker that is replaced under a new id. Cause: PlatformWorkers drops an id from `unanswered_polls` at the next answer alone. The session manager now tells the client when it closes a session or stops.

--- a/marigoldlift/orders/api.py
+++ b/marigoldlift/orders/api.py
@@ -129,3 +129,6 @@
             until_ms: new lease deadline on the worker's clock, None to keep the current one.
             wait_ms: how long the answer may wait for a run to end.
         """
+
+    def forget(self, worker: str) -> None:
+        """Forget what is kept of a worker, by its id, that is polled no more."""
--- a/marigoldlift/platform/workers.py
+++ b/marigoldlift/platform/workers.py
@@ -135,6 +135,10 @@
                 f'poll answer cannot be read: {fault}', may_have_run=True
             ) from fault
 
+    def forget(self, worker: str) -> None:
+        """Forget the polls of a worker that is polled no more."""
+        self.unanswered_polls.pop(worker, None)
+
     async def order(
         self, worker: Worker, verb: str, fields: Mapping[str, Any], wait_s: float
     ) -> Reply:
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -272,6 +272,7 @@
         logger.info('session closed: worker={}', name)
         self.sessions.pop(name).run_table.detach()
         self.closed_tokens[name] = session.token
+        self.calls.forget(name)
         self.dated.discard(name)
         self.tasks.pop(name).cancel()
         self.records.drop(name)
@@ -279,8 +280,9 @@
     def stop(self) -> None:
         """Stop polling all workers and cancel pending removals of records."""
         self.records.cancel()
-        for task in self.tasks.values():
+        for name, task in self.tasks.items():
             task.cancel()
+            self.calls.forget(name)
 
 
 def give_up_list(session: WorkerSession) -> None:
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -400,6 +400,9 @@
             raise WorkerUnavailableError('the answer cannot be decoded', may_have_run=True)
         return answer
 
+    def forget(self, worker: str) -> None:
+        """Forget nothing, since nothing is kept."""
+
     async def start(self, worker: Worker, token: int, order: StartOrder) -> float:
         """Start a run and return the worker's clock in ms."""
         addressed = self.workers[worker.id]
