Store the ends of earlier tenures before a stopping entry exits

Callers saw a task that was done run again, since the entry that alone knew it was stopped while the log failed. Cause: Entry.run cancels all loops as soon as the connections are drained, 3.0 to 3.5 s after SIGTERM; a leader whose token was refused has no tenure to hand over, so that its ends did not even reach DoneReports. The entry now ends its dispatcher after draining, and exits once all reports are stored, at the latest at the end of the grace time.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -178,15 +178,22 @@
             task.add_done_callback(exit_on_failure)
         gc.freeze()
         await self.stopping.wait()
-        await self.drain(callers, peers)
+        until = await self.drain(callers, peers)
+        # Also a leader whose token was refused, which has no tenure to hand over, may know of ends that are not stored.
+        self.node.stop_dispatching()
+        await self.node.done_reports.wait_until_stored(until)
         for server in servers:
             server.close()
         for ended in tasks:
             ended.cancel()
         await self.calls.close()
 
-    async def drain(self, callers: DrainingServer, peers: DrainingServer) -> None:
-        """Finish the requests of callers, then those of other entries, while the leadership is handed over."""
+    async def drain(self, callers: DrainingServer, peers: DrainingServer) -> float:
+        """Finish the requests of callers, then those of other entries, while the leadership is handed over.
+
+        Returns:
+            Time of the event loop's clock at which the process has to exit.
+        """
         logger.info('stop requested: leading={}', self.node.election.tenure is not None)
         self.front.leaving = True
         retirement = asyncio.create_task(self.retire())
@@ -194,6 +201,7 @@
         await retirement
         self.peer_server.leaving = True
         await peers.close_gracefully(until)
+        return until
 
     def follow_signals(self) -> None:
         """Stop at SIGTERM, and read the settings file again at SIGHUP."""
--- a/marigoldlift/scheduling/done_reports.py
+++ b/marigoldlift/scheduling/done_reports.py
@@ -22,6 +22,9 @@
 WAIT_S = 5
 RETRY_S = 0.2
 
+#: Pause between two checks whether all is stored, in s.
+POLL_INTERVAL_S = 0.02
+
 
 class UnstoredEnds:
     """Tasks that workers have told the leader to be done, which is not stored yet.
@@ -79,6 +82,11 @@
             while self.waiting:
                 await self.store_all()
 
+    async def wait_until_stored(self, until: float) -> None:
+        """Wait until nothing waits any more, at most until a time of the event loop's clock."""
+        while self.waiting and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     async def store_all(self) -> None:
         """Try once to store what waits."""
         records = [record for tenure in self.waiting for record in self.records_of(tenure)]
