Store the checkpoints of running tasks

Callers saw a task that saves its state start from its beginning after the loss of the leader and of its worker. Cause: checkpoints were in the leader's memory only. That also held for the end of a stopped run, which was acknowledged once a record without its checkpoint was stored. The progress of a step now holds the newest checkpoint of each task that is not done, and the leader stores new ones of running tasks every 5 s.

--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -11,6 +11,7 @@
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.stalls import Stalls
 from marigoldlift.scheduling.starter import Starter
+from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.supervision import FaultBoundary, ItemKind
 
 __all__ = ('RunChecks',)
@@ -23,6 +24,9 @@
 #: How long before a draining worker leaves its runs are stopped, in s; a stop takes up to 0.9 s.
 LEAVE_MARGIN_S = 1.3
 
+#: Time between two records of the checkpoints of running tasks, in s.
+SAVE_INTERVAL_S = 5.0
+
 
 class RunChecks:
     """Checks all runs once per round and stops those that must not continue.
@@ -46,8 +50,20 @@
         self.starter = starter
         self.clock = clock
         self.audit = JobAudit(open_submissions, session_manager, faults.metrics)
+        self.saved_at = clock()
         self.stalls = Stalls()
 
+    def store_checkpoints(self) -> None:
+        """Store the checkpoints of running tasks if that is due, so that they outlive the leader and the workers."""
+        now = self.clock()
+        if now - self.saved_at < SAVE_INTERVAL_S:
+            return
+        self.saved_at = now
+        for job in tuple(self.open_submissions.jobs.values()):
+            for step in tuple(job.running):
+                if has_unsaved(step):
+                    self.open_submissions.progress.note(job, step=step)
+
     def check_runs(self) -> None:
         """Check the runs of all workers."""
         now = self.clock()
@@ -103,3 +119,12 @@
         if run.percent >= DONE_PERCENT:
             return False
         return run.stood_still_ms() > self.stalls.allowed_s(run) * MS_PER_S
+
+
+def has_unsaved(step: StepRun) -> bool:
+    """Return whether a run of a step has listed another checkpoint than the one that is kept."""
+    for index, session in step.active.items():
+        run = session.run_table.runs.get(step.task(index))
+        if run is not None and run.checkpoint not in {'', step.checkpoint(index)}:
+            return True
+    return False
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -211,9 +211,23 @@
         failures,
         placed,
         unanswered_starts(step, tenure),
+        collect_checkpoints(step),
     )
 
 
+def collect_checkpoints(step: StepRun) -> dict[int, str]:
+    """Save the checkpoints that workers have listed of running tasks, and return those of all tasks that are not done."""
+    for index, session in step.active.items():
+        run = session.run_table.runs.get(step.task(index))
+        if run is not None and run.run == step.runs.get(index):
+            step.save(index, run.checkpoint)
+    return {
+        unfinished: text
+        for unfinished, text in step.checkpoints.items()
+        if unfinished not in step.done
+    }
+
+
 def unanswered_starts(step: StepRun, tenure: int) -> dict[int, UnansweredStart]:
     """Return the starts without an answer; none if no late copy of them has an effect.
 
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -115,7 +115,7 @@
         self.todo: set[int] = set(range(self.step.count)) - self.done
         self.active: dict[int, WorkerSession] = {}
         self.runs: dict[int, int] = {}
-        self.checkpoints: dict[int, str] = {}
+        self.checkpoints: dict[int, str] = dict(stored.saved)
         self.avoid: dict[int, dict[str, float]] = {}
         self.tickets: dict[str, Ticket | None] = {}
         self.ask_after: float = 0
--- a/marigoldlift/submissions/job.py
+++ b/marigoldlift/submissions/job.py
@@ -143,6 +143,7 @@
         failures=failures,
         placed=added.placed,
         unanswered=added.unanswered,
+        saved=added.saved,
     )
 
 
