--- a/tests/cell/replacement_faults.py
+++ b/tests/cell/replacement_faults.py
@@ -14,7 +14,17 @@
 from marigoldlift.workspaces.model import NO_WORKSPACE
 from tests.cell.model import ModelCell, ModelEntry
 
-__all__ = ('describe_step', 'inject_replacement_faults', 'set_up_domains', 'start_dead')
+__all__ = (
+    'DOMAINS',
+    'Day',
+    'describe_step',
+    'inject_replacement_faults',
+    'later',
+    'restart_in_domains',
+    'run_day',
+    'set_up_domains',
+    'start_dead',
+)
 
 ELECTION_S = 1.5
 DOMAINS = ('f', 's', 't')
@@ -316,7 +326,7 @@
             running = {task.submission for task, holders in checker.running.items() if holders}
             for name in self.cell.accepted(dict.fromkeys(self.names)):
                 is_owed = name not in self.cancelled and self.cell.is_open(name)
-                if name in running or not is_owed or self.has_ended(name):
+                if name in running or not is_owed or self.has_ended(name) or self.may_wait(name):
                     ran_at.pop(name, None)
                     continue
                 since = ran_at.setdefault(name, now)
@@ -325,6 +335,10 @@
                     ran_at[name] = now + 1000
                     self.idle.append(f'IDLE at={now:.2f} {describe_step(self.cell, name)}')
 
+    def may_wait(self, name: str) -> bool:
+        """Return whether a submission may have nothing running for as long as its turn does not come."""
+        return False
+
     def has_ended(self, name: str) -> bool:
         """Return whether all tasks of a submission have ended as done."""
         submission = self.cell.checker.submissions[name]
@@ -415,12 +429,21 @@
 
 async def inject_replacement_faults(cell: ModelCell, *, lingers: bool = False) -> None:
     """Load the cell under the faults of a day, and check that all submissions are complete after a time of calm."""
+    restart_in_domains(cell)
+    await run_day(cell, Day(cell, lingers=lingers), CALM_S)
+
+
+def restart_in_domains(cell: ModelCell) -> None:
+    """Start all entries anew, spread over the domains, with run times that are learned."""
     set_up_domains(cell)
     cell.limits = msgspec.structs.replace(cell.limits, learns_run_times=True)
     for entry in cell.entries:
         entry.kill()
         entry.start()
-    day = Day(cell, lingers=lingers)
+
+
+async def run_day(cell: ModelCell, day: Day, calm_s: float) -> None:
+    """Run the load and the faults of a day, and check that all submissions are complete within a time of calm, in s."""
     await asyncio.sleep(ELECTION_S)
     loading = cell.loop.create_task(day.load())
     await day.faults()
@@ -431,7 +454,7 @@
     ]
     assert accepted
     try:
-        await cell.wait_for_outcomes(accepted, CALM_S)
+        await cell.wait_for_outcomes(accepted, calm_s)
     except TimeoutError:
         left = [describe_step(cell, name) for name in accepted if cell.is_open(name)]
         raise AssertionError('LOST\n' + '\n'.join(left[:3])) from None
