Show a submission as running once a worker lists a run of it

Callers saw a submission as queued for as long as its only task ran, if the answer to the start was lost or the leader was cut from the log before it had stored the start. Cause: only an answered start noted that the submission had begun. A run that a status confirms in place of the answer, and one that a new leader adopts, do so now too.

--- a/marigoldlift/orders/observer.py
+++ b/marigoldlift/orders/observer.py
@@ -21,6 +21,9 @@
     def run_found(self, session: Session, held: HeldRun) -> Step | None:
         """Handle a listed run that this leader did not start; return its step if it may continue."""
 
+    def run_confirmed(self, session: Session, run: Run) -> None:
+        """Handle a run that its worker lists although its start has not been answered."""
+
     def run_vanished(self, session: Session, run: Run) -> None:
         """Handle a run that is certainly absent and will never be listed as ended."""
 
--- a/marigoldlift/orders/reports.py
+++ b/marigoldlift/orders/reports.py
@@ -116,7 +116,10 @@
         known = self.run_table.runs.get(held.task)
         if known is not None:
             if known.run == held.run:
+                is_unanswered = known.phase is Phase.sent
                 known.confirm(held, now, clock_ms)
+                if is_unanswered:
+                    self.observer.run_confirmed(self.session, known)
         elif (held.task, held.run) not in self.run_table.ended:
             self.adopt_run(held, now, clock_ms)
 
--- a/marigoldlift/orders/tests/test_ends.py
+++ b/marigoldlift/orders/tests/test_ends.py
@@ -37,6 +37,9 @@
     def handling_failed(self, kind, name, fault):
         """Ignore the fault."""
 
+    def run_confirmed(self, session, run):
+        """Ignore a run that is listed before its start is answered."""
+
     def capacity_changed(self):
         """Ignore the change."""
 
--- a/marigoldlift/orders/tests/test_session.py
+++ b/marigoldlift/orders/tests/test_session.py
@@ -30,6 +30,9 @@
     def run_vanished(self, session, run):
         self.vanished.append(run.task)
 
+    def run_confirmed(self, session, run):
+        """Ignore a run that is listed before its start is answered."""
+
     def capacity_changed(self):
         """Ignore the change."""
 
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -13,6 +13,7 @@
 from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.scheduling.done_reports import UnstoredEnds
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
+from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.run_times import LEARNING, RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager, restarted_worker
 from marigoldlift.scheduling.tasks import StepRun
@@ -180,11 +181,17 @@
             return step.step
         step.begin(index, session, held.run)
         step.save(index, held.checkpoint)
-        step.job.begun = True
+        note_begun(step.job, self.open_submissions.progress)
         if step.step.gang and step.gang_started_at is None:
             step.gang_started_at = self.clock()
         return step.step
 
+    def run_confirmed(self, session: WorkerSession, run: Run) -> None:
+        """Store that the submission of a run has started, as after an answer to its start."""
+        step = self.open_submissions.step_of_run(run.task)
+        if step is not None:
+            note_begun(step.job, self.open_submissions.progress)
+
     def open_again(self) -> None:
         """Try again to open the submissions whose opening has raised, with their runs on all workers."""
         opened = {job.id: job for job in self.open_submissions.open_again()}
@@ -211,17 +218,11 @@
         except Exception as fault:
             self.open_submissions.set_back(job.id, fault)
 
-    def note_begun(self, step: StepRun) -> None:
-        """Store that a submission has started; one whose tasks are only placed still counts as queued."""
-        if not step.job.begun:
-            step.job.begun = True
-            self.open_submissions.progress.note(step.job)
-
     def start_answered(self, step: StepRun, reason: str) -> None:
         """Count a start by its outcome, and record the waiting time of one that the worker has confirmed."""
         self.metrics.add(Metric.starts, outcome=reason)
         if reason == STARTED:
-            self.note_begun(step)
+            note_begun(step.job, self.open_submissions.progress)
             if not step.uses_tickets:
                 self.open_submissions.progress.note(step.job, step=step)
             policy = step.job.submission.policy
@@ -294,3 +295,10 @@
             if step.step.gang:
                 events.open_submissions.starter.stop_step(step)
             events.open_submissions.progress.note(step.job, step=step)
+
+
+def note_begun(job: JobRun, progress: ProgressWriter) -> None:
+    """Store that a submission has started; one whose tasks are only placed still counts as queued."""
+    if not job.begun:
+        job.begun = True
+        progress.note(job)
