Tests: an order leaves after its deadline if its connection opens during a pause (red)

Cause: since a call has eight more turns of the event loop once its deadline has passed, so that an answer that has arrived is read. A call whose connection was still opening gets them too: the loop finds the connection open, sends the request, and ends the wait after that. A leader that was paused so sends a start, a stop or a poll after its leadership has run out, and its check of that came before the pause.

Ruled out: a start that reaches the same incarnation of the worker, since its lease or its token refuses it.

Command: pytest marigoldlift/platform/tests/test_late_sends.py.

--- /dev/null
+++ b/marigoldlift/platform/tests/test_late_sends.py
@@ -0,0 +1,92 @@
+"""Requests of the HTTP client whose connection opens only after their deadline."""
+
+import asyncio
+import contextlib
+import socket
+import threading
+import time
+
+import pytest
+
+from marigoldlift.platform.calls import CallUnansweredError, HttpClient
+
+WAIT_S = 0.3
+
+#: Time in which the client begins to connect, in s.
+CONNECTING_S = 0.02
+
+#: When the server begins to take connections, and how long the event loop is held up, in s: the system asks for the connection again
+#: after 1 s.
+ACCEPTING_AT_S = 0.1
+HELD_UP_S = 1.6
+
+#: Time in which a request that was sent arrives, in s.
+ARRIVAL_S = 0.5
+
+REQUEST_BYTES = 65_536
+
+#: Connections that the server takes at most.
+CONNECTIONS = 10
+
+
+class BusyListener:
+    """Server in another thread whose queue of connections is full at first; it keeps what it receives.
+
+    Attributes:
+        received: first bytes of each request.
+    """
+
+    def __init__(self):
+        """Fill the queue."""
+        self.listener = socket.socket()
+        self.listener.bind(('127.0.0.1', 0))
+        self.listener.listen(0)
+        self.address = '{}:{}'.format(*self.listener.getsockname())
+        self.filler = socket.create_connection(self.listener.getsockname())
+        self.filler.shutdown(socket.SHUT_WR)
+        self.received = []
+        self.thread = threading.Thread(target=self.serve, daemon=True)
+
+    def serve(self):
+        """Take connections from `ACCEPTING_AT_S` on, and answer nothing."""
+        time.sleep(ACCEPTING_AT_S)
+        with contextlib.suppress(OSError):
+            for _ in range(CONNECTIONS):
+                channel, _ = self.listener.accept()
+                request = channel.recv(REQUEST_BYTES)
+                if request:
+                    self.received.append(request)
+
+    def close(self):
+        """Close the listener and the connection that filled the queue."""
+        self.listener.close()
+        self.filler.close()
+
+
+@pytest.fixture
+def busy():
+    """Return a server that begins to take connections soon."""
+    server = BusyListener()
+    server.thread.start()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+async def client():
+    """Return a client."""
+    opened = HttpClient()
+    yield opened
+    await opened.close()
+
+
+@pytest.mark.parametrize('held_up_s', [0, HELD_UP_S])
+async def test_request_is_not_sent_after_its_deadline(busy, client, held_up_s):
+    """Guards against TWICE: an order that leaves after the leadership has run out, since its connection opened during a pause."""
+    call = asyncio.create_task(client.post(f'http://{busy.address}/order', b'{}', WAIT_S))
+    await asyncio.sleep(CONNECTING_S)
+    time.sleep(held_up_s)
+    with pytest.raises(CallUnansweredError):
+        await call
+    await asyncio.sleep(ARRIVAL_S + HELD_UP_S - held_up_s)
+    assert not busy.received
