Tests: look up the caller of a connection without reading all sockets of the machine

Cause: the listeners between entries, and all routes to log and VM list, run on the test's event loop. For each new connection between entries it read /proc/net/tcp, which has a row for each socket of the machine, and so stood still. Heartbeats of these tests time out after 0.2 s (0.4 s to another domain); after two missed ones an entry closes the connection and makes a new one, which needs a lookup again. From some duration of the lookup on this sustains itself, and no entry takes the others for ready.

--- a/tests/integration/partition_support.py
+++ b/tests/integration/partition_support.py
@@ -33,6 +33,7 @@
 from standins.messages import RouteMode, RouteSettings
 from standins.route import Route
 from standins.serving import HOST
+from tests.integration.socket_inodes import inode_of
 
 __all__ = (
     'Load',
@@ -63,12 +64,6 @@
 #: Awaited again and again until it returns something true.
 Condition = Callable[[], Awaitable[Any]]
 
-#: Loopback address and columns as /proc/net/tcp has them.
-LOOPBACK_HEX = '0100007F'
-LOCAL_COLUMN = 1
-STATE_COLUMN = 3
-INODE_COLUMN = 9
-
 HTTP_OK = 200
 
 LOST_ANSWER_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
@@ -747,19 +742,6 @@
     return f'{HOST}:{kept.getsockname()[1]}'
 
 
-def inode_of(local_port: int, remote_port: int) -> str:
-    """Return the inode of the socket that is connected from a port to another, empty for none.
-
-    Connections to different servers may share a local port.
-    """
-    ends = [f'{LOOPBACK_HEX}:{port:04X}' for port in (local_port, remote_port)]
-    for line in Path('/proc/net/tcp').read_text().splitlines():
-        columns = line.split()
-        if columns[LOCAL_COLUMN:STATE_COLUMN] == ends:
-            return columns[INODE_COLUMN]
-    return ''
-
-
 def open_files(pid: int) -> set[str]:
     """Return what the open files of a process link to; those closed meanwhile are left out."""
     found = set()
--- a/tests/integration/test_partition_support.py
+++ b/tests/integration/test_partition_support.py
@@ -3,9 +3,15 @@
 import os
 import socket
 from contextlib import ExitStack
+from pathlib import Path
 
 from standins.serving import HOST
-from tests.integration.partition_support import inode_of
+from tests.integration.socket_inodes import inode_of
+
+
+#: Sockets that the machine has at least, and bytes of the row of one in /proc/net/tcp.
+SOCKETS = 200
+ROW_BYTES = 150
 
 
 def listening(stack: ExitStack) -> socket.socket:
@@ -42,8 +48,38 @@
     assert found == inodes
 
 
+def bytes_read() -> int:
+    """Return how much this process has read from files."""
+    counted = Path('/proc/self/io').read_text().split()
+    return int(counted[counted.index('rchar:') + 1])
+
+
+def test_a_closed_connection_has_no_inode():
+    """Guards against an answer about a connection that the kernel keeps for a while after its end."""
+    with ExitStack() as stack:
+        server = listening(stack)
+        client = connected(stack, server)
+        ports = (port_of(client), port_of(server))
+        accepted, _ = server.accept()
+        client.close()
+        accepted.close()
+        assert not inode_of(*ports)
+
+
+def test_lookup_does_not_read_the_list_of_all_sockets():
+    """Guards against routes that stand still during each lookup, so that a cell never becomes ready:
+    heartbeats time out, and the connections made anew need lookups too."""
+    with ExitStack() as stack:
+        server = listening(stack)
+        clients = [connected(stack, server) for _ in range(SOCKETS // 2)]
+        before = bytes_read()
+        assert inode_of(port_of(clients[-1]), port_of(server))
+        assert bytes_read() - before < SOCKETS * ROW_BYTES
+
+
 def test_a_port_without_a_connection_has_no_inode():
     """Guards against a listening socket that is taken for the caller of a connection."""
     with ExitStack() as stack:
-        server = listening(stack)
-        assert not inode_of(port_of(server), 0)
+        servers = [listening(stack) for _ in range(2)]
+        assert not inode_of(port_of(servers[0]), 0)
+        assert not inode_of(*map(port_of, servers))
