Send no request after its deadline

Possible for callers: a task that runs TWICE after a leader was paused.

Change: the further turns are granted only once the connection is there, which a trace of the client tells just before it sends.

--- a/marigoldlift/answer_deadline.py
+++ b/marigoldlift/answer_deadline.py
@@ -14,17 +14,20 @@
     """Context that raises `TimeoutError` if its body has not ended in time.
 
     A process whose event loop was held up finds the deadline passed in the same turn in which it reads the answer, however
-    early that arrived. So the body is cancelled only after the loop has read and handled what was there at the deadline.
+    early that arrived. So the body is cancelled only after the loop has read and handled what was there at the deadline, unless the
+    request has not been sent by then, so that it must not be sent any more.
 
     Attributes:
         due_at: the deadline, in seconds of the event loop's clock.
+        is_sent: whether an answer may have arrived.
     """
 
-    def __init__(self, wait_s: float) -> None:
+    def __init__(self, wait_s: float, *, is_sent: bool = True) -> None:
         """Begin nothing yet; `wait_s` is the longest wait, in s."""
         self.loop = asyncio.get_running_loop()
         self.wait_s = wait_s
         self.due_at = self.loop.time() + wait_s
+        self.is_sent = is_sent
         self.limit = asyncio.timeout(None)
         self.next_turn: asyncio.Handle | None = None
 
@@ -54,7 +57,7 @@
 
     def read_on(self, turns: int) -> None:
         """Let the event loop read for a number of further turns, then end the wait."""
-        if turns:
+        if turns and self.is_sent:
             self.next_turn = self.loop.call_soon(self.read_on, turns - 1)
         else:
             self.limit.reschedule(self.loop.time())
--- a/marigoldlift/platform/calls.py
+++ b/marigoldlift/platform/calls.py
@@ -1,6 +1,7 @@
 """HTTP client that is shared by the adapters of all services of the platform."""
 
 from collections.abc import Mapping
+from types import SimpleNamespace
 
 import aiohttp
 import msgspec
@@ -57,6 +58,7 @@
             timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
+            trace_configs=[connection_trace()],
         )
 
     async def close(self) -> None:
@@ -106,7 +108,8 @@
             total=None, sock_connect=idle_timeout_s, sock_read=idle_timeout_s
         )
         try:
-            async with AnswerDeadline(wait_s):
+            deadline = AnswerDeadline(wait_s, is_sent=False)
+            async with deadline:
                 async with self.session.request(
                     method,
                     url,
@@ -114,6 +117,7 @@
                     headers=headers,
                     timeout=limits,
                     allow_redirects=False,
+                    trace_request_ctx=deadline,
                 ) as answer:
                     return Reply(answer.status, await read_body(answer))
         except aiohttp.ClientConnectorError as refused:
@@ -122,6 +126,21 @@
             raise CallUnansweredError(f'{type(fault).__name__} {fault}', was_sent=True) from fault
 
 
+def connection_trace() -> aiohttp.TraceConfig:
+    """Return a trace that tells the deadline of a request when its connection is open, just before it is sent."""
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(note_connected)
+    trace.on_connection_reuseconn.append(note_connected)
+    return trace
+
+
+async def note_connected(
+    session: aiohttp.ClientSession, context: SimpleNamespace, connection: object
+) -> None:
+    """Record that a request is sent now."""
+    context.trace_request_ctx.is_sent = True
+
+
 async def read_body(answer: aiohttp.ClientResponse) -> bytes:
     """Return the body of an answer.
 
