Give steps their turns in the order of the last ones

Callers saw a step stand still with room while others were handed in all the time. Cause: a pass that had no time for all gave the next turns to steps that had none yet, so that a step which was tried once and found no room waited behind all that arrived later; a pass that ended at the limit of the starts in flight noted no turns at all. Turns now go round, new steps behind those that wait, and are noted after every pass that does not reach all steps.

--- a/marigoldlift/scheduling/pass_order.py
+++ b/marigoldlift/scheduling/pass_order.py
@@ -18,12 +18,13 @@
 class PassOrder:
     """Gives each step its turn although each pass ends early.
 
-    While passes have time for all steps, their order is that of the rank alone. Otherwise those with an answer of the advice come first,
-    since their tickets run out within seconds and would have to be asked for again; then those that had no turn yet.
+    While passes reach all steps, their order is that of the rank alone. Otherwise those with an answer of the advice come first, since
+    their tickets run out within seconds and would have to be asked for again; then the others in the order of their last turns, so that a
+    step that found no room at first does not wait behind all that arrive later.
 
     Attributes:
         turns_s: time for the turns of a pass, in s, unless the ranking has taken long.
-        tried: steps that had their turn since a pass last had time for all.
+        line: steps in the order of their next turns, empty while passes reach all steps; a dict to keep the order.
         answered: steps whose question to the advice has ended since their last turn.
         reserving: step that workers are reserved for in this pass.
     """
@@ -31,13 +32,13 @@
     def __init__(self) -> None:
         """Start without steps."""
         self.turns_s = TURNS_S
-        self.tried: set[StepRun] = set()
+        self.line: dict[StepRun, None] = {}
         self.answered: set[StepRun] = set()
         self.reserving: StepRun | None = None
 
     def drop_reasons(self, reasons: dict[StepRun, PendingReason]) -> None:
         """Drop the reasons of the last pass; while passes end early, each step keeps that of its last turn."""
-        if not self.tried:
+        if not self.line:
             reasons.clear()
 
     def turns(
@@ -54,12 +55,16 @@
         until = ranked_at + max(self.turns_s, (ranked_at - began_at) * TURNS_FACTOR)
         first = self.begin(ready)
         steps = list(dict.fromkeys((*first, *self.in_turn(ready))))
-        for number, step in enumerate(steps):
-            if number >= len(first) and clock() >= until:
-                self.end_early(steps[:number])
-                return
-            yield step
-        self.end()
+        tried = 0
+        try:
+            for step in steps:
+                if tried >= len(first) and clock() >= until:
+                    break
+                yield step
+                tried += 1
+        finally:
+            # The planner closes the iterator at the limit of the starts in flight.
+            self.end(steps[:tried], ready)
 
     def begin(self, ready: Sequence[StepRun]) -> Sequence[StepRun]:
         """Drop the reservation of the last pass, and return the steps that come first, whatever time there is.
@@ -71,38 +76,34 @@
             ready: the steps, the most urgent first.
         """
         waiting = frozenset(ready)
-        self.tried &= waiting
+        self.line = dict.fromkeys(step for step in self.line if step in waiting)
         self.answered &= waiting
         first = [step for step in ready if step.gang_started_at is not None]
         first.extend(ready[:FIRST_STEPS])
-        if self.tried and self.reserving is not None and self.reserving in waiting:
+        if self.line and self.reserving is not None and self.reserving in waiting:
             first.append(self.reserving)
         self.reserving = None
         return tuple(dict.fromkeys(first))
 
     def in_turn(self, ready: Iterable[StepRun]) -> Iterator[StepRun]:
-        """Yield those with an answer, then those without a turn yet, then the others; by rank alone while there is time."""
-        if not self.tried:
-            yield from ready
+        """Yield those with an answer, then those in line, then new ones; by rank alone while passes reach all steps."""
+        if self.line:
+            yield from (step for step in ready if step in self.answered)
+            yield from self.line
+        yield from ready
+
+    def end(self, tried: Sequence[StepRun], ready: Sequence[StepRun]) -> None:
+        """Note the turns of a pass.
+
+        Args:
+            tried: the steps that had a turn.
+            ready: all steps, the most urgent first.
+        """
+        if len(tried) == len(ready):
+            self.line.clear()
+            self.answered.clear()
             return
-        rest = []
-        untried = []
-        for step in ready:
-            if step in self.answered:
-                yield step
-            elif step in self.tried:
-                rest.append(step)
-            else:
-                untried.append(step)
-        yield from untried
-        yield from rest
-
-    def end_early(self, tried: Iterable[StepRun]) -> None:
-        """Note the turns of a pass that had no time for the others."""
-        self.tried.update(tried)
-        self.answered.difference_update(tried)
-
-    def end(self) -> None:
-        """Begin anew after a pass that had time for all steps."""
-        self.tried.clear()
-        self.answered.clear()
+        had_turn = frozenset(tried)
+        others = (step for step in (*self.line, *ready) if step not in had_turn)
+        self.line = dict.fromkeys((*others, *tried))
+        self.answered.difference_update(had_turn)
