Let no submission that cannot be opened end a scheduling pass

Callers saw a submission stay queued beside 20 whose steps cannot be opened because of an exception. Cause: opening further steps of a submission let its exception end the pass for all, and each such submission is looked at again every second. Each is opened by itself now; an exception is logged with its submission.

tests/cell/test_raising_submissions.py: 1 of 2 red before, 2 pass now, as do the tests of waiting steps, of the limit of open steps and of unopened submissions.

--- a/marigoldlift/scheduling/waiting_steps.py
+++ b/marigoldlift/scheduling/waiting_steps.py
@@ -5,6 +5,8 @@
 import weakref
 from collections.abc import Callable, Iterator
 
+from loguru import logger
+
 from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.scheduling.service_order import ServiceClass, service_class
 from marigoldlift.scheduling.step_queue import waiting_limit
@@ -97,8 +99,8 @@
             while times and times[0][0] <= now:
                 _, _, reference = heapq.heappop(times)
                 job = reference()
-                if job is not None and job.outcome is None:
-                    self.open_due(job)
+                if job is not None:
+                    self.open_others(job)
 
     def drop_finished(self) -> None:
         """Remove the steps that have no task to start or whose submission has ended, and open others in their place."""
@@ -106,8 +108,16 @@
         for step in finished:
             self.drop(step)
         for job in dict.fromkeys(ended.job for ended in finished):
-            if job.outcome is None:
-                self.open_due(job)
+            self.open_others(job)
+
+    def open_others(self, job: JobRun) -> None:
+        """Open further steps of a submission that has not ended; an exception is logged, and does not concern the others."""
+        if job.outcome is not None:
+            return
+        try:
+            self.open_due(job)
+        except Exception:
+            logger.exception('steps not opened: submission={}', job.id)
 
     def drop(self, step: StepRun) -> None:
         """Remove a step."""
