Bound the pause of the periodic checks, and allow for it on draining workers

Callers saw work lost with a draining worker that had reported its exit, and a lost run that waited for 12 s. Cause: the checks pause for four times their last duration, without a bound, and a pause of the process counts into that; the margin before a worker leaves has 0.4 s for the time until a check, less than the pause after checks of 0.15 s. The pause is 1 s at most now, and the margin grows by two intervals between checks.

tests/cell/test_held_up_round.py: 7 of 13 red before, 13 pass now; test_draining_workers.py passes.

--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -21,9 +21,15 @@
 #: Progress from which a run is never counted as stalled, in percent; polls report whole percents.
 DONE_PERCENT = 99
 
-#: How long before a draining worker leaves its runs are stopped, in s; a stop takes up to 0.9 s.
+#: How long before a draining worker leaves its runs are stopped, in s, besides the time until the next check; a stop takes up to 0.9 s.
 LEAVE_MARGIN_S = 1.3
 
+#: Intervals between two checks that are added to `LEAVE_MARGIN_S`: the next check comes after one, or a little later.
+LEAVE_MARGIN_CHECKS = 2
+
+#: Longest interval that is expected between two checks, in s; a longer one was a pause of the process.
+MAX_INTERVAL_S = 1.0
+
 #: Time between two records of the checkpoints of running tasks, in s.
 SAVE_INTERVAL_S = 5.0
 
@@ -33,6 +39,7 @@
 
     Attributes:
         audit: reports tasks that the leader has lost track of.
+        interval_s: expected time until the next check, in s.
     """
 
     def __init__(
@@ -50,6 +57,8 @@
         self.starter = starter
         self.clock = clock
         self.audit = JobAudit(open_submissions, session_manager, faults.metrics)
+        self.checked_at = clock()
+        self.interval_s: float = 0
         self.saved_at = clock()
         self.stalls = Stalls()
 
@@ -67,6 +76,8 @@
     def check_runs(self) -> None:
         """Check the runs of all workers."""
         now = self.clock()
+        self.interval_s = min(now - self.checked_at, MAX_INTERVAL_S)
+        self.checked_at = now
         for session in list(self.session_manager.sessions.values()):
             leaving = self.is_leaving(session, now)
             for run in list(session.run_table.runs.values()):
@@ -78,9 +89,9 @@
     def is_leaving(self, session: WorkerSession, now: float) -> bool:
         """Return whether a draining worker leaves so soon that its runs must be stopped and placed elsewhere."""
         leave_at = self.session_manager.leave_at.get(session.worker.id)
-        return (
-            leave_at is not None and not session.worker.ready and now > leave_at - LEAVE_MARGIN_S
-        )
+        if leave_at is None or session.worker.ready:
+            return False
+        return now > leave_at - LEAVE_MARGIN_S - self.interval_s * LEAVE_MARGIN_CHECKS
 
     def check_run(self, session: WorkerSession, run: Run, now: float, *, leaving: bool) -> None:
         """Stop a run if it must not continue.
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -44,8 +44,10 @@
 MIN_PASS_PAUSE_S = 0.01
 TICK_S = 0.1
 
-#: Pause after the periodic checks as a multiple of their duration, which grows with what waits and runs.
+#: Pause after the periodic checks as a multiple of their duration, which grows with what waits and runs, and longest pause, in s: a
+#: pause of the whole process counts into the duration.
 CHECKS_PAUSE_FACTOR = 4
+MAX_CHECKS_PAUSE_S = 1.0
 
 #: Pause after a pass as a multiple of its duration, so that orders and answers get their share of the CPU.
 PASS_PAUSE_FACTOR = 2
@@ -224,7 +226,8 @@
         if not self.events.may_act():
             return
         now = self.clock()
-        if now - self.checked_at >= max(TICK_S, self.round_times.checks_s * CHECKS_PAUSE_FACTOR):
+        checks_pause_s = min(self.round_times.checks_s * CHECKS_PAUSE_FACTOR, MAX_CHECKS_PAUSE_S)
+        if now - self.checked_at >= max(TICK_S, checks_pause_s):
             self.checked_at = now
             self.run_checks()
             self.round_times.checks_s = self.clock() - now
