End keeper and lease session at a cancellation that comes with their event

Seen: test_graceful_stop.py::test_stopped_entry_interrupts_nothing, exit code -9 once: an entry that was asked to stop never exited. Cause: asyncio.wait_for of Python 3.11 returns the result in place of raising if the event is set up to two turns before the cancellation, so that JobKeeper.run or LeaseSession.run went on and the entry waited for it for ever. Both use asyncio.timeout now, as the dispatcher does.

--- a/marigoldlift/jobs/keeper.py
+++ b/marigoldlift/jobs/keeper.py
@@ -138,7 +138,9 @@
         while True:
             self.place_due()
             try:
-                await asyncio.wait_for(self.wake.wait(), LOOK_INTERVAL_S)
+                # asyncio.wait_for of Python 3.11 swallows a cancellation that arrives while the event is being set.
+                async with asyncio.timeout(LOOK_INTERVAL_S):
+                    await self.wake.wait()
             except TimeoutError:
                 continue
             self.wake.clear()
--- a/marigoldlift/ownership/session.py
+++ b/marigoldlift/ownership/session.py
@@ -138,7 +138,9 @@
             pause_s = await self.step()
             self.wake.clear()
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.wake.wait(), pause_s)
+                # asyncio.wait_for of Python 3.11 swallows a cancellation that arrives while the event is being set.
+                async with asyncio.timeout(pause_s):
+                    await self.wake.wait()
 
     def resolve_doubt(self) -> None:
         """Claim anew soon: commands whose answer was lost can then no longer arrive."""
