Tests: hold the event loop up once the requests have arrived

Cause: the test held its loop up 50 ms after it began to send; on a busy machine some of the 20 requests had not left by then, so that their answers were late in fact. It now waits until the server has received all of them. What is checked is unchanged.

--- a/marigoldlift/platform/tests/test_calls.py
+++ b/marigoldlift/platform/tests/test_calls.py
@@ -13,8 +13,8 @@
 SERVING_S = 0.1
 HELD_UP_S = 0.5
 
-#: Time for the request to leave, in s.
-SENDING_S = 0.05
+#: Time between two looks for the requests, in s.
+POLL_S = 0.001
 
 
 class SlowAnswers(BaseHTTPRequestHandler):
@@ -25,6 +25,7 @@
     def do_POST(self):
         """Read the request, and answer."""
         self.rfile.read(int(self.headers['Content-Length']))
+        self.server.received.append(self.path)
         time.sleep(SERVING_S if self.path == '/soon' else 2 * HELD_UP_S)
         self.send_response(200)
         self.send_header('Content-Length', '2')
@@ -36,19 +37,34 @@
 
 
 class Server(ThreadingHTTPServer):
-    """Accepts many connections at once."""
+    """Accepts many connections at once.
+
+    Attributes:
+        received: paths of the requests that have arrived.
+    """
 
     request_queue_size = 64
 
+    def __init__(self, *details):
+        """Listen."""
+        super().__init__(*details)
+        self.received = []
+
+
+@pytest.fixture
+def server():
+    """Return a running server."""
+    running = Server(('127.0.0.1', 0), SlowAnswers)
+    threading.Thread(target=running.serve_forever, daemon=True).start()
+    yield running
+    running.shutdown()
+    running.server_close()
+
 
 @pytest.fixture
-def url():
-    """Return the address of a running server."""
-    server = Server(('127.0.0.1', 0), SlowAnswers)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
-    yield 'http://127.0.0.1:{}'.format(server.server_address[1])
-    server.shutdown()
-    server.server_close()
+def url(server):
+    """Return the address of the server."""
+    return 'http://127.0.0.1:{}'.format(server.server_address[1])
 
 
 @pytest.fixture
@@ -59,16 +75,17 @@
     await opened.close()
 
 
-async def hold_up_loop():
-    """Hold the event loop up from the time at which the request has left."""
-    await asyncio.sleep(SENDING_S)
+async def hold_up_loop(server, calls):
+    """Hold the event loop up from the time at which the requests have arrived."""
+    while len(server.received) < calls:
+        await asyncio.sleep(POLL_S)
     time.sleep(HELD_UP_S)
 
 
 @pytest.mark.parametrize('calls', [1, 20])
-async def test_answer_in_time_counts_though_it_is_read_late(url, client, calls):
+async def test_answer_in_time_counts_though_it_is_read_late(server, url, client, calls):
     """Guards against answers that count as missing because the own event loop was held up when the deadline passed."""
-    holding = asyncio.create_task(hold_up_loop())
+    holding = asyncio.create_task(hold_up_loop(server, calls))
     replies = await asyncio.gather(
         *(client.post(f'{url}/soon', b'{}', WAIT_S) for _ in range(calls))
     )
@@ -84,9 +101,9 @@
     assert WAIT_S <= time.monotonic() - began_at < WAIT_S + SERVING_S
 
 
-async def test_missing_answer_is_noticed_by_an_entry_that_was_held_up(url, client):
+async def test_missing_answer_is_noticed_by_an_entry_that_was_held_up(server, url, client):
     """Guards against a deadline that never passes once the event loop was held up."""
-    holding = asyncio.create_task(hold_up_loop())
+    holding = asyncio.create_task(hold_up_loop(server, 1))
     with pytest.raises(CallUnansweredError):
         await client.post(f'{url}/never', b'{}', WAIT_S)
     await holding
