Store an end that is read in the moment in which the tenure ends

Callers saw a task that was done run again, and the steps after it stand still. Cause: CellNode.stop_dispatching collected the ends that are not stored and cancelled the tenure's tasks, but a poll that was woken in the same round of the event loop still handled its answer; the end was added to a set that had been read already. Ends that come after the collection are reported too now.

--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterator
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -174,7 +175,8 @@
     def stop_dispatching(self) -> None:
         """Stop the dispatcher and cancel its tasks; what it was told but has not stored is stored by this entry."""
         if self.dispatcher is not None:
-            self.done_reports.add(self.dispatcher.tenure, self.dispatcher.events.unstored.tasks)
+            report = partial(self.done_reports.add, self.dispatcher.tenure)
+            self.dispatcher.events.unstored.hand_over(report)
             self.dispatcher.checks.audit.clear()
         for task in self.tenure_tasks:
             task.cancel()
--- a/marigoldlift/scheduling/done_reports.py
+++ b/marigoldlift/scheduling/done_reports.py
@@ -31,15 +31,24 @@
 
     Attributes:
         tasks: the tasks.
+        report: takes each further task once the tenure has ended, None until then.
     """
 
     def __init__(self) -> None:
         """Begin without tasks."""
         self.tasks: set[TaskRef] = set()
+        self.report: Callable[[Iterable[TaskRef]], None] | None = None
+
+    def hand_over(self, report: Callable[[Iterable[TaskRef]], None]) -> None:
+        """Report the tasks at the end of the tenure, and those of answers that are still being handled then."""
+        self.report = report
+        report(self.tasks)
 
     def track(self, task: TaskRef, stored: Callable[[], None]) -> Callable[[], None]:
         """Keep a task until it is stored, and return what to call then in place of `stored`."""
         self.tasks.add(task)
+        if self.report is not None:
+            self.report((task,))
         return partial(self.forget, task, stored)
 
     def forget(self, task: TaskRef, stored: Callable[[], None]) -> None:
