--- a/marigoldlift/platform/tests/test_late_turns.py
+++ b/marigoldlift/platform/tests/test_late_turns.py
@@ -20,15 +20,19 @@
 TURNS = 16
 
 
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+
+
 class SilentServer:
-    """Server in another thread that answers nothing.
+    """Server in another thread that answers requests until the judged one, which it leaves without an answer.
 
     Attributes:
         received_at: when requests have arrived, by the monotonic clock.
     """
 
-    def __init__(self):
-        """Listen."""
+    def __init__(self, answers):
+        """Listen, and answer a number of requests of one connection."""
+        self.answers = answers
         self.listener = socket.create_server(('127.0.0.1', 0))
         self.address = '{}:{}'.format(*self.listener.getsockname())
         self.received_at = []
@@ -36,19 +40,28 @@
         self.thread.start()
 
     def serve(self):
-        """Note when the first request arrives."""
+        """Note when the judged request arrives."""
         with contextlib.suppress(OSError):
             channel, _ = self.listener.accept()
             with channel:
+                for _ in range(self.answers):
+                    channel.recv(1000)
+                    channel.sendall(ANSWER)
                 if channel.recv(1000):
                     self.received_at.append(time.monotonic())
 
 
 @pytest.mark.parametrize('turn', range(1, TURNS))
-async def test_request_is_not_sent_in_a_turn_after_its_deadline(turn):
-    """Guards against TWICE: an order that leaves after a pause that begins while its connection is being handed out."""
-    server = SilentServer()
+@pytest.mark.parametrize('answers', [0, 1], ids=['opened', 'kept'])
+async def test_request_is_not_sent_in_a_turn_after_its_deadline(turn, answers):
+    """Guards against TWICE: an order that leaves after a pause that begins while its connection is being handed out.
+
+    The connection is opened for it, or kept from an earlier request.
+    """
+    server = SilentServer(answers)
     client = HttpClient()
+    for _ in range(answers):
+        await client.post(f'http://{server.address}/order', b'{}', WAIT_S)
     call = asyncio.create_task(client.post(f'http://{server.address}/order', b'{}', WAIT_S))
     for _ in range(turn):
         await asyncio.sleep(0)
