Refuse a late request just before its first byte

The trace now tells it just before the first byte, and refuses the request if its deadline has passed.

--- a/marigoldlift/platform/calls.py
+++ b/marigoldlift/platform/calls.py
@@ -58,7 +58,7 @@
             timeout=aiohttp.ClientTimeout(total=None),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
-            trace_configs=[connection_trace()],
+            trace_configs=[sending_trace()],
         )
 
     async def close(self) -> None:
@@ -126,19 +126,38 @@
             raise CallUnansweredError(f'{type(fault).__name__} {fault}', was_sent=True) from fault
 
 
-def connection_trace() -> aiohttp.TraceConfig:
-    """Return a trace that tells the deadline of a request when its connection is open, just before it is sent."""
+def sending_trace() -> aiohttp.TraceConfig:
+    """Return a trace that tells the deadline of a request just before the first byte of it is written."""
     trace = aiohttp.TraceConfig()
-    trace.on_connection_create_end.append(note_connected)
-    trace.on_connection_reuseconn.append(note_connected)
+    trace.on_request_headers_sent.append(note_headers)
+    trace.on_request_chunk_sent.append(note_sent)
     return trace
 
 
-async def note_connected(
-    session: aiohttp.ClientSession, context: SimpleNamespace, connection: object
+async def note_headers(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    request: aiohttp.TraceRequestHeadersSentParams,
 ) -> None:
-    """Record that a request is sent now."""
-    context.trace_request_ctx.is_sent = True
+    """Record that a request without a body is sent now; the headers of others leave with the body, in a later turn."""
+    if request.method != 'POST':
+        await note_sent(session, context, request)
+
+
+async def note_sent(
+    session: aiohttp.ClientSession, context: SimpleNamespace, request: object
+) -> None:
+    """Record that a request is sent now.
+
+    Raises:
+        TimeoutError: its deadline has passed, so that it must not be sent any more.
+    """
+    deadline = context.trace_request_ctx
+    if deadline.is_sent:
+        return
+    if deadline.loop.time() >= deadline.due_at:
+        raise TimeoutError('not sent by the deadline')
+    deadline.is_sent = True
 
 
 async def read_body(answer: aiohttp.ClientResponse) -> bytes:
