--- a/marigoldlift/scheduling/pass_order.py
+++ b/marigoldlift/scheduling/pass_order.py
@@ -86,12 +86,20 @@
         return tuple(dict.fromkeys(first))
 
     def in_turn(self, ready: Iterable[StepRun]) -> Iterator[StepRun]:
-        """Yield those with an answer, then those in line, then new ones; by rank alone while passes reach all steps."""
+        """Yield those with an answer, then new urgent ones, then those in line, then other new ones.
+
+        While passes reach all steps, their order is that of the rank alone.
+        """
         if self.line:
             yield from (step for step in ready if step in self.answered)
+            yield from self.new_urgent(ready)
             yield from self.line
         yield from ready
 
+    def new_urgent(self, ready: Iterable[StepRun]) -> Iterator[StepRun]:
+        """Yield the urgent steps that are not in line yet; they go ahead of it, once."""
+        return (step for step in ready if step.job.is_urgent and step not in self.line)
+
     def end(self, tried: Sequence[StepRun], ready: Sequence[StepRun]) -> None:
         """Note the turns of a pass.
 
@@ -104,6 +112,7 @@
             self.answered.clear()
             return
         had_turn = frozenset(tried)
-        others = (step for step in (*self.line, *ready) if step not in had_turn)
+        waiting = (*self.new_urgent(ready), *self.line, *ready)
+        others = (step for step in waiting if step not in had_turn)
         self.line = dict.fromkeys((*others, *tried))
         self.answered.difference_update(had_turn)
--- a/marigoldlift/scheduling/tests/test_pass_order.py
+++ b/marigoldlift/scheduling/tests/test_pass_order.py
@@ -18,7 +18,7 @@
 
     def __init__(self, rank):
         """Keep the rank."""
-        super().__init__(rank=rank, gang_started_at=None)
+        super().__init__(rank=rank, gang_started_at=None, job=SimpleNamespace(is_urgent=False))
 
 
 @pytest.fixture
