Release a tenure that was being restarted when another entry ended it

Without the release later leaders take orders of that tenure as possible until its last renewal has expired. Cause: the number of the tenure is forgotten at the restart. It is kept for the release now.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -307,6 +307,7 @@
 
     async def restart_tenure(self) -> None:
         """Start a new tenure, whose number is above the offset of any earlier record."""
+        self.tenures.restarted = self.tenure
         self.forget_tenure()
         self.tenures.is_restarting = True
         await self.write(renews=None)
--- a/marigoldlift/leadership/tenures.py
+++ b/marigoldlift/leadership/tenures.py
@@ -18,6 +18,7 @@
         unreleased: number of a tenure of this entry that another entry has ended, until that is stored; None if there is
             none.
         is_restarting: whether this entry has claimed a tenure in place of its present one, which has not begun yet.
+        restarted: number of that present tenure, None if there was none.
     """
 
     def __init__(self) -> None:
@@ -27,11 +28,11 @@
         self.saw_begin = False
         self.unreleased: int | None = None
         self.is_restarting = False
+        self.restarted: int | None = None
 
     def note_unreleased(self, tenure: int | None) -> None:
-        """Record that another entry has ended a tenure of this one; None if it had none left."""
-        if tenure is not None:
-            self.unreleased = tenure
+        """Record that another entry has ended a tenure of this one; None for the one that this entry was restarting."""
+        self.unreleased = self.restarted if tenure is None else tenure
 
     def admit(self, record: Leadership, offset: int, *, is_held: bool) -> bool:
         """Return whether a record takes effect, and note the tenure that it begins or renews.
