Store that a listed start is not in doubt any more

Callers saw a task wait for 13.5 s and more after the loss of the leader and of its worker: a start whose answer was lost, and which a status had confirmed since, stayed in doubt in its record unless it was the first of its submission. The progress of its step is stored as after an answer.

--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -187,10 +187,12 @@
         return step.step
 
     def run_confirmed(self, session: WorkerSession, run: Run) -> None:
-        """Store that the submission of a run has started, as after an answer to its start."""
+        """Store that a run has started, as after an answer to its start, which is not in doubt any more."""
         step = self.open_submissions.step_of_run(run.task)
         if step is not None:
             note_begun(step.job, self.open_submissions.progress)
+            if not step.uses_tickets:
+                self.open_submissions.progress.note(step.job, step=step)
 
     def open_again(self) -> None:
         """Try again to open the submissions whose opening has raised, with their runs on all workers."""
