Tests: end the threads of the servers for late requests

Cause: the servers of test_late_turns.py and test_late_sends.py leave a thread in accept if the request never comes; closing a listener does not wake it. They shut the listener down and wait for the thread now.

--- a/marigoldlift/platform/tests/test_late_sends.py
+++ b/marigoldlift/platform/tests/test_late_sends.py
@@ -53,14 +53,18 @@
         with contextlib.suppress(OSError):
             for _ in range(CONNECTIONS):
                 channel, _ = self.listener.accept()
-                request = channel.recv(REQUEST_BYTES)
+                with channel:
+                    request = channel.recv(REQUEST_BYTES)
                 if request:
                     self.received.append(request)
 
     def close(self):
-        """Close the listener and the connection that filled the queue."""
-        self.listener.close()
+        """Close the connection that filled the queue, wake the thread, wait for its end, and close the listener."""
         self.filler.close()
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.thread.join()
+        self.listener.close()
 
 
 @pytest.fixture
--- a/marigoldlift/platform/tests/test_late_turns.py
+++ b/marigoldlift/platform/tests/test_late_turns.py
@@ -52,6 +52,13 @@
                 if channel.recv(1000):
                     self.received_at.append(time.monotonic())
 
+    def close(self):
+        """Wake the thread if it still waits for a connection, and wait for its end."""
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.thread.join()
+        self.listener.close()
+
 
 @pytest.mark.parametrize('turn', range(1, TURNS))
 @pytest.mark.parametrize('answers', [0, 1], ids=['opened', 'kept'])
@@ -73,5 +80,5 @@
         await call
     await asyncio.sleep(ARRIVAL_S)
     await client.close()
-    server.listener.close()
+    server.close()
     assert all(arrived < held_until for arrived in server.received_at)
