Store the checkpoints of tasks that no worker holds only

Change: a record holds the checkpoints of tasks that are not placed; those of running tasks are at their workers, which tell the next leader. So an end that was stored and acknowledged keeps its checkpoint, and so does a run that is lost with its worker.

--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -30,9 +30,6 @@
 #: Longest interval that is expected between two checks, in s; a longer one was a pause of the process.
 MAX_INTERVAL_S = 1.0
 
-#: Time between two records of the checkpoints of running tasks, in s.
-SAVE_INTERVAL_S = 5.0
-
 
 class RunChecks:
     """Checks all runs once per round and stops those that must not continue.
@@ -59,20 +56,8 @@
         self.audit = JobAudit(open_submissions, session_manager, faults.metrics)
         self.checked_at = clock()
         self.interval_s: float = 0
-        self.saved_at = clock()
         self.stalls = Stalls()
 
-    def store_checkpoints(self) -> None:
-        """Store the checkpoints of running tasks if that is due, so that they outlive the leader and the workers."""
-        now = self.clock()
-        if now - self.saved_at < SAVE_INTERVAL_S:
-            return
-        self.saved_at = now
-        for job in tuple(self.open_submissions.jobs.values()):
-            for step in tuple(job.running):
-                if has_unsaved(step):
-                    self.open_submissions.progress.note(job, step=step)
-
     def check_runs(self) -> None:
         """Check the runs of all workers."""
         now = self.clock()
@@ -130,12 +115,3 @@
         if run.percent >= DONE_PERCENT:
             return False
         return run.stood_still_ms() > self.stalls.allowed_s(step, run) * MS_PER_S
-
-
-def has_unsaved(step: StepRun) -> bool:
-    """Return whether a run of a step has listed another checkpoint than the one that is kept."""
-    for index, session in step.active.items():
-        run = session.run_table.runs.get(step.task(index))
-        if run is not None and run.checkpoint not in {'', step.checkpoint(index)}:
-            return True
-    return False
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -242,7 +242,6 @@
             self.session_manager.check,
             self.events.open_again,
             self.checks.check_runs,
-            self.checks.store_checkpoints,
             self.planner.sample_idle,
             self.events.check_run_times,
             self.checks.audit.check_jobs,
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -225,28 +225,24 @@
         failures,
         placed,
         unanswered_starts(step, tenure),
-        collect_checkpoints(step),
+        unheld_checkpoints(step),
     )
 
 
-def collect_checkpoints(step: StepRun) -> dict[int, str]:
-    """Save the checkpoints that workers have listed of running tasks, and return those of tasks that are not done.
+def unheld_checkpoints(step: StepRun) -> dict[int, str]:
+    """Return the checkpoints of tasks that are not done and that no worker holds, so that only the leader knows them.
 
     No more are returned than fit into a record beside the placements of as many tasks as a step may have.
     """
-    for index, session in step.active.items():
-        run = session.run_table.runs.get(step.task(index))
-        if run is not None and run.run == step.runs.get(index):
-            step.save(index, run.checkpoint)
-    saved = {}
+    unheld = {}
     left_bytes = MAX_CHECKPOINTS_BYTES
-    for unfinished in step.checkpoints.keys() - step.done:
-        text = step.checkpoints[unfinished]
+    for index in step.checkpoints.keys() - step.done - step.active.keys():
+        text = step.checkpoints[index]
         left_bytes -= len(text.encode()) + CHECKPOINT_ENTRY_BYTES
         if left_bytes < 0:
             break
-        saved[unfinished] = text
-    return saved
+        unheld[index] = text
+    return unheld
 
 
 def without_checkpoints(record: Progress) -> Progress:
--- a/marigoldlift/submissions/records.py
+++ b/marigoldlift/submissions/records.py
@@ -60,7 +60,7 @@
         placed: workers on which tasks that have not ended were started, by index of the task.
         failures: numbers of the failed runs, by index of the task; those of a gang are under index 0.
         unanswered: starts of placed tasks that have no answer, by index of the task.
-        saved: newest checkpoints of the tasks that are not done, by index; that of a gang is under index 0.
+        saved: newest checkpoints of the tasks that are not done and that no worker holds, by index; that of a gang is under index 0.
     """
 
     occurrence: int
