Bound the length of the checkpoints that workers list

A checkpoint was taken from a worker's answer at any length, and becomes part of records and starts. Longer ones than 4,096 characters are left out where the rows are decoded; the run itself is kept. The protocol states no length; those seen have 16 characters.

test_workers.py::test_checkpoint_that_is_too_long_is_left_out: at the bound kept, above it left out.

--- a/marigoldlift/platform/tests/test_workers.py
+++ b/marigoldlift/platform/tests/test_workers.py
@@ -11,7 +11,7 @@
 from marigoldlift.orders.api import Worker
 from marigoldlift.platform.calls import HttpClient
 from marigoldlift.platform.wire import PollReply
-from marigoldlift.platform.workers import PlatformWorkers, parse_poll
+from marigoldlift.platform.workers import MAX_CHECKPOINT_CHARS, PlatformWorkers, parse_poll
 
 HELD = ['5c0e7a21d94b36f8.0.1.17', 2, '', 41]
 ENDED = [58, '5c0e7a21d94b36f8.0.1.9', 1, 'done', '']
@@ -46,6 +46,17 @@
     assert not poll([], page[1:]).more_ends
 
 
+@pytest.mark.parametrize('length', [MAX_CHECKPOINT_CHARS, MAX_CHECKPOINT_CHARS + 1])
+def test_checkpoint_that_is_too_long_is_left_out(length):
+    """Guards against records and starts that grow without a limit, and against a run that is lost with its checkpoint."""
+    checkpoint = 'x' * length
+    held = [*HELD[:2], checkpoint, HELD[3]]
+    ended = [*ENDED[:4], checkpoint]
+    kept = checkpoint if length <= MAX_CHECKPOINT_CHARS else ''
+    found = poll([held], [ended])
+    assert [run.checkpoint for run in (*found.running, *found.ended)] == [kept, kept]
+
+
 @pytest.fixture
 async def may_answer(server):
     """Return the event while which the server answers polls."""
--- a/marigoldlift/platform/workers.py
+++ b/marigoldlift/platform/workers.py
@@ -30,6 +30,9 @@
 #: keeps its lease. The polls between them notice early that one which was cut off is back.
 PATIENT_TIMEOUT_S = 1.0
 
+#: Longest checkpoint that is kept, in characters; it becomes part of records and of starts.
+MAX_CHECKPOINT_CHARS = 4096
+
 #: Number of leading fields of a row that are used; a further field is a rough figure of resource usage.
 HELD_FIELDS = 4
 ENDED_FIELDS = 5
@@ -211,7 +214,7 @@
     try:
         name, run, checkpoint, percent = row[:HELD_FIELDS]
         held = HeldRun(
-            parse_task_name(name), row_number(run), row_text(checkpoint), float(percent)
+            parse_task_name(name), row_number(run), row_checkpoint(checkpoint), float(percent)
         )
     except ROW_ERRORS as fault:
         logger.warning('row of a run skipped: {} {}', row, fault)
@@ -228,7 +231,7 @@
             parse_task_name(name),
             row_number(run),
             EndKind(kind),
-            row_text(checkpoint),
+            row_checkpoint(checkpoint),
         )
     except ROW_ERRORS as fault:
         logger.warning('row of an ended run skipped: {} {}', row, fault)
@@ -247,6 +250,16 @@
     return field
 
 
+def row_checkpoint(field: Any) -> str:
+    """Return a field of a row that has to be a checkpoint or missing; one that is too long is left out.
+
+    Raises:
+        ValueError: it is neither.
+    """
+    checkpoint = row_text(field)
+    return checkpoint if len(checkpoint) <= MAX_CHECKPOINT_CHARS else ''
+
+
 def row_text(field: Any) -> str:
     """Return a field of a row that has to be a text or missing.
 
