Contain steps that cannot be opened as all other exceptions

Opening further steps of a submission had a handler of its own, which logged each second and counted nothing. It uses FaultBoundary now: the exception is counted, and the submission set aside for longer each time.

--- a/marigoldlift/scheduling/tests/test_waiting_steps.py
+++ b/marigoldlift/scheduling/tests/test_waiting_steps.py
@@ -8,6 +8,8 @@
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
 from marigoldlift.submissions.records import Outcome, Progress, StepProgress
 from marigoldlift.submissions.state import Job
+from marigoldlift.supervision import FaultBoundary
+from marigoldlift.telemetry.metrics import Metrics
 
 START_MS = 1_700_000_000_000
 MS_PER_S = 1000
@@ -75,7 +77,7 @@
 
 def test_steps_are_opened_as_those_before_are_done(clocks):
     """Guards against a step that is opened before its turn, or never."""
-    waiting = WaitingSteps(clocks)
+    waiting = WaitingSteps(clocks, FaultBoundary(clocks, Metrics()))
     job = new_job([STEP, STEP, Step(count=1, after=(0, 1)), Step(count=1, after=(0,))])
     waiting.open_due(job)
     assert keys(job.steps.values()) == [(0, 0), (0, 1)]
@@ -91,7 +93,7 @@
 
 def test_others_are_opened_in_place_of_those_that_were_placed(clocks):
     """Guards against occurrences that wait for ever behind those that are open."""
-    waiting = WaitingSteps(clocks)
+    waiting = WaitingSteps(clocks, FaultBoundary(clocks, Metrics()))
     job = new_job([STEP], occurrences=MAX_WAITING * 2)
     waiting.open_due(job)
     assert len(waiting) == MAX_WAITING
@@ -105,7 +107,7 @@
 
 def test_occurrence_is_opened_when_it_is_due(clocks):
     """Guards against LOST: nobody looks for the next occurrence once its time has come."""
-    waiting = WaitingSteps(clocks)
+    waiting = WaitingSteps(clocks, FaultBoundary(clocks, Metrics()))
     job = new_job([STEP], occurrences=3, interval_s=10)
     waiting.open_due(job)
     for now, expected in ((9.9, 1), (10, 2), (19.9, 2), (25, 3)):
@@ -116,7 +118,7 @@
 
 def test_step_that_is_not_stuck_does_not_wait_for_one_that_is(clocks):
     """Guards against LOST: occurrences of one step that cannot run keep those of another from being opened."""
-    waiting = WaitingSteps(clocks)
+    waiting = WaitingSteps(clocks, FaultBoundary(clocks, Metrics()))
     job = new_job([STEP, STEP], occurrences=1000, interval_s=1)
     waiting.open_due(job)
     for now in range(1, 100):
@@ -131,7 +133,7 @@
 
 def test_occurrences_in_time_come_before_those_that_earn_nothing(clocks):
     """Guards against occurrences that all become late behind old ones that wait for room."""
-    waiting = WaitingSteps(clocks)
+    waiting = WaitingSteps(clocks, FaultBoundary(clocks, Metrics()))
     job = new_job([STEP], occurrences=MAX_WAITING * 3, interval_s=1)
     clocks.now = MAX_WAITING + 1
     waiting.open_due(job)
@@ -144,7 +146,7 @@
 
 def test_wall_clock_that_is_set_back_does_not_delay_the_second_look(clocks):
     """Guards against occurrences that become late behind old ones until the wall clock has caught up."""
-    waiting = WaitingSteps(clocks)
+    waiting = WaitingSteps(clocks, FaultBoundary(clocks, Metrics()))
     job = new_job([STEP], occurrences=MAX_WAITING * 3, interval_s=1)
     clocks.now = MAX_WAITING + 40
     waiting.open_due(job)
@@ -156,7 +158,7 @@
 
 def test_late_occurrences_are_not_dropped(clocks):
     """Guards against occurrences that were put back for others and never opened again."""
-    waiting = WaitingSteps(clocks)
+    waiting = WaitingSteps(clocks, FaultBoundary(clocks, Metrics()))
     count = MAX_WAITING * 2
     job = new_job([STEP], occurrences=count, interval_s=1)
     for now in range(count):
@@ -182,7 +184,7 @@
         [StepProgress(2, 0, 1, placed={0: 'w1'})],
         complete=b'\x07',
     )
-    waiting = WaitingSteps(clocks)
+    waiting = WaitingSteps(clocks, FaultBoundary(clocks, Metrics()))
     job = new_job(steps, occurrences=4, records=[stored])
     assert keys(job.steps.values()) == [(2, 0)]
     waiting.open_due(job)
@@ -193,7 +195,7 @@
     """Guards against TWICE: a task that is done starts again, since an older record arrived last."""
     complete = Progress(SubmissionId('job'), 2, Outcome.running, complete=b'\x01')
     older = Progress(SubmissionId('job'), 1, Outcome.running, [StepProgress(0, 0, 1)])
-    waiting = WaitingSteps(clocks)
+    waiting = WaitingSteps(clocks, FaultBoundary(clocks, Metrics()))
     job = new_job([STEP, STEP], records=[complete, older])
     waiting.open_due(job)
     assert keys(waiting) == [(0, 1)]
--- a/marigoldlift/scheduling/waiting_steps.py
+++ b/marigoldlift/scheduling/waiting_steps.py
@@ -5,12 +5,11 @@
 import weakref
 from collections.abc import Callable, Iterator
 
-from loguru import logger
-
 from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.scheduling.service_order import ServiceClass, service_class
 from marigoldlift.scheduling.step_queue import waiting_limit
 from marigoldlift.scheduling.tasks import StepRun
+from marigoldlift.supervision import FaultBoundary, ItemKind
 
 __all__ = ('WaitingSteps',)
 
@@ -31,13 +30,15 @@
             seconds of the monotonic clock, as a heap; the wall clock may be set back.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], faults: FaultBoundary) -> None:
         """Start without steps.
 
         Args:
             clock: monotonic clock in seconds.
+            faults: contains an exception to the submission whose steps could not be opened.
         """
         self.clock = clock
+        self.faults = faults
         self.steps: dict[StepRun, None] = {}
         self.due_times: list[tuple[float, int, weakref.ref[JobRun]]] = []
         self.second_looks: list[tuple[float, int, weakref.ref[JobRun]]] = []
@@ -111,13 +112,10 @@
             self.open_others(job)
 
     def open_others(self, job: JobRun) -> None:
-        """Open further steps of a submission that has not ended; an exception is logged, and does not concern the others."""
-        if job.outcome is not None:
-            return
-        try:
-            self.open_due(job)
-        except Exception:
-            logger.exception('steps not opened: submission={}', job.id)
+        """Open further steps of a submission that has not ended; an exception does not concern the others."""
+        if job.outcome is None:
+            with self.faults.contain(ItemKind.submission, job.id):
+                self.open_due(job)
 
     def drop(self, step: StepRun) -> None:
         """Remove a step."""
