Decide and store in one place: late requests, confirmed starts, turns

AnswerDeadline.note_sent decides whether a request may still be sent; the client's trace calls it. An answered start and one that a status confirms are stored by one function. The planner closes the iterator of turns itself.

--- a/marigoldlift/answer_deadline.py
+++ b/marigoldlift/answer_deadline.py
@@ -55,6 +55,16 @@
             late_s = self.loop.time() - self.due_at
             raise TimeoutError(f'wait_s={self.wait_s:.3f} noticed_late_s={late_s:.3f}') from passed
 
+    def note_sent(self) -> None:
+        """Record that the request is sent now.
+
+        Raises:
+            TimeoutError: the deadline has passed, so that it must not be sent any more.
+        """
+        if not self.is_sent and self.loop.time() >= self.due_at:
+            raise TimeoutError('not sent by the deadline')
+        self.is_sent = True
+
     def read_on(self, turns: int) -> None:
         """Let the event loop read for a number of further turns, then end the wait."""
         if turns and self.is_sent:
--- a/marigoldlift/platform/calls.py
+++ b/marigoldlift/platform/calls.py
@@ -150,14 +150,9 @@
     """Record that a request is sent now.
 
     Raises:
-        TimeoutError: its deadline has passed, so that it must not be sent any more.
+        TimeoutError: its deadline has passed.
     """
-    deadline = context.trace_request_ctx
-    if deadline.is_sent:
-        return
-    if deadline.loop.time() >= deadline.due_at:
-        raise TimeoutError('not sent by the deadline')
-    deadline.is_sent = True
+    context.trace_request_ctx.note_sent()
 
 
 async def read_body(answer: aiohttp.ClientResponse) -> bytes:
--- a/marigoldlift/platform/tests/conftest.py
+++ b/marigoldlift/platform/tests/conftest.py
@@ -4,6 +4,7 @@
 from aiohttp import web
 from loguru import logger
 
+from marigoldlift.platform.calls import HttpClient
 from marigoldlift.platform.http_calls import open_session
 
 HOST_CONNECTIONS = 8
@@ -70,3 +71,11 @@
     sink = logger.add(lines.append, format='{level} {message}', level='INFO')
     yield lines
     logger.remove(sink)
+
+
+@pytest.fixture
+async def client():
+    """Client that the adapters share."""
+    opened = HttpClient()
+    yield opened
+    await opened.close()
--- a/marigoldlift/platform/tests/test_calls.py
+++ b/marigoldlift/platform/tests/test_calls.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from marigoldlift.platform.calls import CallUnansweredError, HttpClient
+from marigoldlift.platform.calls import CallUnansweredError
 
 WAIT_S = 0.3
 SERVING_S = 0.1
@@ -52,7 +52,7 @@
 
 
 @pytest.fixture
-def server():
+def slow_server():
     """Return a running server."""
     running = Server(('127.0.0.1', 0), SlowAnswers)
     threading.Thread(target=running.serve_forever, daemon=True).start()
@@ -62,17 +62,9 @@
 
 
 @pytest.fixture
-def url(server):
+def url(slow_server):
     """Return the address of the server."""
-    return 'http://127.0.0.1:{}'.format(server.server_address[1])
-
-
-@pytest.fixture
-async def client():
-    """Return a client."""
-    opened = HttpClient()
-    yield opened
-    await opened.close()
+    return 'http://127.0.0.1:{}'.format(slow_server.server_address[1])
 
 
 async def hold_up_loop(server, calls):
@@ -83,9 +75,9 @@
 
 
 @pytest.mark.parametrize('calls', [1, 20])
-async def test_answer_in_time_counts_though_it_is_read_late(server, url, client, calls):
+async def test_answer_in_time_counts_though_it_is_read_late(slow_server, url, client, calls):
     """Guards against answers that count as missing because the own event loop was held up when the deadline passed."""
-    holding = asyncio.create_task(hold_up_loop(server, calls))
+    holding = asyncio.create_task(hold_up_loop(slow_server, calls))
     replies = await asyncio.gather(
         *(client.post(f'{url}/soon', b'{}', WAIT_S) for _ in range(calls))
     )
@@ -101,9 +93,9 @@
     assert WAIT_S <= time.monotonic() - began_at < WAIT_S + SERVING_S
 
 
-async def test_missing_answer_is_noticed_by_an_entry_that_was_held_up(server, url, client):
+async def test_missing_answer_is_noticed_by_an_entry_that_was_held_up(slow_server, url, client):
     """Guards against a deadline that never passes once the event loop was held up."""
-    holding = asyncio.create_task(hold_up_loop(server, 1))
+    holding = asyncio.create_task(hold_up_loop(slow_server, 1))
     with pytest.raises(CallUnansweredError):
         await client.post(f'{url}/never', b'{}', WAIT_S)
     await holding
--- a/marigoldlift/platform/tests/test_held_up.py
+++ b/marigoldlift/platform/tests/test_held_up.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from marigoldlift.platform.calls import CallUnansweredError, HttpClient
+from marigoldlift.platform.calls import CallUnansweredError
 
 WAIT_S = 0.2
 HELD_UP_S = 0.6
@@ -36,10 +36,9 @@
     listener.close()
 
 
-async def test_answer_that_arrives_while_the_loop_is_held_up_is_read(answering):
+async def test_answer_that_arrives_while_the_loop_is_held_up_is_read(answering, client):
     """Guards against starts in doubt, and workers taken for silent, after the leader was paused or busy for a while."""
     address, may_answer = answering
-    client = HttpClient()
 
     def hold_up():
         may_answer.set()
@@ -48,16 +47,13 @@
     asyncio.get_running_loop().call_later(WAIT_S / 2, hold_up)
     answer = await client.post(f'http://{address}/-/hold', b'{}', WAIT_S)
     assert answer.body == b'{}'
-    await client.close()
 
 
-async def test_call_without_an_answer_ends(answering):
+async def test_call_without_an_answer_ends(answering, client):
     """Guards against a call that waits on for ever after the loop was held up."""
     address, may_answer = answering
-    client = HttpClient()
     asyncio.get_running_loop().call_later(WAIT_S / 2, time.sleep, HELD_UP_S)
     async with asyncio.timeout(5):
         with pytest.raises(CallUnansweredError):
             await client.post(f'http://{address}/-/hold', b'{}', WAIT_S)
     may_answer.set()
-    await client.close()
--- a/marigoldlift/platform/tests/test_late_sends.py
+++ b/marigoldlift/platform/tests/test_late_sends.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from marigoldlift.platform.calls import CallUnansweredError, HttpClient
+from marigoldlift.platform.calls import CallUnansweredError
 
 WAIT_S = 0.3
 
@@ -76,14 +76,6 @@
     server.close()
 
 
-@pytest.fixture
-async def client():
-    """Return a client."""
-    opened = HttpClient()
-    yield opened
-    await opened.close()
-
-
 @pytest.mark.parametrize('held_up_s', [0, HELD_UP_S])
 async def test_request_is_not_sent_after_its_deadline(busy, client, held_up_s):
     """Guards against TWICE: an order that leaves after the leadership has run out, since its connection opened during a pause."""
--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -82,7 +82,8 @@
         """Stop a run if it must not continue.
 
         Runs that no open submission expects on this worker are stopped, and a stop that had no effect is sent again, but not
-        while their submission could not be opened. Otherwise only runs that the worker has confirmed are stopped: if the worker leaves, or if they are stalled.
+        while their submission could not be opened. Otherwise only runs that the worker has confirmed are stopped: if the
+        worker leaves, or if they are stalled.
         """
         if run.task.submission in self.open_submissions.unopened:
             return
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -190,9 +190,7 @@
         """Store that a run has started, as after an answer to its start, which is not in doubt any more."""
         step = self.open_submissions.step_of_run(run.task)
         if step is not None:
-            note_begun(step.job, self.open_submissions.progress)
-            if not step.uses_tickets:
-                self.open_submissions.progress.note(step.job, step=step)
+            note_started(step, self.open_submissions.progress)
 
     def open_again(self) -> None:
         """Try again to open the submissions whose opening has raised, with their runs on all workers."""
@@ -224,9 +222,7 @@
         """Count a start by its outcome, and record the waiting time of one that the worker has confirmed."""
         self.metrics.add(Metric.starts, outcome=reason)
         if reason == STARTED:
-            note_begun(step.job, self.open_submissions.progress)
-            if not step.uses_tickets:
-                self.open_submissions.progress.note(step.job, step=step)
+            note_started(step, self.open_submissions.progress)
             policy = step.job.submission.policy
             self.metrics.observe(
                 Metric.task_wait, self.clock() - step.job.since, kind=policy.queue
@@ -299,6 +295,13 @@
             events.open_submissions.progress.note(step.job, step=step)
 
 
+def note_started(step: StepRun, progress: ProgressWriter) -> None:
+    """Store that a start is not in doubt any more, and that its submission has started."""
+    note_begun(step.job, progress)
+    if not step.uses_tickets:
+        progress.note(step.job, step=step)
+
+
 def note_begun(job: JobRun, progress: ProgressWriter) -> None:
     """Store that a submission has started; one whose tasks are only placed still counts as queued."""
     if not job.begun:
--- a/marigoldlift/scheduling/pass_order.py
+++ b/marigoldlift/scheduling/pass_order.py
@@ -1,6 +1,6 @@
 """Order of the steps in scheduling passes that have no time for all of them."""
 
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Generator, Iterable, Iterator, Sequence
 
 from marigoldlift.scheduling.tasks import PendingReason, StepRun
 
@@ -19,8 +19,8 @@
     """Gives each step its turn although each pass ends early.
 
     While passes reach all steps, their order is that of the rank alone. Otherwise those with an answer of the advice come first, since
-    their tickets run out within seconds and would have to be asked for again; then the others in the order of their last turns, so that a
-    step that found no room at first does not wait behind all that arrive later.
+    their tickets run out within seconds and would have to be asked for again; then new ones of the highest priority; then the others in
+    the order of their last turns, so that a step that found no room at first does not wait behind all that arrive later.
 
     Attributes:
         turns_s: time for the turns of a pass, in s, unless the ranking has taken long.
@@ -43,8 +43,8 @@
 
     def turns(
         self, ready: Sequence[StepRun], began_at: float, clock: Callable[[], float]
-    ) -> Iterator[StepRun]:
-        """Yield the steps in the order of their turns.
+    ) -> Generator[StepRun, None, None]:
+        """Yield the steps in the order of their turns; those after the one at which it is closed had none.
 
         Args:
             ready: the steps, the most urgent first.
@@ -63,7 +63,6 @@
                 yield step
                 tried += 1
         finally:
-            # The planner closes the iterator at the limit of the starts in flight.
             self.end(steps[:tried], ready)
 
     def begin(self, ready: Sequence[StepRun]) -> Sequence[StepRun]:
--- a/marigoldlift/scheduling/planner.py
+++ b/marigoldlift/scheduling/planner.py
@@ -1,5 +1,6 @@
 """Scheduling pass: assigns free capacity to waiting steps in order of urgency."""
 
+import contextlib
 import time
 from collections.abc import Callable
 from operator import itemgetter
@@ -87,7 +88,7 @@
         self.clock = clock
         self.faults = faults
         self.gang_limit_s = gang_wait_s * GANG_START_SHARE
-        self.waiting = WaitingSteps(clock)
+        self.waiting = WaitingSteps(clock, faults)
         self.capabilities = Capabilities(session_manager.registry.workers)
         self.pools: dict[tuple[str, bool], Pool] = {}
         self.reserved: set[str] = set()
@@ -116,11 +117,12 @@
         self.caps.begin_pass(self.waiting)
         for gang in filter(self.pending.is_overdue, ready):
             self.caps.reserve(gang)
-        for candidate in self.order.turns(ready, now, self.clock):
-            if self.starter.limits.is_reached() and candidate.gang_started_at is None:
-                break
-            with self.faults.contain(ItemKind.submission, candidate.job.id):
-                self.try_step(candidate)
+        with contextlib.closing(self.order.turns(ready, now, self.clock)) as turns:
+            for candidate in turns:
+                if self.starter.limits.is_reached() and candidate.gang_started_at is None:
+                    break
+                with self.faults.contain(ItemKind.submission, candidate.job.id):
+                    self.try_step(candidate)
         self.has_passed = True
         if self.wait_report.is_due():
             self.wait_report.report(self.waiting, self.pool)
