--- a/tests/cell/actions.py
+++ b/tests/cell/actions.py
@@ -1,12 +1,27 @@
 """Changes of a cell that several tests make."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
-from tests.cell.model import ModelCell
-
-__all__ = ('FailsFirst', 'cut_off', 'hand_over', 'reconnect', 'set_task_duration')
+from marigoldlift.submissions.model import Step
+from standins.cell.workers import MemoryWorker
+from tests.cell.model import ModelCell, ModelEntry
+
+__all__ = (
+    'ELECTION_S',
+    'FailsFirst',
+    'cut_off',
+    'hand_over',
+    'kill_leader',
+    'reconnect',
+    'retire_leader',
+    'run_one_task',
+    'set_task_duration',
+)
+
+#: Time from the start of a cell within which an entry leads, in s.
+ELECTION_S = 1.5
 
 #: Time within which another entry leads once the leader hands over, in s.
 NEXT_LEADER_S = 3.0
@@ -53,3 +68,26 @@
     leader.node.election.is_indirect = lambda: True
     await asyncio.sleep(NEXT_LEADER_S)
     assert cell.leader() not in {None, leader}
+
+
+async def kill_leader(cell: ModelCell, leader: ModelEntry) -> None:
+    """Kill the leader."""
+    leader.kill()
+
+
+async def retire_leader(cell: ModelCell, leader: ModelEntry) -> None:
+    """Let the leader hand over before it is killed."""
+    await asyncio.wait((leader.gate.spawn(leader.node.election.retire()),))
+    leader.kill()
+
+
+async def run_one_task(
+    cell: ModelCell, steps: Sequence[Step], task_s: float
+) -> tuple[ModelEntry, MemoryWorker]:
+    """Hand in a submission `job` of one task, and return the leader and the worker that runs the task."""
+    await asyncio.sleep(ELECTION_S)
+    set_task_duration(cell, task_s)
+    leader = cell.leader()
+    await cell.submit(leader, 'job', steps)
+    await asyncio.sleep(1)
+    return leader, next(worker for worker in cell.workers.values() if worker.held)
--- a/tests/cell/hand_over_faults.py
+++ b/tests/cell/hand_over_faults.py
@@ -6,7 +6,6 @@
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 from marigoldlift.workspaces.model import NO_WORKSPACE
 from standins.cell.log import LogFault
-from tests.cell.concurrent_faults import disrupt_calls, fail_log, pause_entry
 from tests.cell.model import ModelCell, ModelEntry
 from tests.cell.replacement_faults import (
     DOMAINS,
@@ -209,22 +208,7 @@
         for start_s in starts_s[: self.rng.randint(0, 3)]:
             running.append(spawn(later(start_s + self.rng.uniform(0.5, 6), self.release_entry())))
         running.extend((spawn(self.change_caps()), spawn(later(16, self.replace_workers()))))
-        others = (
-            self.fail_runs,
-            self.crash_worker,
-            lambda: disrupt_calls(self.cell),
-            lambda: fail_log(self.cell),
-            lambda: pause_entry(self.cell),
-        )
-        for _ in range(self.rng.randint(0, 2)):
-            other = self.rng.choice(others)
-            running.append(spawn(later(self.rng.uniform(0, 40), other())))
-        await asyncio.sleep(8)
-        self.cell.log.drop_history()
-        await asyncio.wait(running)
-        for ended in running:
-            ended.result()
-        await start_dead(self.cell)
+        await self.end_faults(running, 2)
         self.apply_cuts()
         sampling.cancel()
 
--- a/tests/cell/replacement_faults.py
+++ b/tests/cell/replacement_faults.py
@@ -355,6 +355,10 @@
         running.append(spawn(later(self.rng.uniform(10, 16), self.kill_some())))
         running.append(spawn(later(self.rng.uniform(14, 26), self.replace_workers())))
         running.append(spawn(later(self.rng.uniform(24, 36), self.cut_leader())))
+        await self.end_faults(running, 3)
+
+    async def end_faults(self, running: list[asyncio.Task[None]], most_others: int) -> None:
+        """Inject some usual faults of other searches beside those that are running, and wait for the end of all."""
         others = (
             self.fail_runs,
             self.crash_worker,
@@ -362,9 +366,10 @@
             lambda: fail_log(self.cell),
             lambda: pause_entry(self.cell),
         )
-        for _ in range(self.rng.randint(0, 3)):
+        for _ in range(self.rng.randint(0, most_others)):
             other = self.rng.choice(others)
-            running.append(spawn(later(self.rng.uniform(0, 40), other())))
+            work = later(self.rng.uniform(0, 40), other())
+            running.append(self.cell.loop.create_task(work))
         await asyncio.sleep(8)
         self.cell.log.drop_history()
         await asyncio.wait(running)
--- a/tests/cell/test_lost_runs.py
+++ b/tests/cell/test_lost_runs.py
@@ -5,9 +5,8 @@
 import pytest
 
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
-from tests.cell.actions import set_task_duration
+from tests.cell.actions import ELECTION_S, kill_leader, retire_leader, run_one_task
 
-ELECTION_S = 1.5
 TASK_S = 60.0
 
 #: Time within which the lease of a lost worker has certainly lapsed, in s.
@@ -22,12 +21,7 @@
 
 async def lose_run(cell):
     """Lose the worker of a task for good, and wait until the leader knows that the run is lost; no other worker has room."""
-    await asyncio.sleep(ELECTION_S)
-    set_task_duration(cell, TASK_S)
-    leader = cell.leader()
-    await cell.submit(leader, 'job', JOB)
-    await asyncio.sleep(1)
-    holder = next(worker for worker in cell.workers.values() if worker.held)
+    leader, holder = await run_one_task(cell, JOB, TASK_S)
     for other in cell.workers.values():
         other.draining = True
     cell.remove_worker(holder.name)
@@ -47,17 +41,6 @@
     cell.list_workers()
 
 
-async def kill_leader(cell, leader):
-    """Kill the leader."""
-    leader.kill()
-
-
-async def retire_leader(cell, leader):
-    """Let the leader hand over before it is killed."""
-    await asyncio.wait((leader.gate.spawn(leader.node.election.retire()),))
-    leader.kill()
-
-
 async def kill_all(cell, leader):
     """Kill all entries and start them again."""
     for entry in cell.entries:
--- a/tests/cell/test_repeated_takeovers.py
+++ b/tests/cell/test_repeated_takeovers.py
@@ -5,10 +5,8 @@
 import pytest
 
 from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
-from tests.cell.actions import set_task_duration
-from tests.cell.test_lost_runs import kill_leader, retire_leader
+from tests.cell.actions import kill_leader, retire_leader, run_one_task
 
-ELECTION_S = 1.5
 TASK_S = 60.0
 
 #: Time between two changes of the leader, in s, and number of the changes after the first.
@@ -27,12 +25,7 @@
 
 async def lose_leader_and_worker(cell, change):
     """Lose the leader and the worker of a task at the same time."""
-    await asyncio.sleep(ELECTION_S)
-    set_task_duration(cell, TASK_S)
-    leader = cell.leader()
-    await cell.submit(leader, 'job', JOB)
-    await asyncio.sleep(1)
-    holder = next(worker for worker in cell.workers.values() if worker.held)
+    leader, holder = await run_one_task(cell, JOB, TASK_S)
     cell.remove_worker(holder.name)
     await change(cell, leader)
 
--- a/tests/cell/test_unanswered_polls.py
+++ b/tests/cell/test_unanswered_polls.py
@@ -41,24 +41,28 @@
         return Reply(200, msgspec.json.encode(reply))
 
 
+async def lose_worker(cell):
+    """Let all entries poll with the platform's client, remove a worker, and return the leader, which polls it in vain."""
+    for entry in cell.entries:
+        client = PlatformWorkers(WorkerChannel(entry))
+        entry.kill()
+        entry.calls = client
+        entry.start()
+    await asyncio.sleep(ELECTION_S)
+    cell.remove_worker('w0')
+    await asyncio.sleep(1)
+    return cell.leader()
+
+
 def test_polls_of_gone_workers_are_forgotten(run_scenario):
     """Guards against memory that grows with each replaced worker, as long as the process lives."""
 
     async def scenario(cell):
-        platform = {}
-        for entry in cell.entries:
-            platform[entry.name] = PlatformWorkers(WorkerChannel(entry))
-            entry.kill()
-            entry.calls = platform[entry.name]
-            entry.start()
-        await asyncio.sleep(ELECTION_S)
-        leader = cell.leader()
-        cell.remove_worker('w0')
-        await asyncio.sleep(1)
-        assert set(platform[leader.name].unanswered_polls) == {'w0'}
+        leader = await lose_worker(cell)
+        assert set(leader.calls.unanswered_polls) == {'w0'}
         await asyncio.sleep(CLOSED_S)
         assert 'w0' not in leader.node.dispatcher.session_manager.sessions
-        assert not platform[leader.name].unanswered_polls
+        assert not leader.calls.unanswered_polls
 
     run_scenario(scenario)
 
@@ -67,19 +71,10 @@
     """Guards against the same for workers that did not answer when the tenure ended: nobody polls them afterwards."""
 
     async def scenario(cell):
-        platform = {}
-        for entry in cell.entries:
-            platform[entry.name] = PlatformWorkers(WorkerChannel(entry))
-            entry.kill()
-            entry.calls = platform[entry.name]
-            entry.start()
-        await asyncio.sleep(ELECTION_S)
-        leader = cell.leader()
-        cell.remove_worker('w0')
-        await asyncio.sleep(1)
+        leader = await lose_worker(cell)
         await hand_over(cell)
         assert leader.node.dispatcher is None
         await asyncio.sleep(CLOSED_S)
-        assert not platform[leader.name].unanswered_polls
+        assert not leader.calls.unanswered_polls
 
     run_scenario(scenario)
--- a/tests/integration/socket_inodes.py
+++ b/tests/integration/socket_inodes.py
@@ -43,8 +43,8 @@
 def inode_of(local_port: int, remote_port: int) -> str:
     """Return the inode of the socket that is connected from a port to another, empty for none.
 
-    Connections to different servers may share a local port. /proc/net/tcp has the inode too, but
-    reading it took 60 to 110 ms with 7,000 sockets on the machine, during which no route delivers.
+    Connections to different servers may share a local port. The kernel is asked for the one connection
+    where it can be: no route delivers while the list of all sockets is read.
     """
     look_up = ask_kernel if kernel_answers() else read_list
     return look_up(local_port, remote_port)
