Log why a placed start is withdrawn, and in which state a run is lost

'start withdrawn' and 'start not delivered' name task, run, worker and reason, 'run lost' the state of the order, and 'start sent' (level debug) each order. No decision is changed.

--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -231,7 +231,12 @@
     def run_vanished(self, session: WorkerSession, run: Run) -> None:
         """Requeue the task of a run that certainly no longer exists; losing a started member breaks its gang."""
         logger.info(
-            'run lost: task={} run={} worker={}', run.task.name, run.run, session.worker.id
+            'run lost: task={} run={} worker={} ordered={} phase={}',
+            run.task.name,
+            run.run,
+            session.worker.id,
+            run.ordered.value,
+            run.phase.value,
         )
         step = self.open_submissions.step_of(run.task)
         if step is None:
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Coroutine
 from contextlib import ExitStack
+from enum import Enum
 from typing import Protocol
 
 from loguru import logger
@@ -27,6 +28,30 @@
 STOP_RETRY_S = 0.5
 
 
+class Withdrawal(Enum):
+    """Why a start is not sent although its task was placed.
+
+    Attributes:
+        not_stored: its placement cannot be stored.
+        closed: its submission has an outcome.
+        gang_broken: a member of its gang has ended.
+        not_leading: this tenure may not send orders now.
+        replaced: the task is not placed there any more, or a stop was requested.
+        silent: the worker has not answered recently.
+        cap: the cap of its workspace does not admit it any more.
+        ticket: its ticket has expired.
+    """
+
+    not_stored = 'not_stored'
+    closed = 'closed'
+    gang_broken = 'gang_broken'
+    not_leading = 'not_leading'
+    replaced = 'replaced'
+    silent = 'silent'
+    cap = 'cap'
+    ticket = 'ticket'
+
+
 class TenureEvents(Protocol):
     """Callbacks of the starter to the tenure."""
 
@@ -147,10 +172,26 @@
         The placement is stored first, so that a later leader knows where the task may be running.
         """
         is_stored = await self.progress.store_now(step)
-        if not is_stored or not self.is_start_valid(step, session, ordered):
+        withdrawal = (
+            self.withdrawal(step, session, ordered) if is_stored else Withdrawal.not_stored
+        )
+        if withdrawal is not None:
+            logger.info(
+                'start withdrawn: task={} run={} worker={} reason={}',
+                ordered.task.name,
+                ordered.run,
+                session.worker.id,
+                withdrawal.value,
+            )
             session.drop(ordered)
             self.requeue_task(step, ordered.task.index, session)
             return
+        logger.debug(
+            'start sent: task={} run={} worker={}',
+            ordered.task.name,
+            ordered.run,
+            session.worker.id,
+        )
         granted = step.tickets.get(session.worker.id)
         ticket = granted.ticket if granted else ''
         content = step.job.submission.content
@@ -170,21 +211,37 @@
         else:
             self.events.start_answered(step, outcome_of(ordered, runs=runs))
             if not runs:
+                logger.info(
+                    'start not delivered: task={} run={} worker={}',
+                    ordered.task.name,
+                    ordered.run,
+                    session.worker.id,
+                )
                 session.full_until = self.clock() + FULL_PAUSE_S
         if not runs:
             self.requeue_task(step, ordered.task.index, session)
 
-    def is_start_valid(self, step: StepRun, session: WorkerSession, ordered: Run) -> bool:
-        """Return whether a start is still valid once its placement is stored, which takes a while."""
-        if step.job.outcome is not None or step.gang_broken or not self.events.may_act():
-            return False
+    def withdrawal(self, step: StepRun, session: WorkerSession, ordered: Run) -> Withdrawal | None:
+        """Return why a start must not be sent any more once its placement is stored, None if it may be sent."""
+        if step.job.outcome is not None:
+            return Withdrawal.closed
+        if step.gang_broken:
+            return Withdrawal.gang_broken
+        if not self.events.may_act():
+            return Withdrawal.not_leading
         if step.active.get(ordered.task.index) is not session or ordered.phase is not Phase.sent:
-            return False
-        if not (session.is_heard() and self.events.still_admits(step)):
-            return False
-        return step.job.submission.policy.advice is None or step.holds_ticket(
-            session.worker.id, self.clock()
-        )
+            return Withdrawal.replaced
+        if not session.is_heard():
+            return Withdrawal.silent
+        return self.missing_permission(step, session)
+
+    def missing_permission(self, step: StepRun, session: WorkerSession) -> Withdrawal | None:
+        """Return what does not permit a start at a worker any more: the cap, or the placement advice; None if both do."""
+        if not self.events.still_admits(step):
+            return Withdrawal.cap
+        if not step.uses_tickets or step.holds_ticket(session.worker.id, self.clock()):
+            return None
+        return Withdrawal.ticket
 
     def handle_refusal(self, step: StepRun, session: WorkerSession, reason: str) -> None:
         """Update tickets, pauses, gang state or health according to the reason of a refusal."""
