Keep the placement of each task as an object with session and run number

StepRun.active named only the session with the worker, and the run number stood beside it. A Placement names both and is compared by identity: a gang is placed again under the number of its run.

--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -88,11 +88,9 @@
         if run.task.submission in self.open_submissions.unopened:
             return
         step = self.open_submissions.step_of(run.task)
-        if (
-            step is None
-            or run.phase is Phase.stopping
-            or step.active.get(run.task.index) is not session
-        ):
+        placement = step.active.get(run.task.index) if step else None
+        is_placed = placement is not None and placement.session is session
+        if step is None or run.phase is Phase.stopping or not is_placed:
             self.starter.request_stop(session, run.task)
             return
         if run.phase is not Phase.held:
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -121,7 +121,7 @@
         run does not requeue its task. Requeuing a member of a gang breaks the gang.
         """
         index = ended.task.index
-        is_current = step.active.get(index) is session and step.runs.get(index) == ended.run
+        is_current = step.active.of_run(session, index, ended.run) is not None
         is_long_running = step.step.long_running
         if ended.kind is EndKind.done and not is_long_running:
             self.finish(step, index, session)
@@ -152,8 +152,8 @@
             session: session with the worker that has listed the end, None if an earlier leader was told of it.
         """
         other = step.active.get(index)
-        if other is not None and other is not session:
-            self.open_submissions.starter.stop(other, step.task(index))
+        if other is not None and other.session is not session:
+            self.open_submissions.starter.stop(other.session, step.task(index))
         step.finish(index)
         if session is not None:
             step.settle_place(index, session.worker.id)
@@ -242,7 +242,8 @@
         if step is None:
             return
         started = run.phase in {Phase.held, Phase.stopping}
-        if step.step.gang and started and step.active.get(run.task.index) is session:
+        placement = step.active.get(run.task.index)
+        if step.step.gang and started and placement is not None and placement.session is session:
             step.gang_broken = True
         step.save(run.task.index, run.checkpoint)
         self.open_submissions.starter.requeue_task(step, run.task.index, session)
@@ -258,8 +259,11 @@
     def run_moved(self, session: WorkerSession, successor: WorkerSession, run: Run) -> None:
         """Move a run whose start has an unknown outcome to the session of the worker's next incarnation."""
         step = self.open_submissions.step_of(run.task)
-        if step is not None and step.active.get(run.task.index) is session:
-            step.active[run.task.index] = successor
+        if step is None:
+            return
+        placement = step.active.get(run.task.index)
+        if placement is not None and placement.session is session:
+            step.active.put(run.task.index, successor, placement.run)
 
     def worker_restarted(self, session: WorkerSession, born_ms: int) -> None:
         """Open a new session with a worker that has reported a restart."""
--- a/marigoldlift/scheduling/job_audit.py
+++ b/marigoldlift/scheduling/job_audit.py
@@ -11,6 +11,7 @@
 
 from marigoldlift.scheduling.job_run import JobRun
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
+from marigoldlift.scheduling.placements import Placement
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.tasks import StepRun
 from marigoldlift.telemetry.metric_table import Metric
@@ -144,20 +145,20 @@
         """Yield what is wrong with the tasks of an open step."""
         if step.todo and step not in self.open_submissions.planner.waiting.steps:
             yield UntrackedTask(step.name, AuditFinding.not_queued, f'todo={len(step.todo)}')
-        for index in step.active:
-            finding = self.audit_placed(step, index)
+        for placement in step.active.values():
+            finding = self.audit_placed(step, placement)
             if finding is not None:
                 yield finding
 
-    def audit_placed(self, step: StepRun, index: int) -> UntrackedTask | None:
+    def audit_placed(self, step: StepRun, placement: Placement) -> UntrackedTask | None:
         """Return what is wrong with a task that counts as placed, None if its worker holds it."""
-        session = step.active[index]
-        task = step.task(index)
+        session = placement.session
+        task = step.task(placement.index)
         run = session.run_table.runs.get(task)
         worker = session.worker.id
         is_in_use = self.session_manager.sessions.get(worker) is session
         if run is None or not is_in_use:
-            detail = f'worker={worker} run={step.runs.get(index)} session_in_use={is_in_use}'
+            detail = f'worker={worker} run={placement.run} session_in_use={is_in_use}'
             return UntrackedTask(task.name, AuditFinding.no_run, detail)
         now = self.clock()
         if now - run.since < UNCONFIRMED_S:
--- a/marigoldlift/scheduling/progress.py
+++ b/marigoldlift/scheduling/progress.py
@@ -216,7 +216,7 @@
     """
     failures = {index: sorted(runs) for index, runs in step.failures.items()}
     placed = {index: place.worker for index, place in step.old_places.items()}
-    placed |= {index: session.worker.id for index, session in step.active.items()}
+    placed |= {index: placement.session.worker.id for index, placement in step.active.items()}
     return StepProgress(
         step.occurrence,
         step.number,
@@ -263,7 +263,8 @@
     starts = {
         index: place.start for index, place in step.old_places.items() if place.start is not None
     }
-    for index, session in step.active.items():
+    for index, placement in step.active.items():
+        session = placement.session
         run = session.run_table.runs.get(step.task(index))
         if run is not None and (run.unanswered or run.may_start_later(session.now())):
             ordered_in = tenure if run.tenure is None else run.tenure
--- a/marigoldlift/scheduling/run_times.py
+++ b/marigoldlift/scheduling/run_times.py
@@ -90,7 +90,7 @@
         """Return the worker of a run, or of the slowest member of a gang, which the others wait for."""
         if not step.step.gang:
             return session.worker
-        members = {other.worker.id: other.worker for other in step.active.values()}
+        members = {other.session.worker.id: other.session.worker for other in step.active.values()}
         return max((session.worker, *members.values()), key=self.times.slowness)
 
     def restore(self, summary: RunTimesSummary | None) -> None:
@@ -156,7 +156,9 @@
     if not step.step.same_rack:
         return True
     racks = set(session.worker.labels[1:])
-    return all(racks.intersection(other.worker.labels[1:]) for other in step.active.values())
+    return all(
+        racks.intersection(other.session.worker.labels[1:]) for other in step.active.values()
+    )
 
 
 def work_began_at(step: StepRun, known: Run) -> float:
@@ -165,7 +167,7 @@
     if not step.step.gang:
         return own
     members = [
-        session.run_table.runs.get(step.task(index)) for index, session in step.active.items()
+        other.session.run_table.runs.get(step.task(other.index)) for other in step.active.values()
     ]
     present = (run.measured for run in members if run is not None)
     return max((measured.since for measured in present if measured is not None), default=own)
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -134,7 +134,8 @@
         """Send the start of a run again, unless its worker gets no more tasks of the step."""
         service = step.job.submission.policy.service
         usable = self.session_manager.usable(service, include_quarantined=True)
-        is_placed = step.active.get(ordered.task.index) is session
+        placement = step.active.get(ordered.task.index)
+        is_placed = placement is not None and placement.session is session
         if not is_placed or session not in usable or session.run_table.is_overfull():
             return
         if step.may_use(session.worker) and self.limits.accepts(session):
@@ -229,7 +230,12 @@
             return Withdrawal.gang_broken
         if not self.events.may_act():
             return Withdrawal.not_leading
-        if step.active.get(ordered.task.index) is not session or ordered.phase is not Phase.sent:
+        placement = step.active.get(ordered.task.index)
+        if (
+            placement is None
+            or placement.session is not session
+            or ordered.phase is not Phase.sent
+        ):
             return Withdrawal.replaced
         if not session.is_heard():
             return Withdrawal.silent
@@ -256,7 +262,8 @@
 
     def requeue_task(self, step: StepRun, index: int, session: WorkerSession) -> None:
         """Queue a task again, unless it has been placed elsewhere in the meantime."""
-        if step.active.get(index) is session:
+        placement = step.active.get(index)
+        if placement is not None and placement.session is session:
             step.requeue(index)
             self.events.step_requeued(step)
 
@@ -268,8 +275,8 @@
 
     def stop_step(self, step: StepRun) -> None:
         """Request a stop of all runs of a step."""
-        for index, session in list(step.active.items()):
-            self.request_stop(session, step.task(index))
+        for placement in list(step.active.values()):
+            self.request_stop(placement.session, step.task(placement.index))
 
     def request_stop(self, session: WorkerSession, task: TaskRef) -> None:
         """Stop a run, unless a stop was sent within the retry pause."""
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -9,6 +9,7 @@
 
 from marigoldlift.orders.api import Worker
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.placements import Placement, Placements
 from marigoldlift.submissions.model import Step, TaskRef
 from marigoldlift.submissions.records import StepProgress, UnansweredStart
 
@@ -84,7 +85,7 @@
         done: indices of the tasks that are done.
         failures: run numbers that have failed, by index.
         todo: indices of the tasks that wait to be started.
-        active: sessions with the workers on which tasks occupy capacity, by index.
+        active: present placements of the tasks that occupy capacity, by index.
         runs: run number of the newest start, by index.
         checkpoints: newest saved state, by index.
         last_run: highest run number of any task.
@@ -113,7 +114,7 @@
         self.last_run = stored.last_run
         self.first_run = stored.last_run
         self.todo: set[int] = set(range(self.step.count)) - self.done
-        self.active: dict[int, WorkerSession] = {}
+        self.active = Placements()
         self.runs: dict[int, int] = {}
         self.checkpoints: dict[int, str] = dict(stored.saved)
         self.avoid: dict[int, dict[str, float]] = {}
@@ -198,14 +199,14 @@
         if checkpoint:
             self.checkpoints[GANG_INDEX if self.step.gang else index] = checkpoint
 
-    def begin(self, index: int, session: WorkerSession, run: int) -> None:
-        """Mark a task as placed on a worker."""
+    def begin(self, index: int, session: WorkerSession, run: int) -> Placement:
+        """Mark a task as placed on a worker, and return the placement."""
         self.todo.discard(index)
         self.old_places.pop(index, None)
-        self.active[index] = session
         self.job.running[self] = None
         self.runs[index] = run
         self.last_run = max(self.last_run, run)
+        return self.active.put(index, session, run)
 
     def requeue(self, index: int) -> None:
         """Mark a task as waiting again, unless it is done."""
--- a/marigoldlift/scheduling/trial_parts.py
+++ b/marigoldlift/scheduling/trial_parts.py
@@ -8,6 +8,7 @@
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.runtimes.api import ExpectedTimes, Factors, WorkKey
 from marigoldlift.runtimes.quantiles import RatioDistribution
+from marigoldlift.scheduling.placements import Placements
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.start_limits import StartLimits
 from marigoldlift.scheduling.starter import Starter
@@ -145,7 +146,7 @@
     copied = copy.copy(step)
     copied.job = job
     for name, field in step.__dict__.items():
-        if isinstance(field, dict | set):
+        if isinstance(field, dict | set | Placements):
             setattr(copied, name, copy.copy(field))
     return copied
 
--- a/tests/cell/replacement_faults.py
+++ b/tests/cell/replacement_faults.py
@@ -416,15 +416,15 @@
     for key, step in job.steps.items():
         lines.append(
             f' step={key} todo={sorted(step.todo)} done={len(step.done)} waiting={step in dispatcher.planner.waiting.steps}'
-            f' active={ {at: session.worker.id for at, session in step.active.items()} }'
+            f' active={ {at: place.session.worker.id for at, place in step.active.items()} }'
             f' old={step.old_places} ask_after={step.ask_after}'
             f' tickets={ {worker: ticket is not None for worker, ticket in step.tickets.items()} }'
             f' gang={step.step.gang} {step.gang_started_at} {step.gang_broken}'
             f' reason={dispatcher.planner.pending.reasons.get(step)}'
             f' held={[at for at in step.todo if dispatcher.starter.is_held(step.task(at))]}'
         )
-        for at, session in step.active.items():
-            run = session.run_table.runs.get(step.task(at))
+        for at, place in step.active.items():
+            run = place.session.run_table.runs.get(step.task(at))
             lines.append(
                 f'  run of {at}: {run and {slot: getattr(run, slot) for slot in run.__slots__}}'
             )
--- a/tests/cell/standstill.py
+++ b/tests/cell/standstill.py
@@ -243,21 +243,21 @@
         step = self.step_of(task)
         if step is None:
             return ''
-        session = step.active.get(task.index)
-        if session is not None:
-            return session.worker.id
+        placement = step.active.get(task.index)
+        if placement is not None:
+            return placement.session.worker.id
         old_place = step.old_places.get(task.index)
         return old_place.worker if old_place else ''
 
     def leader_view(self, task: TaskRef) -> str:
         """Describe the leader's state of a task for a violation."""
         step = self.step_of(task)
-        session = step.active.get(task.index) if step else None
-        run = session.run_table.runs.get(task) if session else None
+        placement = step.active.get(task.index) if step else None
+        run = placement.session.run_table.runs.get(task) if placement else None
         run_state = (
             f'{run.phase} unanswered={run.unanswered} fence={run.fence}' if run else 'no run'
         )
-        return f'place={self.place_of(task)} active={session is not None} {run_state}'
+        return f'place={self.place_of(task)} active={placement is not None} {run_state}'
 
     def check_free_capacity(self) -> None:
         """Check that the free capacity of each session is that of its worker less that of its runs."""
--- a/tests/cell/test_job_audit.py
+++ b/tests/cell/test_job_audit.py
@@ -17,7 +17,7 @@
 def replace_session(cell, step):
     """Let another session take the place of the one with the worker of a task."""
     manager = leading_dispatcher(cell).session_manager
-    session = step.active[0]
+    session = step.active[0].session
     manager.sessions[session.worker.id] = manager.new_session(session.worker, 0)
 
 
@@ -35,7 +35,7 @@
 
 def keep_lost_run(cell, step):
     """Cut off the worker of a task, whose lease never lapses."""
-    session = step.active[0]
+    session = step.active[0].session
     session.is_lost = bool
     cut_off(cell, session.worker.id)
 
--- a/tests/cell/test_placement.py
+++ b/tests/cell/test_placement.py
@@ -57,7 +57,7 @@
         steps = [step for step in planner.waiting if step.job.id == name]
         run_pass()
         for step in [] if seen else steps:
-            active = Counter(session.worker.id for session in step.active.values())
+            active = Counter(place.session.worker.id for place in step.active.values())
             reason = planner.pending.reasons.get(step)
             seen[step.number] = (active, reason)
 
@@ -119,7 +119,7 @@
                 assert not answer.to_ask
                 continue
             started = step.active.items() - before.get(step, {}).items()
-            places = Counter(session.worker.id for _, session in started)
+            places = Counter(place.session.worker.id for _, place in started)
             assert explained_places(answer) == places, answer
             assert bool(answer.to_ask) == (step.is_asking and step not in asking), answer
             reason = planner.pending.reasons.get(step)
--- a/tests/cell/test_slow_placements.py
+++ b/tests/cell/test_slow_placements.py
@@ -29,7 +29,7 @@
         await cell.submit(cell.leader(), 'job', (Step(count=1, cpu_m=1000),))
         await asyncio.sleep(0.1)
         job = cell.leader().node.dispatcher.open_submissions.jobs['job']
-        cut_off(cell, job.steps[0, 0].active[0].worker.id)
+        cut_off(cell, job.steps[0, 0].active[0].session.worker.id)
         await cell.wait_for_outcomes(['job'], STORING_S + 2)
 
     run_scenario(scenario, workers=2)
