Send a start only for the present placement of its task

Cause: a start waits until its placement is stored. Meanwhile the run may be given up and the task placed again. The check before the order compared the worker alone, so that the order of the given-up run passed it when the task was placed at the same worker again, and both starts were sent.

Evidence: in the model cell, 'run lost: run=1 ordered=unsent', 'step placed: run=2', then 'start sent' for run 1 and run 2. Ruled out there: a start under way when it was given up (ordered=unsent), a refusal or a doubt (no such line), a second tenure (one 'leadership begins'), a restart of the worker.

--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -11,6 +11,7 @@
 from marigoldlift.errors import WorkerRefusedError
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
+from marigoldlift.scheduling.placements import Placement
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.session_manager import SessionManager
 from marigoldlift.scheduling.start_limits import StartLimits
@@ -115,8 +116,8 @@
         ordered = Run(ref, run, step.step, Phase.sent, self.clock())
         ordered.checkpoint = step.checkpoint(index)
         session.run_table.take(ordered)
-        step.begin(index, session, run)
-        self.spawn(self.send(step, session, ordered, self.limits.begin(session)))
+        placement = step.begin(index, session, run)
+        self.spawn(self.send(step, placement, ordered, self.limits.begin(session)))
         return True
 
     def log_placed(self, step: StepRun) -> None:
@@ -135,15 +136,16 @@
         service = step.job.submission.policy.service
         usable = self.session_manager.usable(service, include_quarantined=True)
         placement = step.active.get(ordered.task.index)
-        is_placed = placement is not None and placement.session is session
-        if not is_placed or session not in usable or session.run_table.is_overfull():
+        if placement is None or placement.session is not session:
+            return
+        if session not in usable or session.run_table.is_overfull():
             return
         if step.may_use(session.worker) and self.limits.accepts(session):
             ordered.repeat()
-            self.spawn(self.send(step, session, ordered, self.limits.begin(session)))
+            self.spawn(self.send(step, placement, ordered, self.limits.begin(session)))
 
     async def send(
-        self, step: StepRun, session: WorkerSession, ordered: Run, counted: ExitStack
+        self, step: StepRun, placement: Placement, ordered: Run, counted: ExitStack
     ) -> None:
         """Send a start order and handle unexpected exceptions.
 
@@ -151,13 +153,14 @@
 
         Args:
             step: step of the task.
-            session: session with the worker.
+            placement: placement of the task that the order belongs to.
             ordered: the run to start.
             counted: counts the start as one in flight.
         """
+        session = placement.session
         try:
             with counted:
-                await self.order(step, session, ordered)
+                await self.order(step, placement, ordered)
         except (Exception, asyncio.CancelledError) as fault:
             if is_ending():
                 raise
@@ -167,14 +170,15 @@
             else:
                 self.requeue_task(step, ordered.task.index, session)
 
-    async def order(self, step: StepRun, session: WorkerSession, ordered: Run) -> None:
+    async def order(self, step: StepRun, placement: Placement, ordered: Run) -> None:
         """Store where the task will run, then order its start; requeue the task if it certainly does not run.
 
         The placement is stored first, so that a later leader knows where the task may be running.
         """
+        session = placement.session
         is_stored = await self.progress.store_now(step)
         withdrawal = (
-            self.withdrawal(step, session, ordered) if is_stored else Withdrawal.not_stored
+            self.withdrawal(step, placement, ordered) if is_stored else Withdrawal.not_stored
         )
         if withdrawal is not None:
             logger.info(
@@ -222,20 +226,16 @@
         if not runs:
             self.requeue_task(step, ordered.task.index, session)
 
-    def withdrawal(self, step: StepRun, session: WorkerSession, ordered: Run) -> Withdrawal | None:
+    def withdrawal(self, step: StepRun, placement: Placement, ordered: Run) -> Withdrawal | None:
         """Return why a start must not be sent any more once its placement is stored, None if it may be sent."""
+        session = placement.session
         if step.job.outcome is not None:
             return Withdrawal.closed
         if step.gang_broken:
             return Withdrawal.gang_broken
         if not self.events.may_act():
             return Withdrawal.not_leading
-        placement = step.active.get(ordered.task.index)
-        if (
-            placement is None
-            or placement.session is not session
-            or ordered.phase is not Phase.sent
-        ):
+        if not is_current(step, placement, ordered) or ordered.phase is not Phase.sent:
             return Withdrawal.replaced
         if not session.is_heard():
             return Withdrawal.silent
@@ -287,6 +287,12 @@
             self.stop(session, task)
 
 
+def is_current(step: StepRun, placement: Placement, ordered: Run) -> bool:
+    """Return whether an order is still that of the present placement of its task, and its run was not given up."""
+    held = placement.session.run_table.runs.get(ordered.task)
+    return held is ordered and step.active.is_present(placement)
+
+
 def outcome_of(ordered: Run, *, runs: bool) -> str:
     """Return the label under which a start that was not refused is counted in the metrics."""
     if not runs:
--- /dev/null
+++ b/tests/cell/test_lapsed_lease.py
@@ -0,0 +1,80 @@
+"""Tasks that are placed at workers that answer again after their lease has lapsed."""
+
+import asyncio
+
+import pytest
+
+from marigoldlift.submissions.model import AdvicePolicy, Step
+from standins.cell.log import LogFault
+from tests.cell.actions import ELECTION_S, cut_off, reconnect, set_task_duration
+
+#: How long the workers do not answer, in s: longer than a lease.
+CUT_S = 6.5
+
+#: How long after that the log does not answer either, in s. The leader may renew no lease until then, and its next polls, which
+#: wait for an end, are on their way without one.
+LOG_DELAY_S = 0.5
+
+TASK_S = 1.0
+SETTLED_S = 6.0
+RETRY_S = 0.02
+ADVICE = AdvicePolicy(10, 0.15, 2000)
+STEPS = (Step(count=4, cpu_m=1000),)
+
+
+def keep_storing(leader, delay_s):
+    """Let the record of each placement be stored after a delay."""
+    progress = leader.node.dispatcher.progress
+    store = progress.store_now
+
+    async def store_slowly(step):
+        is_stored = await store(step)
+        await asyncio.sleep(delay_s)
+        return is_stored
+
+    progress.store_now = store_slowly
+
+
+async def lose_contact(cell):
+    """Let neither the workers nor the log answer for longer than a lease, then first the workers, then the log."""
+    for worker in cell.workers:
+        cut_off(cell, worker)
+    for entry in cell.entries:
+        entry.log.fault = LogFault.silent
+    await asyncio.sleep(CUT_S)
+    reconnect(cell)
+    await asyncio.sleep(LOG_DELAY_S)
+    for healed in cell.entries:
+        healed.log.fault = None
+
+
+async def submit_until_accepted(cell, entry, name, advice):
+    """Hand in a submission again and again until it is accepted."""
+    while True:
+        answer = await cell.submit(entry, name, STEPS, advice=advice)
+        if name in cell.accepted([name]):
+            return answer
+        await asyncio.sleep(RETRY_S)
+
+
+@pytest.mark.parametrize('advice', [None, ADVICE])
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('delay_s', [0.03, 0.1, 0.3])
+def test_task_placed_after_an_outage_runs_once(run_scenario, delay_s, seed, advice):
+    """Guards against TWICE and LIMIT: the start of a run that was given up is sent beside that of the next run."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, TASK_S)
+        cell.advice.policy = ADVICE
+        leader = cell.leader()
+        keep_storing(leader, delay_s)
+        await lose_contact(cell)
+        names = [f'job{number}' for number in range(5)]
+        await asyncio.gather(
+            *(submit_until_accepted(cell, leader, name, advice) for name in names)
+        )
+        await cell.wait_for_outcomes(names, SETTLED_S)
+        assert cell.leader() is leader
+
+    run_scenario(scenario, seed=seed)
