Queue a task again only by its present placement

Callers saw work thrown away and late: the refusal, failure or loss of an earlier order queued a task again while a later one ran it at the same worker, so that the periodic check stopped that run.

Cause: requeue_task and run_vanished compared the worker alone.

Both now name the placement.

--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -241,12 +241,12 @@
         step = self.open_submissions.step_of(run.task)
         if step is None:
             return
-        started = run.phase in {Phase.held, Phase.stopping}
-        placement = step.active.get(run.task.index)
-        if step.step.gang and started and placement is not None and placement.session is session:
-            step.gang_broken = True
         step.save(run.task.index, run.checkpoint)
-        self.open_submissions.starter.requeue_task(step, run.task.index, session)
+        placement = step.active.of_run(session, run.task.index, run.run)
+        if placement is not None:
+            if run.phase in {Phase.held, Phase.stopping}:
+                step.gang_broken |= step.step.gang
+            self.open_submissions.starter.requeue_task(step, placement)
         # Otherwise the next leader waits for this worker until all leases have lapsed again.
         self.open_submissions.progress.note(step.job, step=step)
 
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -168,7 +168,7 @@
             if session.run_table.runs.get(ordered.task) is ordered:
                 session.mark_uncertain(ordered, fault)
             else:
-                self.requeue_task(step, ordered.task.index, session)
+                self.requeue_task(step, placement)
 
     async def order(self, step: StepRun, placement: Placement, ordered: Run) -> None:
         """Store where the task will run, then order its start; requeue the task if it certainly does not run.
@@ -189,7 +189,7 @@
                 withdrawal.value,
             )
             session.drop(ordered)
-            self.requeue_task(step, ordered.task.index, session)
+            self.requeue_task(step, placement)
             return
         logger.debug(
             'start sent: task={} run={} worker={}',
@@ -210,7 +210,7 @@
                 session.worker.id,
                 refusal.worker_code,
             )
-            self.handle_refusal(step, session, refusal.worker_code)
+            self.handle_refusal(step, placement, refusal.worker_code)
             self.events.start_answered(step, refusal.worker_code)
             runs = False
         else:
@@ -224,7 +224,7 @@
                 )
                 session.full_until = self.clock() + FULL_PAUSE_S
         if not runs:
-            self.requeue_task(step, ordered.task.index, session)
+            self.requeue_task(step, placement)
 
     def withdrawal(self, step: StepRun, placement: Placement, ordered: Run) -> Withdrawal | None:
         """Return why a start must not be sent any more once its placement is stored, None if it may be sent."""
@@ -249,22 +249,22 @@
             return None
         return Withdrawal.ticket
 
-    def handle_refusal(self, step: StepRun, session: WorkerSession, reason: str) -> None:
+    def handle_refusal(self, step: StepRun, placement: Placement, reason: str) -> None:
         """Update tickets, pauses, gang state or health according to the reason of a refusal."""
+        session = placement.session
         if reason == 'ticket':
             step.tickets.pop(session.worker.id, None)
         elif reason == 'room':
             session.full_until = self.clock() + FULL_PAUSE_S
         elif reason == 'old':
-            step.gang_broken = step.step.gang
+            break_gang(step, placement)
         elif reason == 'unhealthy':
             self.session_manager.health(session.worker.id).record_failure(self.clock())
 
-    def requeue_task(self, step: StepRun, index: int, session: WorkerSession) -> None:
-        """Queue a task again, unless it has been placed elsewhere in the meantime."""
-        placement = step.active.get(index)
-        if placement is not None and placement.session is session:
-            step.requeue(index)
+    def requeue_task(self, step: StepRun, placement: Placement) -> None:
+        """Queue a task again, unless it has been placed anew in the meantime."""
+        if step.active.is_present(placement):
+            step.requeue(placement.index)
             self.events.step_requeued(step)
 
     def stop(self, session: WorkerSession, task: TaskRef) -> None:
@@ -287,6 +287,12 @@
             self.stop(session, task)
 
 
+def break_gang(step: StepRun, placement: Placement) -> None:
+    """Let all members of a gang end before its next run, unless the member with this placement belongs to an earlier one."""
+    if step.active.is_present(placement):
+        step.gang_broken = step.step.gang
+
+
 def is_current(step: StepRun, placement: Placement, ordered: Run) -> bool:
     """Return whether an order is still that of the present placement of its task, and its run was not given up."""
     held = placement.session.run_table.runs.get(ordered.task)
