Leave starts that are to be sent or under way out of a lapsed lease

Callers saw late starts after a cut: what was placed at a worker that answers again was given up with the lapsed lease of that worker, in a round up to 0.1 s later, and placed anew, up to six times while the store was slow.

Cause: give_up_runs asked for the lease of the session and for late copies, not whether the start of the run had left. A start that is still to be sent carries a lease of its own; one under way is settled by its answer, at most 0.4 s later. A process that was paused between sending a start and reading its answer gave it up before, although a later incarnation of the worker may execute it.

Ruled out: placing nothing on such workers.

--- a/marigoldlift/orders/runs.py
+++ b/marigoldlift/orders/runs.py
@@ -245,6 +245,17 @@
         """Return whether a later incarnation of the worker may still execute the start."""
         return self.doubted_at is not None and now < self.doubted_at + LATE_ORDER_S
 
+    def awaits_answer(self) -> bool:
+        """Return whether the start is still to be sent, or is under way; its answer will tell whether the run exists."""
+        return self.unanswered and self.fence is None
+
+    def has_ended_with_lease(self, now: float) -> bool:
+        """Return whether the run has certainly ended because the lease of its worker has expired.
+
+        A start that is still to be sent carries a lease of its own, and one that is under way is settled by its answer.
+        """
+        return not self.awaits_answer() and not self.may_outlive_lease(now)
+
     def may_outlive_lease(self, now: float) -> bool:
         """Return whether the run may be active, or may start, although the lease of its worker has expired.
 
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -152,7 +152,7 @@
         """Give up the runs that have ended with the worker's incarnation or its lease, and return their number."""
         now = self.now()
         runs = self.run_table.runs.values()
-        return self.reports.give_up(run for run in runs if not run.may_outlive_lease(now))
+        return self.reports.give_up(run for run in runs if run.has_ended_with_lease(now))
 
     def drop(self, known: Run) -> None:
         """Free the capacity of a run that is certainly absent, unless a copy of its start is left."""
--- a/marigoldlift/orders/tests/test_session.py
+++ b/marigoldlift/orders/tests/test_session.py
@@ -15,6 +15,7 @@
 
 LEASE_S = 5.9
 TASK = TaskRef(SubmissionId('job'), 0, 0, 0)
+OTHER_TASK = TaskRef(SubmissionId('job'), 0, 0, 1)
 WORKER = Worker('w', 'w:1', 'a', 'service', True, 1, 8000, 8000, 0, ())
 
 
@@ -79,6 +80,14 @@
         return await super().start(worker, token, order)
 
 
+class SlowToStart(OneRun):
+    """A worker that answers a start after its lease has lapsed."""
+
+    async def start(self, worker, token, order):
+        await asyncio.sleep(2 * LEASE_S)
+        raise WorkerUnavailableError('no answer', may_have_run=True)
+
+
 def build(answers, kind=OneRun):
     """Return a session and its observer."""
     observer = Observer()
@@ -128,13 +137,28 @@
     assert await session.poll(0)
     assert await session.poll(0)
     await asyncio.sleep(1)
-    task = TaskRef(SubmissionId('job'), 0, 0, 1)
-    ordered = Run(task, 1, Step(count=1, cpu_m=1000), Phase.sent, session.now())
+    ordered = Run(OTHER_TASK, 1, Step(count=1, cpu_m=1000), Phase.sent, session.now())
     session.run_table.take(ordered)
     assert await session.start(ordered, '', '')
     assert session.calls.leases[-1] == session.calls.leases[-2]
 
 
+async def test_start_under_way_is_not_given_up_with_the_lease():
+    """Guards against TWICE: a paused process gives up a start before it reads its answer, and a copy runs at a later incarnation."""
+    session, observer = build(answers=1, kind=SlowToStart)
+    assert await session.poll(0)
+    ordered = Run(OTHER_TASK, 1, Step(count=1, cpu_m=1000), Phase.sent, session.now())
+    session.run_table.take(ordered)
+    starting = asyncio.create_task(session.start(ordered, '', ''))
+    await asyncio.sleep(1.5 * LEASE_S)
+    assert session.is_lost()
+    session.give_up_runs()
+    assert observer.vanished == [TASK]
+    assert await starting
+    session.give_up_runs()
+    assert observer.vanished == [TASK]
+
+
 async def test_starts_without_an_answer_raise_the_token_once():
     """Guards against refused starts: each of many starts in doubt raised the token above that of the others under way."""
     session, _ = build(answers=1, kind=Refusing)
--- a/tests/cell/test_lapsed_lease.py
+++ b/tests/cell/test_lapsed_lease.py
@@ -1,6 +1,7 @@
 """Tasks that are placed at workers that answer again after their lease has lapsed."""
 
 import asyncio
+from collections import Counter
 
 import pytest
 
@@ -35,6 +36,21 @@
     progress.store_now = store_slowly
 
 
+def count_placements(leader):
+    """Return the number of placements of each task that the leader makes from now on."""
+    starter = leader.node.dispatcher.starter
+    start = starter.start
+    placements = Counter()
+
+    def count(step, index, session, run):
+        is_placed = start(step, index, session, run)
+        placements[step.task(index)] += is_placed
+        return is_placed
+
+    starter.start = count
+    return placements
+
+
 async def lose_contact(cell):
     """Let neither the workers nor the log answer for longer than a lease, then first the workers, then the log."""
     for worker in cell.workers:
@@ -57,6 +73,22 @@
         await asyncio.sleep(RETRY_S)
 
 
+async def submit_after_outage(cell, delay_s, advice):
+    """Hand in submissions as soon as the log answers after an outage, wait for their ends, and return the leader's placements."""
+    await asyncio.sleep(ELECTION_S)
+    set_task_duration(cell, TASK_S)
+    cell.advice.policy = ADVICE
+    leader = cell.leader()
+    keep_storing(leader, delay_s)
+    placements = count_placements(leader)
+    await lose_contact(cell)
+    names = [f'job{number}' for number in range(5)]
+    await asyncio.gather(*(submit_until_accepted(cell, leader, name, advice) for name in names))
+    await cell.wait_for_outcomes(names, SETTLED_S)
+    assert cell.leader() is leader
+    return placements
+
+
 @pytest.mark.parametrize('advice', [None, ADVICE])
 @pytest.mark.parametrize('seed', range(3))
 @pytest.mark.parametrize('delay_s', [0.03, 0.1, 0.3])
@@ -64,17 +96,19 @@
     """Guards against TWICE and LIMIT: the start of a run that was given up is sent beside that of the next run."""
 
     async def scenario(cell):
-        await asyncio.sleep(ELECTION_S)
-        set_task_duration(cell, TASK_S)
-        cell.advice.policy = ADVICE
-        leader = cell.leader()
-        keep_storing(leader, delay_s)
-        await lose_contact(cell)
-        names = [f'job{number}' for number in range(5)]
-        await asyncio.gather(
-            *(submit_until_accepted(cell, leader, name, advice) for name in names)
-        )
-        await cell.wait_for_outcomes(names, SETTLED_S)
-        assert cell.leader() is leader
+        await submit_after_outage(cell, delay_s, advice)
+
+    run_scenario(scenario, seed=seed)
+
+
+@pytest.mark.parametrize('advice', [None, ADVICE])
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('delay_s', [0.03, 0.1, 0.3])
+def test_task_placed_after_an_outage_is_placed_once(run_scenario, delay_s, seed, advice):
+    """Guards against late starts: a placed run is given up with the lapsed lease of a worker that answers again."""
+
+    async def scenario(cell):
+        placements = await submit_after_outage(cell, delay_s, advice)
+        assert set(placements.values()) == {1}
 
     run_scenario(scenario, seed=seed)
