Ask just before the first byte whether a start may still be sent

A start that was valid when its placement was stored may wait up to 0.4 s for a connection, in which the permission to act, the placement, the ticket or the submission may go; it left all the same.

WorkerCalls.start takes a function that is asked where the request is about to be written; nothing is sent if it says no, and the task is placed again. Stops and polls are not asked again: a poll grants no lease beyond the one that was computed under the permission, and both are fenced by their token.

Fakes of calls take the further argument; those that delay an order which has left send it on without the question.

--- a/marigoldlift/answer_deadline.py
+++ b/marigoldlift/answer_deadline.py
@@ -1,6 +1,7 @@
 """Deadline for the answer to a call, which allows for answers that this process itself reads late."""
 
 import asyncio
+from collections.abc import Callable
 from types import TracebackType
 
 __all__ = ('AnswerDeadline',)
@@ -10,6 +11,11 @@
 READ_TURNS = 8
 
 
+def always() -> bool:
+    """Return that a request may be sent."""
+    return True
+
+
 class AnswerDeadline:
     """Context that raises `TimeoutError` if its body has not ended in time.
 
@@ -20,10 +26,16 @@
     Attributes:
         due_at: the deadline, in seconds of the event loop's clock.
         is_sent: whether an answer may have arrived.
+        may_send: returns whether the request may still be sent.
+        is_withdrawn: whether the request was not sent because of that.
     """
 
-    def __init__(self, wait_s: float, *, is_sent: bool = True) -> None:
+    def __init__(
+        self, wait_s: float, *, is_sent: bool = True, may_send: Callable[[], bool] = always
+    ) -> None:
         """Begin nothing yet; `wait_s` is the longest wait, in s."""
+        self.may_send = may_send
+        self.is_withdrawn = False
         self.loop = asyncio.get_running_loop()
         self.wait_s = wait_s
         self.due_at = self.loop.time() + wait_s
@@ -59,10 +71,14 @@
         """Record that the request is sent now.
 
         Raises:
-            TimeoutError: the deadline has passed, so that it must not be sent any more.
+            TimeoutError: the deadline has passed, or the request was withdrawn, so that it must not be sent any more.
         """
-        if not self.is_sent and self.loop.time() >= self.due_at:
-            raise TimeoutError('not sent by the deadline')
+        if not self.is_sent:
+            if self.loop.time() >= self.due_at:
+                raise TimeoutError('not sent by the deadline')
+            self.is_withdrawn = not self.may_send()
+            if self.is_withdrawn:
+                raise TimeoutError('withdrawn before it was sent')
         self.is_sent = True
 
     def read_on(self, turns: int) -> None:
--- a/marigoldlift/errors.py
+++ b/marigoldlift/errors.py
@@ -189,6 +189,12 @@
         self.may_have_run = may_have_run
 
 
+class OrderWithdrawnError(PlatformError):
+    """An order was not sent, since it was out of date by the time it could have left."""
+
+    code = 'order_withdrawn'
+
+
 class PeerUnavailableError(MarigoldliftError):
     """Another entry did not answer.
 
--- a/marigoldlift/orders/api.py
+++ b/marigoldlift/orders/api.py
@@ -1,5 +1,6 @@
 """Protocol of the calls that a worker accepts from the holder of its fencing token."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -106,8 +107,20 @@
     All raise `WorkerRefusedError` if the worker did nothing, and `WorkerUnavailableError` if that is unknown.
     """
 
-    async def start(self, worker: Worker, token: int, order: StartOrder) -> float:
-        """Start a run and return the worker's clock in ms."""
+    async def start(
+        self, worker: Worker, token: int, order: StartOrder, may_send: Callable[[], bool]
+    ) -> float:
+        """Start a run and return the worker's clock in ms.
+
+        Args:
+            worker: the worker.
+            token: fencing token.
+            order: the run to start.
+            may_send: returns whether the order may still be sent; asked just before it is, since it may wait for a connection.
+
+        Raises:
+            OrderWithdrawnError: `may_send` has returned False, and nothing was sent.
+        """
 
     async def stop(self, worker: Worker, token: int, task: TaskRef, run: int) -> None:
         """Request that a run stops."""
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -6,7 +6,11 @@
 import msgspec
 from loguru import logger
 
-from marigoldlift.errors import WorkerRefusedError, WorkerUnavailableError
+from marigoldlift.errors import (
+    OrderWithdrawnError,
+    WorkerRefusedError,
+    WorkerUnavailableError,
+)
 from marigoldlift.orders.acknowledgements import Acknowledgements
 from marigoldlift.orders.api import StartOrder, Worker, WorkerCalls, WorkerStatus
 from marigoldlift.orders.clock import WorkerClock
@@ -107,18 +111,22 @@
             return self.now() - self.opened_at > UNLEASED_EXPIRY_S
         return self.clock.has_lapsed(self.now())
 
-    async def start(self, known: Run, content: str, ticket: str) -> bool:
+    async def start(
+        self, known: Run, content: str, ticket: str, may_send: Callable[[], bool]
+    ) -> bool:
         """Start a run whose capacity is already reserved.
 
         Args:
             known: the run.
             content: text of the submission.
             ticket: permission of the placement advice, empty if the queue uses none.
+            may_send: asked just before the order leaves.
 
         Returns:
             True if it runs or may run, False if it certainly does not.
 
         Raises:
+            OrderWithdrawnError: it was not sent, since `may_send` has returned False.
             WorkerRefusedError: the worker has refused it; the error holds the reason.
         """
         known.order(ticket)
@@ -129,7 +137,10 @@
         token = self.token
         try:
             with self.acknowledgements.start_under_way():
-                clock_ms = await self.calls.start(self.worker, token, order)
+                clock_ms = await self.calls.start(self.worker, token, order, may_send)
+        except OrderWithdrawnError:
+            self.drop(known)
+            raise
         except WorkerUnavailableError as fault:
             self.suspected_at = self.now()
             if fault.may_have_run:
--- a/marigoldlift/orders/tests/test_session.py
+++ b/marigoldlift/orders/tests/test_session.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldlift.answer_deadline import always
 from marigoldlift.errors import WorkerUnavailableError
 from marigoldlift.orders.api import HeldRun, WorkerStatus, Worker
 from marigoldlift.orders.polling import poll_continuously
@@ -67,7 +68,7 @@
             raise WorkerUnavailableError('refused', may_have_run=True)
         return await super().poll(worker, token, last_acknowledged, until_ms, wait_ms)
 
-    async def start(self, worker, token, order):
+    async def start(self, worker, token, order, may_send):
         self.leases.append(order.until_ms)
         raise WorkerUnavailableError('refused', may_have_run=True)
 
@@ -75,15 +76,15 @@
 class SlowlyRefusing(Refusing):
     """A worker that fails starts after a while."""
 
-    async def start(self, worker, token, order):
+    async def start(self, worker, token, order, may_send):
         await asyncio.sleep(0.4)
-        return await super().start(worker, token, order)
+        return await super().start(worker, token, order, may_send)
 
 
 class SlowToStart(OneRun):
     """A worker that answers a start after its lease has lapsed."""
 
-    async def start(self, worker, token, order):
+    async def start(self, worker, token, order, may_send):
         await asyncio.sleep(2 * LEASE_S)
         raise WorkerUnavailableError('no answer', may_have_run=True)
 
@@ -139,7 +140,7 @@
     await asyncio.sleep(1)
     ordered = Run(OTHER_TASK, 1, Step(count=1, cpu_m=1000), Phase.sent, session.now())
     session.run_table.take(ordered)
-    assert await session.start(ordered, '', '')
+    assert await session.start(ordered, '', '', always)
     assert session.calls.leases[-1] == session.calls.leases[-2]
 
 
@@ -149,7 +150,7 @@
     assert await session.poll(0)
     ordered = Run(OTHER_TASK, 1, Step(count=1, cpu_m=1000), Phase.sent, session.now())
     session.run_table.take(ordered)
-    starting = asyncio.create_task(session.start(ordered, '', ''))
+    starting = asyncio.create_task(session.start(ordered, '', '', always))
     await asyncio.sleep(1.5 * LEASE_S)
     assert session.is_lost()
     session.give_up_runs()
@@ -171,6 +172,6 @@
     ]
     for ordered in runs:
         session.run_table.take(ordered)
-    await asyncio.gather(*(session.start(sent, '', '') for sent in runs))
+    await asyncio.gather(*(session.start(sent, '', '', always) for sent in runs))
     assert session.token == before + 1
     assert {sent.fence for sent in runs} == {session.token}
--- a/marigoldlift/platform/calls.py
+++ b/marigoldlift/platform/calls.py
@@ -1,14 +1,14 @@
 """HTTP client that is shared by the adapters of all services of the platform."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import SimpleNamespace
 
 import aiohttp
 import msgspec
 
-from marigoldlift.answer_deadline import AnswerDeadline
+from marigoldlift.answer_deadline import AnswerDeadline, always
 
-__all__ = ('CallUnansweredError', 'HttpClient', 'Reply')
+__all__ = ('CallUnansweredError', 'CallWithdrawnError', 'HttpClient', 'Reply')
 
 #: How long an idle connection is kept open, in s; the platform charges for each new connection to a worker.
 KEEP_ALIVE_S = 30
@@ -37,6 +37,10 @@
         self.was_sent = was_sent
 
 
+class CallWithdrawnError(Exception):
+    """A request was not sent, because its caller did not want it any more once it could have left."""
+
+
 class Reply(msgspec.Struct, frozen=True):
     """Status and body of an HTTP response."""
 
@@ -71,15 +75,23 @@
         body: bytes,
         wait_s: float,
         headers: Mapping[str, str] | None = None,
+        may_send: Callable[[], bool] = always,
     ) -> Reply:
         """Send a `POST` with a JSON body and wait for the whole answer.
 
+        Args:
+            url: URL of the request.
+            body: its body.
+            wait_s: longest wait for the whole answer, in s.
+            headers: headers in addition to the type of the body.
+            may_send: asked just before the first byte is sent.
+
         Raises:
             CallUnansweredError: no complete answer came in time.
+            CallWithdrawnError: `may_send` has returned False, and nothing was sent.
         """
-        return await self.call(
-            'POST', url, body, {'Content-Type': JSON_TYPE, **(headers or {})}, wait_s
-        )
+        content = {'Content-Type': JSON_TYPE, **(headers or {})}
+        return await self.call('POST', url, body, content, wait_s, may_send=may_send)
 
     async def call(
         self,
@@ -89,6 +101,7 @@
         headers: Mapping[str, str],
         wait_s: float,
         idle_timeout_s: float | None = None,
+        may_send: Callable[[], bool] = always,
     ) -> Reply:
         """Send a request and wait for the whole answer.
 
@@ -99,16 +112,18 @@
             headers: headers in addition to those that the session sets.
             wait_s: longest wait for the whole answer, in s.
             idle_timeout_s: longest wait for the connection and each next part of the answer, in s; None for no limit.
+            may_send: asked just before the first byte is sent.
 
         Raises:
             CallUnansweredError: no complete answer came in time.
+            CallWithdrawnError: `may_send` has returned False, and nothing was sent.
         """
         content = body if method == 'POST' else None
         limits = aiohttp.ClientTimeout(
             total=None, sock_connect=idle_timeout_s, sock_read=idle_timeout_s
         )
+        deadline = AnswerDeadline(wait_s, is_sent=False, may_send=may_send)
         try:
-            deadline = AnswerDeadline(wait_s, is_sent=False)
             async with deadline:
                 async with self.session.request(
                     method,
@@ -123,6 +138,8 @@
         except aiohttp.ClientConnectorError as refused:
             raise CallUnansweredError(str(refused), was_sent=False) from refused
         except CALL_ERRORS as fault:
+            if deadline.is_withdrawn:
+                raise CallWithdrawnError(url) from fault
             raise CallUnansweredError(f'{type(fault).__name__} {fault}', was_sent=True) from fault
 
 
--- a/marigoldlift/platform/tests/test_late_sends.py
+++ b/marigoldlift/platform/tests/test_late_sends.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from marigoldlift.platform.calls import CallUnansweredError
+from marigoldlift.platform.calls import CallUnansweredError, CallWithdrawnError
 
 WAIT_S = 0.3
 
@@ -86,3 +86,20 @@
         await call
     await asyncio.sleep(ARRIVAL_S + HELD_UP_S - held_up_s)
     assert not busy.received
+
+
+@pytest.mark.parametrize('is_wanted', [True, False])
+async def test_request_that_is_withdrawn_while_it_connects_is_not_sent(busy, client, is_wanted):
+    """Guards against orders that leave after the wait for a connection, although they are out of date by then."""
+    asked = []
+
+    def may_send():
+        asked.append(bool(busy.received))
+        return is_wanted
+
+    expected = CallUnansweredError if is_wanted else CallWithdrawnError
+    with pytest.raises(expected):
+        await client.post(f'http://{busy.address}/order', b'{}', 2 * HELD_UP_S, may_send=may_send)
+    assert asked == [False]
+    await asyncio.sleep(ARRIVAL_S)
+    assert bool(busy.received) is is_wanted
--- a/marigoldlift/platform/workers.py
+++ b/marigoldlift/platform/workers.py
@@ -1,7 +1,7 @@
 """HTTP client for workers, and decoding of their entries in the platform's registry."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import msgspec
@@ -10,12 +10,19 @@
 from marigoldlift.decoding import JsonDecoder
 from marigoldlift.errors import (
     MalformedMessageError,
+    OrderWithdrawnError,
     WorkerRefusedError,
     WorkerUnavailableError,
 )
 from marigoldlift.orders.api import EndedRun, EndKind, HeldRun, WorkerStatus, StartOrder, Worker
 from marigoldlift.platform.addresses import is_socket_address
-from marigoldlift.platform.calls import CallUnansweredError, HttpClient, Reply
+from marigoldlift.answer_deadline import always
+from marigoldlift.platform.calls import (
+    CallUnansweredError,
+    CallWithdrawnError,
+    HttpClient,
+    Reply,
+)
 from marigoldlift.platform.wire import PollReply, OrderReply, WorkerBody
 from marigoldlift.submissions.model import TaskRef, parse_task_name
 
@@ -80,8 +87,10 @@
         self.calls = calls
         self.unanswered_polls: Counter[str] = Counter()
 
-    async def start(self, worker: Worker, token: int, order: StartOrder) -> float:
-        """Start a run and return the time of the worker's clock in ms."""
+    async def start(
+        self, worker: Worker, token: int, order: StartOrder, may_send: Callable[[], bool]
+    ) -> float:
+        """Start a run and return the time of the worker's clock in ms; `may_send` is asked just before the first byte."""
         fields: dict[str, Any] = {
             'task': order.task.name,
             'run': order.run,
@@ -93,7 +102,7 @@
             fields['checkpoint'] = order.checkpoint
         if order.ticket:
             fields['ticket'] = order.ticket
-        reply = await self.order(worker, 'run-start', fields, ANSWER_TIMEOUT_S)
+        reply = await self.order(worker, 'run-start', fields, ANSWER_TIMEOUT_S, may_send)
         return decode_order(reply).clock_ms
 
     async def stop(self, worker: Worker, token: int, task: TaskRef, run: int) -> None:
@@ -143,14 +152,21 @@
         self.unanswered_polls.pop(worker, None)
 
     async def order(
-        self, worker: Worker, verb: str, fields: Mapping[str, Any], wait_s: float
+        self,
+        worker: Worker,
+        verb: str,
+        fields: Mapping[str, Any],
+        wait_s: float,
+        may_send: Callable[[], bool] = always,
     ) -> Reply:
         """Send an order to a worker; a header with its id makes any other instance at its address refuse the order."""
         url = f'http://{worker.address}/-/{verb}'
         try:
             reply = await self.calls.post(
-                url, msgspec.json.encode(fields), wait_s, {EXPECT_HEADER: worker.id}
+                url, msgspec.json.encode(fields), wait_s, {EXPECT_HEADER: worker.id}, may_send
             )
+        except CallWithdrawnError as withdrawn:
+            raise OrderWithdrawnError(str(withdrawn)) from withdrawn
         except CallUnansweredError as fault:
             raise WorkerUnavailableError(str(fault), may_have_run=fault.was_sent) from fault
         check_order(reply)
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -1,14 +1,15 @@
 """Sends start and stop orders to workers and handles refusals."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import ExitStack
 from enum import Enum
+from functools import partial
 from typing import Protocol
 
 from loguru import logger
 
-from marigoldlift.errors import WorkerRefusedError
+from marigoldlift.errors import OrderWithdrawnError, WorkerRefusedError
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.placements import Placement
@@ -175,59 +176,63 @@
 
         The placement is stored first, so that a later leader knows where the task may be running.
         """
-        session = placement.session
+        runs = False
+        may_send = partial(self.may_send, step, placement, ordered)
         is_stored = await self.progress.store_now(step)
-        withdrawal = (
-            self.withdrawal(step, placement, ordered) if is_stored else Withdrawal.not_stored
-        )
-        if withdrawal is not None:
-            logger.info(
-                'start withdrawn: task={} run={} worker={} reason={}',
-                ordered.task.name,
-                ordered.run,
-                session.worker.id,
-                withdrawal.value,
-            )
-            session.drop(ordered)
+        if is_stored and may_send():
+            runs = await self.deliver(step, placement, ordered, may_send)
+        else:
+            placement.session.drop(ordered)
+        if not is_stored:
+            log_withdrawn(placement, ordered, Withdrawal.not_stored)
+        if not runs:
             self.requeue_task(step, placement)
-            return
-        logger.debug(
-            'start sent: task={} run={} worker={}',
-            ordered.task.name,
-            ordered.run,
-            session.worker.id,
-        )
+
+    async def deliver(
+        self, step: StepRun, placement: Placement, ordered: Run, may_send: Callable[[], bool]
+    ) -> bool:
+        """Order the start of a run whose placement is stored.
+
+        Args:
+            step: step of the task.
+            placement: placement of the task that the order belongs to.
+            ordered: the run to start.
+            may_send: asked again just before the order leaves, which may wait for a connection.
+
+        Returns:
+            False if the run certainly does not exist.
+        """
+        session = placement.session
         granted = step.tickets.get(session.worker.id)
         ticket = granted.ticket if granted else ''
         content = step.job.submission.content
+        details = ordered.task.name, ordered.run, session.worker.id
+        logger.debug('start sent: task={} run={} worker={}', *details)
         try:
-            runs = await session.start(ordered, content, ticket)
+            runs = await session.start(ordered, content, ticket, may_send)
+        except OrderWithdrawnError:
+            return False
         except WorkerRefusedError as refusal:
-            logger.info(
-                'start refused: task={} run={} worker={} reason={}',
-                ordered.task.name,
-                ordered.run,
-                session.worker.id,
-                refusal.worker_code,
-            )
-            self.handle_refusal(step, placement, refusal.worker_code)
-            self.events.start_answered(step, refusal.worker_code)
-            runs = False
-        else:
-            self.events.start_answered(step, outcome_of(ordered, runs=runs))
-            if not runs:
-                logger.info(
-                    'start not delivered: task={} run={} worker={}',
-                    ordered.task.name,
-                    ordered.run,
-                    session.worker.id,
-                )
-                session.full_until = self.clock() + FULL_PAUSE_S
+            reason = refusal.worker_code
+            logger.info('start refused: task={} run={} worker={} reason={}', *details, reason)
+            self.handle_refusal(step, placement, reason)
+            self.events.start_answered(step, reason)
+            return False
+        self.events.start_answered(step, outcome_of(ordered, runs=runs))
         if not runs:
-            self.requeue_task(step, placement)
+            logger.info('start not delivered: task={} run={} worker={}', *details)
+            session.full_until = self.clock() + FULL_PAUSE_S
+        return runs
+
+    def may_send(self, step: StepRun, placement: Placement, ordered: Run) -> bool:
+        """Return whether a start whose placement is stored may be sent, and log why it may not."""
+        withdrawal = self.withdrawal(step, placement, ordered)
+        if withdrawal is not None:
+            log_withdrawn(placement, ordered, withdrawal)
+        return withdrawal is None
 
     def withdrawal(self, step: StepRun, placement: Placement, ordered: Run) -> Withdrawal | None:
-        """Return why a start must not be sent any more once its placement is stored, None if it may be sent."""
+        """Return why a start must not be sent any more, None if it may be; asked after each wait."""
         session = placement.session
         if step.job.outcome is not None:
             return Withdrawal.closed
@@ -287,6 +292,17 @@
             self.stop(session, task)
 
 
+def log_withdrawn(placement: Placement, ordered: Run, withdrawal: Withdrawal) -> None:
+    """Log why a start is not sent."""
+    logger.info(
+        'start withdrawn: task={} run={} worker={} reason={}',
+        ordered.task.name,
+        ordered.run,
+        placement.session.worker.id,
+        withdrawal.value,
+    )
+
+
 def break_gang(step: StepRun, placement: Placement) -> None:
     """Let all members of a gang end before its next run, unless the member with this placement belongs to an earlier one."""
     if step.active.is_present(placement):
--- a/standins/cell/workers.py
+++ b/standins/cell/workers.py
@@ -8,7 +8,11 @@
 
 import msgspec
 
-from marigoldlift.errors import WorkerRefusedError, WorkerUnavailableError
+from marigoldlift.errors import (
+    OrderWithdrawnError,
+    WorkerRefusedError,
+    WorkerUnavailableError,
+)
 from marigoldlift.orders.api import EndedRun, EndKind, HeldRun, WorkerStatus, StartOrder, Worker
 from marigoldlift.submissions.model import Step, TaskRef
 from standins.cell.gangs import GangTable, HeldTask
@@ -357,8 +361,11 @@
     Attributes:
         unreachable: workers that this entry cannot reach.
         faults: shares of the calls with faults.
+        connecting_s: how long a start waits for a connection, in s.
     """
 
+    connecting_s: float = 0
+
     def __init__(
         self,
         workers: dict[str, MemoryWorker],
@@ -404,8 +411,18 @@
     def forget(self, worker: str) -> None:
         """Forget nothing, since nothing is kept."""
 
-    async def start(self, worker: Worker, token: int, order: StartOrder) -> float:
-        """Start a run and return the worker's clock in ms."""
+    async def start(
+        self, worker: Worker, token: int, order: StartOrder, may_send: Callable[[], bool]
+    ) -> float:
+        """Start a run and return the worker's clock in ms; the order leaves once there is a connection.
+
+        Raises:
+            OrderWithdrawnError: it must not leave any more.
+        """
+        if self.connecting_s:
+            await asyncio.sleep(self.connecting_s)
+        if not may_send():
+            raise OrderWithdrawnError('withdrawn before it was sent')
         addressed = self.workers[worker.id]
         step = addressed.checker.submissions[order.task.submission].steps[order.task.step]
         duration_s = self.duration_of(order.task) * addressed.slowness
--- a/tests/cell/test_bursts.py
+++ b/tests/cell/test_bursts.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from marigoldlift.answer_deadline import always
 from marigoldlift.errors import WorkerUnavailableError
 from marigoldlift.scheduling.start_limits import MAX_STARTS, MAX_STARTS_AT_WORKER
 from marigoldlift.submissions.model import Step
@@ -26,9 +27,9 @@
     async def serve(worker, token, order):
         async with locks[worker.id]:
             await asyncio.sleep(SERVING_S)
-        return await send(worker, token, order)
+        return await send(worker, token, order, always)
 
-    async def start(worker, token, order):
+    async def start(worker, token, order, may_send):
         in_flight[worker.id] += 1
         most[worker.id] = max(most[worker.id], in_flight[worker.id])
         most['all'] = max(most['all'], in_flight.total())
--- a/tests/cell/test_late_orders.py
+++ b/tests/cell/test_late_orders.py
@@ -25,7 +25,7 @@
     send = calls.start
     sent_to = []
 
-    async def start(worker, token, order):
+    async def start(worker, token, order, may_send):
         calls.start = send
         sent_to.append(worker.id)
         target = cell.workers[worker.id]
--- a/tests/cell/test_rebirth.py
+++ b/tests/cell/test_rebirth.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from marigoldlift.answer_deadline import always
 from marigoldlift.errors import WorkerUnavailableError
 from marigoldlift.orders.runs import LATE_ORDER_S
 from marigoldlift.submissions.model import AdvicePolicy, Step
@@ -31,7 +32,7 @@
         leader = cell.leader()
         started = leader.calls.start
 
-        async def lose(worker, token, order):
+        async def lose(worker, token, order, may_send):
             await asyncio.sleep(2)
             raise WorkerUnavailableError('no answer', may_have_run=True)
 
@@ -117,9 +118,9 @@
         tenure = leader.node.election.tenure
         started = leader.calls.start
 
-        async def delay(worker, token, order):
+        async def delay(worker, token, order, may_send):
             await asyncio.sleep(1)
-            return await started(worker, token, order)
+            return await started(worker, token, order, always)
 
         leader.calls.start = delay
         cell.advice.policy = advice or cell.advice.policy
--- a/tests/cell/test_repeated_placements.py
+++ b/tests/cell/test_repeated_placements.py
@@ -35,7 +35,7 @@
     start = calls.start
     released = asyncio.Event()
 
-    async def refuse_later(worker, token, order):
+    async def refuse_later(worker, token, order, may_send):
         calls.start = start
         await released.wait()
         raise WorkerRefusedError('instance', 'another incarnation answered')
@@ -75,3 +75,37 @@
         assert cell.checker.starts[task] == 1
 
     run_scenario(scenario, seed=seed, workers=1)
+
+
+async def lose_permission(cell, leader):
+    """Let a leader lose the permission to send orders."""
+    leader.node.election.may_act = bool
+
+
+async def cancel(cell, leader):
+    """Cancel the submission."""
+    await leader.node.acceptance.cancel('job', 3.0)
+
+
+async def give_up(cell, leader):
+    """Let the leader give up all runs."""
+    give_up_runs(leader)
+
+
+@pytest.mark.parametrize('change', [lose_permission, cancel, give_up])
+def test_start_that_waits_for_a_connection_is_asked_for_again(run_scenario, change):
+    """Guards against UNASKED and TWICE: an order leaves after the wait for a connection, although it is out of date by then."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        leader = cell.leader()
+        leader.calls.connecting_s = PLACED_S
+        await cell.submit(leader, 'job', (Step(count=1, cpu_m=1000),))
+        await asyncio.sleep(PLACED_S / 2)
+        placed = leader.node.dispatcher.open_submissions.jobs[SubmissionId('job')].steps[0, 0]
+        await change(cell, leader)
+        leader.calls.connecting_s = TASK_S
+        await asyncio.sleep(PLACED_S)
+        assert not cell.checker.starts[placed.task(0)]
+
+    run_scenario(scenario, workers=1)
--- a/tests/cell/test_slow_starts.py
+++ b/tests/cell/test_slow_starts.py
@@ -33,13 +33,15 @@
         self.send = leader.calls.start
         leader.calls.start = self.start
 
-    async def start(self, worker, token, order):
+    async def start(self, worker, token, order, may_send):
         """Send a start; the other callbacks of the leader wait until its time has passed."""
         try:
             async with AnswerDeadline(CALL_TIMEOUT_S):
                 self.gate.pause()
                 self.loop.call_later(START_S, self.gate.resume, context=Context())
-                return await asyncio.shield(spawn_outside(self.send(worker, token, order)))
+                return await asyncio.shield(
+                    spawn_outside(self.send(worker, token, order, may_send))
+                )
         except TimeoutError as fault:
             raise WorkerUnavailableError(str(fault), may_have_run=True) from fault
 
--- a/tests/cell/test_unanswered_polls.py
+++ b/tests/cell/test_unanswered_polls.py
@@ -23,7 +23,7 @@
         self.calls = entry.calls
         self.known = {name: worker.describe() for name, worker in entry.cell.workers.items()}
 
-    async def post(self, url, body, wait_s, headers):
+    async def post(self, url, body, wait_s, headers, may_send):
         """Answer a status poll, unless the worker is down."""
         fields = msgspec.json.decode(body)
         worker = self.known[headers['X-Expect-Instance']]
--- a/tests/cell/test_unreachable.py
+++ b/tests/cell/test_unreachable.py
@@ -19,7 +19,7 @@
         calls = cell.leader().calls
         start = calls.start
 
-        async def refuse(worker, token, order):
+        async def refuse(worker, token, order, may_send):
             tried.append(worker.id)
             raise WorkerUnavailableError('refused', may_have_run=False)
 
--- a/tests/cell/test_worker_model.py
+++ b/tests/cell/test_worker_model.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldlift.answer_deadline import always
 from marigoldlift.orders.api import EndKind, StartOrder
 from marigoldlift.submissions.model import Step, Submission, SubmissionId, TaskRef
 from standins.cell.kinds import UNNOTICED_S, WorkerKind
@@ -192,7 +193,7 @@
         worker = cell.workers['w0']
         task = TaskRef(SubmissionId('job'), 0, 0, 0)
         order = StartOrder(task, 1, 'content', int(worker.clock_ms()) + LEASE_MS, '', '')
-        sending = cell.loop.create_task(calls.start(worker.describe(), 1, order))
+        sending = cell.loop.create_task(calls.start(worker.describe(), 1, order, always))
         await asyncio.wait((sending,))
         assert sending.exception() is not None
         worker.begin_incarnation()
@@ -208,7 +209,9 @@
     async def scenario(cell):
         worker = cell.workers['w0']
         order = StartOrder(TaskRef(SubmissionId('job'), 0, 0, 0), 1, 'content', LEASE_MS, '', '')
-        sending = asyncio.ensure_future(cell.entries[0].calls.start(worker.describe(), 1, order))
+        sending = asyncio.ensure_future(
+            cell.entries[0].calls.start(worker.describe(), 1, order, always)
+        )
         await asyncio.sleep(0)
         worker.crash()
         await asyncio.wait((sending,))
