Match listed, lost, moved and ended runs by their placement

And a run that a worker lists beside the one that is ordered there was ignored, so that a run which had been given up although it exists worked on beside its successor (TWICE, LIMIT).

For the other places no order of events was found in which the worker alone decides wrongly, since a run table holds one run of a task; they follow so that the next change cannot break them.

check_run_times moves to the dispatcher, its only caller.

--- a/marigoldlift/orders/observer.py
+++ b/marigoldlift/orders/observer.py
@@ -21,6 +21,9 @@
     def run_found(self, session: Session, held: HeldRun) -> Step | None:
         """Handle a listed run that this leader did not start; return its step if it may continue."""
 
+    def run_superseded(self, session: Session, held: HeldRun) -> None:
+        """Handle a listed run beside another one of its task that is ordered at the same worker."""
+
     def run_confirmed(self, session: Session, run: Run) -> None:
         """Handle a run that its worker lists although its start has not been answered."""
 
--- a/marigoldlift/orders/reports.py
+++ b/marigoldlift/orders/reports.py
@@ -106,7 +106,8 @@
     def handle_running(self, held: HeldRun, now: float, clock_ms: float) -> None:
         """Update a run that the worker lists as running; an unknown one is offered to the observer.
 
-        A run that has ended is skipped, since a late answer may still list it.
+        A run that has ended is skipped, since a late answer may still list it. One beside the run that is ordered there was given
+        up, and the observer stops it.
 
         Args:
             held: what the worker lists.
@@ -114,14 +115,16 @@
             clock_ms: reading of the worker's clock in the same status.
         """
         known = self.run_table.runs.get(held.task)
-        if known is not None:
-            if known.run == held.run:
-                is_unanswered = known.phase is Phase.sent
-                known.confirm(held, now, clock_ms)
-                if is_unanswered:
-                    self.observer.run_confirmed(self.session, known)
+        if known is not None and known.run == held.run:
+            is_unanswered = known.phase is Phase.sent
+            known.confirm(held, now, clock_ms)
+            if is_unanswered:
+                self.observer.run_confirmed(self.session, known)
         elif (held.task, held.run) not in self.run_table.ended:
-            self.adopt_run(held, now, clock_ms)
+            if known is None:
+                self.adopt_run(held, now, clock_ms)
+            else:
+                self.observer.run_superseded(self.session, held)
 
     def handle_absent(self, present: set[TaskRef], sent_at: float, token: int) -> None:
         """Report runs that are listed neither as running nor as ended, or whose start can be sent again.
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -215,16 +215,23 @@
     async def stop(self, task: TaskRef) -> None:
         """Request that a run stops, unless orders may not be sent now; its capacity stays reserved until it is listed as ended."""
         known = self.run_table.runs.get(task)
-        if known is None or not self.observer.may_act():
-            return
-        known.stop(self.now())
+        if known is not None and self.observer.may_act():
+            known.stop(self.now())
+            await self.stop_run(task, known.run)
+
+    async def stop_run(self, task: TaskRef, run: int) -> None:
+        """Request that the run of a task with a number stops."""
         try:
-            await self.calls.stop(self.worker, self.token, task, known.run)
+            await self.calls.stop(self.worker, self.token, task, run)
         except (WorkerRefusedError, WorkerUnavailableError) as fault:
             if isinstance(fault, WorkerUnavailableError):
                 self.suspected_at = self.now()
             logger.info(
-                'stop not confirmed: task={} worker={} {}', task.name, self.worker.id, fault
+                'stop not confirmed: task={} run={} worker={} {}',
+                task.name,
+                run,
+                self.worker.id,
+                fault,
             )
 
     async def poll(self, wait_ms: int) -> bool:
--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -88,9 +88,11 @@
         if run.task.submission in self.open_submissions.unopened:
             return
         step = self.open_submissions.step_of(run.task)
-        placement = step.active.get(run.task.index) if step else None
-        is_placed = placement is not None and placement.session is session
-        if step is None or run.phase is Phase.stopping or not is_placed:
+        if (
+            step is None
+            or run.phase is Phase.stopping
+            or step.active.of_run(session, run.task.index, run.run) is None
+        ):
             self.starter.request_stop(session, run.task)
             return
         if run.phase is not Phase.held:
--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -243,13 +243,18 @@
             self.events.open_again,
             self.checks.check_runs,
             self.planner.sample_idle,
-            self.events.check_run_times,
+            self.check_run_times,
             self.checks.audit.check_jobs,
             self.start_retention,
         ):
             with self.round_times.contain(check.__name__):
                 check()
 
+    def check_run_times(self) -> None:
+        """Report and store the learned run times if that is due."""
+        if self.events.run_times is not None:
+            self.events.run_times.check()
+
     def start_retention(self) -> None:
         """Start a retention round if one is due."""
         if self.retention.is_due():
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -124,7 +124,7 @@
         is_current = step.active.of_run(session, index, ended.run) is not None
         is_long_running = step.step.long_running
         if ended.kind is EndKind.done and not is_long_running:
-            self.finish(step, index, session)
+            self.finish(step, index, session, ended.run)
             return
         if ended.kind is EndKind.failed and not is_long_running and index not in step.done:
             step.avoid_worker(index, session.worker.id, self.clock())
@@ -143,28 +143,26 @@
             step.requeue(index)
             self.step_requeued(step)
 
-    def finish(self, step: StepRun, index: int, session: WorkerSession | None) -> None:
-        """Mark a task as done, and stop a run of it on another worker.
+    def finish(
+        self, step: StepRun, index: int, session: WorkerSession | None, run: int = 0
+    ) -> None:
+        """Mark a task as done, and stop the run of its present placement if that is another one.
 
         Args:
             step: step of the task.
             index: index of the task.
             session: session with the worker that has listed the end, None if an earlier leader was told of it.
+            run: number of the run that has ended there.
         """
-        other = step.active.get(index)
-        if other is not None and other.session is not session:
-            self.open_submissions.starter.stop(other.session, step.task(index))
+        present = step.active.get(index)
+        if present is not None and not (present.session is session and present.run == run):
+            self.open_submissions.starter.stop(present.session, step.task(index))
         step.finish(index)
         if session is not None:
             step.settle_place(index, session.worker.id)
         self.open_submissions.note_done(step)
         self.wake.set()
 
-    def check_run_times(self) -> None:
-        """Report and store the learned run times if that is due."""
-        if self.run_times is not None:
-            self.run_times.check()
-
     def run_found(self, session: WorkerSession, held: HeldRun) -> Step | None:
         """Adopt a run that an earlier leader has started.
 
@@ -186,6 +184,17 @@
             step.gang_started_at = self.clock()
         return step.step
 
+    def run_superseded(self, session: WorkerSession, held: HeldRun) -> None:
+        """Stop a run that was given up although it exists; that of the present placement runs beside it."""
+        logger.warning(
+            'run beside the placed one: task={} run={} worker={}',
+            held.task.name,
+            held.run,
+            session.worker.id,
+        )
+        if self.may_act():
+            self.open_submissions.starter.spawn(session.stop_run(held.task, held.run))
+
     def run_confirmed(self, session: WorkerSession, run: Run) -> None:
         """Store that a run has started, as after an answer to its start, which is not in doubt any more."""
         step = self.open_submissions.step_of_run(run.task)
@@ -259,11 +268,8 @@
     def run_moved(self, session: WorkerSession, successor: WorkerSession, run: Run) -> None:
         """Move a run whose start has an unknown outcome to the session of the worker's next incarnation."""
         step = self.open_submissions.step_of(run.task)
-        if step is None:
-            return
-        placement = step.active.get(run.task.index)
-        if placement is not None and placement.session is session:
-            step.active.put(run.task.index, successor, placement.run)
+        if step is not None and step.active.of_run(session, run.task.index, run.run) is not None:
+            step.active.put(run.task.index, successor, run.run)
 
     def worker_restarted(self, session: WorkerSession, born_ms: int) -> None:
         """Open a new session with a worker that has reported a restart."""
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -136,10 +136,8 @@
         """Send the start of a run again, unless its worker gets no more tasks of the step."""
         service = step.job.submission.policy.service
         usable = self.session_manager.usable(service, include_quarantined=True)
-        placement = step.active.get(ordered.task.index)
-        if placement is None or placement.session is not session:
-            return
-        if session not in usable or session.run_table.is_overfull():
+        placement = step.active.of_run(session, ordered.task.index, ordered.run)
+        if placement is None or session not in usable or session.run_table.is_overfull():
             return
         if step.may_use(session.worker) and self.limits.accepts(session):
             ordered.repeat()
--- a/tests/cell/test_repeated_placements.py
+++ b/tests/cell/test_repeated_placements.py
@@ -109,3 +109,26 @@
         assert not cell.checker.starts[placed.task(0)]
 
     run_scenario(scenario, workers=1)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_run_that_was_given_up_is_stopped_where_its_task_is_placed_again(run_scenario, seed):
+    """Guards against TWICE and LIMIT: a worker lists a run beside that which is placed there, and nobody stops it."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 10 * TASK_S)
+        leader = cell.leader()
+        await cell.submit(leader, 'job', (Step(count=1, cpu_m=1000),))
+        await asyncio.sleep(PLACED_S)
+        worker = cell.workers['w0']
+        assert len(worker.held) == 1
+        released = hold_first_placement(leader)
+        give_up_runs(leader)
+        await asyncio.sleep(TASK_S)
+        assert not worker.held
+        released.set()
+        await asyncio.sleep(PLACED_S)
+        assert [held.run for held in worker.held.values()] == [2]
+
+    run_scenario(scenario, seed=seed, workers=1)
