--- a/tests/cell/test_lapsed_lease.py
+++ b/tests/cell/test_lapsed_lease.py
@@ -6,6 +6,7 @@
 import pytest
 
 from marigoldlift.submissions.model import AdvicePolicy, Step
+from marigoldlift.submissions.record_codec import decode_record, progress_key
 from standins.cell.log import LogFault
 from tests.cell.actions import ELECTION_S, cut_off, reconnect, set_task_duration
 
@@ -51,6 +52,29 @@
     return placements
 
 
+def stored_place(cell, leader, task):
+    """Return the worker at which the newest progress record of a submission places a task, None if there is none."""
+    key = progress_key(task.submission, leader.node.election.tenure, 0)
+    stored = cell.log.newest[key]
+    record = decode_record(stored.content)
+    steps = {(step.occurrence, step.step): step for step in record.steps}
+    return steps[task.occurrence, task.step].placed.get(task.index)
+
+
+def note_unrecorded_starts(cell, leader):
+    """Return the tasks whose starts leave from now on while no stored record names their placement."""
+    start = leader.calls.start
+    unrecorded = []
+
+    async def note(worker, token, order, may_send):
+        if stored_place(cell, leader, order.task) != worker.id:
+            unrecorded.append(order.task)
+        return await start(worker, token, order, may_send)
+
+    leader.calls.start = note
+    return unrecorded
+
+
 async def lose_contact(cell):
     """Let neither the workers nor the log answer for longer than a lease, then first the workers, then the log."""
     for worker in cell.workers:
@@ -79,13 +103,16 @@
     set_task_duration(cell, TASK_S)
     cell.advice.policy = ADVICE
     leader = cell.leader()
-    keep_storing(leader, delay_s)
+    if delay_s:
+        keep_storing(leader, delay_s)
     placements = count_placements(leader)
+    unrecorded = note_unrecorded_starts(cell, leader)
     await lose_contact(cell)
     names = [f'job{number}' for number in range(5)]
     await asyncio.gather(*(submit_until_accepted(cell, leader, name, advice) for name in names))
     await cell.wait_for_outcomes(names, SETTLED_S)
     assert cell.leader() is leader
+    assert not unrecorded
     return placements
 
 
@@ -112,3 +139,15 @@
         assert set(placements.values()) == {1}
 
     run_scenario(scenario, seed=seed)
+
+
+@pytest.mark.parametrize('answer_s', [0.004, 0.03])
+def test_order_leaves_after_its_placement_is_stored(run_scenario, answer_s):
+    """Guards against TWICE after a takeover: a start of which no record tells where it may run."""
+
+    async def scenario(cell):
+        for entry in cell.entries:
+            entry.log.answer_s = answer_s
+        await submit_after_outage(cell, 0, None)
+
+    run_scenario(scenario)
