Believe a restart in the registry once the worker answers no more

The tasks of the worker were started elsewhere while they ran, and the worker's own entries were ignored from then on.

Cause: an entry of the registry alone ended the known incarnation. It is a claim now: the worker is polled, gets no orders meanwhile, and the entry is ignored while the known incarnation answers polls that were sent after it was noticed. It is believed if the worker reports it, has no listener, or is silent for 1.3 s. A session that has never been answered takes the newest entry, whatever its birth, so that a leader which begins with such entries hears the workers at their next one.

Weighed: skipping entries whose service no configuration names. That leaves the same entry with a named service, and services that a later version adds.

--- a/marigoldlift/orders/polling.py
+++ b/marigoldlift/orders/polling.py
@@ -37,7 +37,7 @@
 
 async def poll(session: WorkerSession) -> bool:
     """Poll once, and pause before the next poll; further pages of ended runs are requested without waiting."""
-    waits = session.synced and not session.poll_failed and not session.ends.incomplete
+    waits = session.synced and not session.contact.poll_failed and not session.ends.incomplete
     answered = await session.poll(POLL_WAIT_MS if waits else 0)
     is_stuck = session.ends.incomplete and not session.ends.grew
     is_stuck |= session.acknowledgements.keep_ends_listed()
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -14,6 +14,7 @@
 from marigoldlift.orders.acknowledgements import Acknowledgements
 from marigoldlift.orders.api import StartOrder, Worker, WorkerCalls, WorkerStatus
 from marigoldlift.orders.clock import WorkerClock
+from marigoldlift.orders.contact import Contact
 from marigoldlift.orders.observer import RunObserver
 from marigoldlift.orders.reports import RunReports
 from marigoldlift.orders.runs import LATE_ORDER_S, UNLEASED_EXPIRY_S, HeldTasks, Run, RunTable
@@ -44,7 +45,7 @@
         reports: applies what the worker lists.
         ends: ended runs that the worker has listed.
         last_answer_at: when the last answer arrived, in seconds of the monotonic clock.
-        poll_failed: whether the last status poll got no answer.
+        contact: what the status polls have shown of whether the worker can be reached.
         suspected_at: when the worker last left an order unanswered, in seconds of the monotonic clock; None once it has
             answered a later status poll. It may have restarted since.
         acknowledgements: selects the ends that a poll lets the worker forget.
@@ -83,10 +84,9 @@
         self.ends = self.reports.ends
         self.synced = False
         self.last_answer_at = clock()
+        self.contact = Contact(clock())
         self.poll_requested = asyncio.Event()
         self.full_until: float = 0
-        self.opened_at = clock()
-        self.poll_failed = False
         self.suspected_at: float | None = None
         self.acknowledgements = Acknowledgements(self.run_table, self.ends)
 
@@ -98,6 +98,10 @@
         """Return whether the worker has answered recently."""
         return self.now() - self.last_answer_at < SUSPECT_S
 
+    def has_answered(self) -> bool:
+        """Return whether this incarnation of the worker has ever answered a poll."""
+        return self.contact.answered_sent_at >= self.contact.opened_at
+
     def knows_earlier_runs(self) -> bool:
         """Return whether every run of earlier leaders is known, as running or with its end."""
         return self.synced and self.ends.is_read
@@ -108,7 +112,7 @@
         Until this session has sent a lease, leases of an earlier holder or incarnation may still be valid.
         """
         if not self.clock.lease_ms:
-            return self.now() - self.opened_at > UNLEASED_EXPIRY_S
+            return self.now() - self.contact.opened_at > UNLEASED_EXPIRY_S
         return self.clock.has_lapsed(self.now())
 
     async def start(
@@ -251,16 +255,17 @@
         try:
             found = await self.calls.poll(self.worker, token, acknowledged, until_ms, wait_ms)
         except WorkerRefusedError as refusal:
+            self.contact.is_displaced = refusal.worker_code == OTHER_INSTANCE
             if refusal.worker_code == FENCED:
                 self.handle_fencing_refusal(token)
-            elif refusal.worker_code == OTHER_INSTANCE:
+            elif self.contact.is_displaced:
                 self.give_up_runs()
             return False
-        except WorkerUnavailableError:
-            self.poll_failed = True
+        except WorkerUnavailableError as fault:
+            self.contact.note_failed(may_have_arrived=fault.may_have_run)
             self.suspected_at = self.now()
             return False
-        self.poll_failed = False
+        self.contact.poll_failed = False
         if not self.is_same_incarnation(found):
             return False
         self.acknowledgements.note_answered(token, acknowledged, sent_at)
@@ -279,7 +284,7 @@
 
         The lease of a lost worker so ends as early as its last answered poll allows.
         """
-        if self.poll_failed or not self.is_heard():
+        if self.contact.poll_failed or not self.is_heard():
             return None
         if self.ends.is_stalled(now) or not self.observer.may_act():
             return None
@@ -303,6 +308,7 @@
         now = self.now()
         was_answering = self.answers()
         self.last_answer_at = now
+        self.contact.note_answered(sent_at)
         if self.suspected_at is not None and sent_at >= self.suspected_at:
             self.suspected_at = None
         self.clock.note(found.clock_ms, now)
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -13,6 +13,7 @@
 from marigoldlift.orders.runs import HeldTasks, Order, Run
 from marigoldlift.orders.session import SUSPECT_S, WorkerSession, give_up_late_starts
 from marigoldlift.replication.appender import Appender
+from marigoldlift.scheduling.claimed_restarts import ClaimedRestarts
 from marigoldlift.scheduling.earlier_orders import EarlierOrders
 from marigoldlift.scheduling.worker_health import WorkerHealth
 from marigoldlift.scheduling.registry import Registry
@@ -47,6 +48,7 @@
         records: records of the workers in the log.
         leave_at: earliest time at which a draining worker leaves, by id, in seconds of the monotonic clock.
         earlier_orders: what may remain of the orders of earlier leaders.
+        claimed_restarts: entries of later incarnations that the workers have not confirmed.
         dated: workers of which an entry had a time of birth; the entries of others count as those of the present
             incarnation.
         closed_tokens: last fencing token of the closed sessions, by worker id.
@@ -86,6 +88,7 @@
             longest_lease_s * SLOW_CLOCK_FACTOR + TIMER_SLACK_S,
         )
         self.dated: set[str] = set()
+        self.claimed_restarts = ClaimedRestarts(self.clock)
         self.closed_tokens: dict[str, int] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -124,14 +127,23 @@
             return
         if not worker.born_ms and worker.id not in self.dated:
             worker = msgspec.structs.replace(worker, born_ms=session.worker.born_ms)
-        if session.worker != worker:
+        if session.worker == worker:
+            self.claimed_restarts.forget(worker.id)
+        else:
             self.apply_entry(session, worker)
 
     def apply_entry(self, session: WorkerSession, worker: Worker) -> None:
-        """Apply a changed registry entry; an entry of an earlier incarnation than that of the session is ignored."""
+        """Apply a changed registry entry.
+
+        An entry of a later incarnation is ignored while the known one answers, and one of an earlier incarnation once the
+        known one has answered.
+        """
         if is_new_incarnation(session.worker, worker):
-            self.replace(session, worker)
-        elif worker.born_ms >= session.worker.born_ms:
+            if self.claimed_restarts.is_confirmed(session, worker):
+                self.replace(session, worker)
+            return
+        self.claimed_restarts.forget(worker.id)
+        if worker.born_ms >= session.worker.born_ms or not session.has_answered():
             self.update(session, worker)
 
     def open(self, worker: Worker, tenure: int) -> WorkerSession:
@@ -200,6 +212,7 @@
         """
         logger.info('worker restarted: worker={} born_ms={}', worker.id, worker.born_ms)
         self.health_records.pop(worker.id, None)
+        self.claimed_restarts.forget(worker.id)
         self.leave_at.pop(worker.id, None)
         successor = self.new_session(worker, self.tenure)
         successor.token = session.token + 1
@@ -223,6 +236,7 @@
         """
         now = self.clock()
         listed = self.registry.workers.keys() & self.records.recorded
+        listed -= self.claimed_restarts.open_claims()
         if not include_quarantined:
             listed -= quarantined(self.health_records, now)
         return [
@@ -274,6 +288,7 @@
         self.closed_tokens[name] = session.token
         self.calls.forget(name)
         self.dated.discard(name)
+        self.claimed_restarts.forget(name)
         self.tasks.pop(name).cancel()
         self.records.drop(name)
 
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -40,6 +40,7 @@
         not_leading: this tenure may not send orders now.
         replaced: the task is not placed there any more, or a stop was requested.
         silent: the worker has not answered recently.
+        restarted: the worker may have restarted.
         cap: the cap of its workspace does not admit it any more.
         ticket: its ticket has expired.
     """
@@ -50,6 +51,7 @@
     not_leading = 'not_leading'
     replaced = 'replaced'
     silent = 'silent'
+    restarted = 'restarted'
     cap = 'cap'
     ticket = 'ticket'
 
@@ -245,7 +247,9 @@
         return self.missing_permission(step, session)
 
     def missing_permission(self, step: StepRun, session: WorkerSession) -> Withdrawal | None:
-        """Return what does not permit a start at a worker any more: the cap, or the placement advice; None if both do."""
+        """Return what does not permit a start at a worker any more, None if nothing does."""
+        if session.worker.id in self.session_manager.claimed_restarts.open_claims():
+            return Withdrawal.restarted
         if not self.events.still_admits(step):
             return Withdrawal.cap
         if not step.uses_tickets or step.holds_ticket(session.worker.id, self.clock()):
