Run a gang that lasts again however full its service is

Its members wait for processors that are reserved for urgent submissions.

Cause: a step that lasts becomes overdue, and is then exempt from the reserve, however full the service is; gangs were left out of that, so that they had to wait until half of the service is free. They count now too, once the whole gang fits.

--- a/marigoldlift/scheduling/pending.py
+++ b/marigoldlift/scheduling/pending.py
@@ -176,7 +176,7 @@
         """Return whether less than half of the service is in use and the step fits completely.
 
         A step of a workspace that uses half of its cap or more may have to wait for that. Of a step that lasts, any task that
-        fits has to run, however full the service is.
+        fits has to run, or the whole gang, however full the service is.
 
         Args:
             step: the waiting step.
@@ -187,7 +187,8 @@
         sessions = services.listed(service) if runs_again else services.half_free(service)
         if not sessions or self.caps.may_wait(step):
             return False
-        return self.fits(step, 1 if runs_again else len(step.todo), sessions)
+        runs_alone = runs_again and not step.step.gang
+        return self.fits(step, 1 if runs_alone else len(step.todo), sessions)
 
     def fits(self, step: StepRun, missing: int, sessions: Sequence[WorkerSession]) -> bool:
         """Return whether a number of further tasks of a step fit on workers."""
@@ -235,7 +236,7 @@
 
 def must_run_whole(step: StepRun) -> bool:
     """Return whether a step lasts and has a waiting task that was started, which has to run again however it has ended."""
-    if not step.step.long_running or step.step.gang:
+    if not step.step.long_running:
         return False
     return step.first_run > 0 or not step.todo.isdisjoint(step.runs)
 
--- a/tests/cell/test_lasting.py
+++ b/tests/cell/test_lasting.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from marigoldlift.orders.api import EndKind
 from marigoldlift.submissions.model import Step
 from tests.cell.actions import set_task_duration
@@ -31,3 +33,33 @@
         assert any(task in worker.held for worker in cell.workers.values())
 
     run_scenario(scenario, workers=2)
+
+
+async def fill_cell(cell):
+    """Submit a gang that lasts, and services that leave room for it at the workers without one of its members only."""
+    set_task_duration(cell, 1000)
+    gang = (Step(count=3, cpu_m=500, long_running=True, gang=True),)
+    await cell.submit(cell.leader(), 'gang', gang)
+    await asyncio.sleep(2)
+    members = {worker for worker in cell.workers.values() if worker.held}
+    assert len(members) == 1
+    for number, worker in enumerate(set(cell.workers.values()) - members):
+        filling = (Step(count=15, cpu_m=500, long_running=True, requires=worker.kind.labels[1]),)
+        await cell.submit(cell.leader(), f'filling{number}', filling, priority=0)
+    await asyncio.sleep(2)
+    return members.pop()
+
+
+@pytest.mark.parametrize('workers', [8, 10])
+def test_gang_that_lasts_runs_again_in_a_well_used_cell(run_scenario, workers):
+    """Guards against LOST: a gang that lasts waits for ever for processors that are reserved for urgent submissions (review/13)."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        lost = await fill_cell(cell)
+        cell.remove_worker(lost.name)
+        await asyncio.sleep(LOST_S)
+        running = [task for worker in cell.workers.values() if worker.up for task in worker.held]
+        assert sum(task.submission == 'gang' for task in running) == 3
+
+    run_scenario(scenario, workers=workers)
