--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -6,10 +6,15 @@
 import msgspec
 from loguru import logger
 
-from marigoldlift.errors import WorkerRefusedError, WorkerUnavailableError
+from marigoldlift.errors import (
+    OrderWithdrawnError,
+    WorkerRefusedError,
+    WorkerUnavailableError,
+)
 from marigoldlift.orders.acknowledgements import Acknowledgements
 from marigoldlift.orders.api import StartOrder, Worker, WorkerCalls, WorkerStatus
 from marigoldlift.orders.clock import WorkerClock
+from marigoldlift.orders.contact import Contact
 from marigoldlift.orders.observer import RunObserver
 from marigoldlift.orders.reports import RunReports
 from marigoldlift.orders.runs import LATE_ORDER_S, UNLEASED_EXPIRY_S, HeldTasks, Run, RunTable
@@ -40,7 +45,7 @@
         reports: applies what the worker lists.
         ends: ended runs that the worker has listed.
         last_answer_at: when the last answer arrived, in seconds of the monotonic clock.
-        poll_failed: whether the last status poll got no answer.
+        contact: what the status polls have shown of whether the worker can be reached.
         suspected_at: when the worker last left an order unanswered, in seconds of the monotonic clock; None once it has
             answered a later status poll. It may have restarted since.
         acknowledgements: selects the ends that a poll lets the worker forget.
@@ -79,10 +84,9 @@
         self.ends = self.reports.ends
         self.synced = False
         self.last_answer_at = clock()
+        self.contact = Contact(clock())
         self.poll_requested = asyncio.Event()
         self.full_until: float = 0
-        self.opened_at = clock()
-        self.poll_failed = False
         self.suspected_at: float | None = None
         self.acknowledgements = Acknowledgements(self.run_table, self.ends)
 
@@ -94,6 +98,10 @@
         """Return whether the worker has answered recently."""
         return self.now() - self.last_answer_at < SUSPECT_S
 
+    def has_answered(self) -> bool:
+        """Return whether this incarnation of the worker has ever answered a poll."""
+        return self.contact.answered_sent_at >= self.contact.opened_at
+
     def knows_earlier_runs(self) -> bool:
         """Return whether every run of earlier leaders is known, as running or with its end."""
         return self.synced and self.ends.is_read
@@ -104,21 +112,25 @@
         Until this session has sent a lease, leases of an earlier holder or incarnation may still be valid.
         """
         if not self.clock.lease_ms:
-            return self.now() - self.opened_at > UNLEASED_EXPIRY_S
+            return self.now() - self.contact.opened_at > UNLEASED_EXPIRY_S
         return self.clock.has_lapsed(self.now())
 
-    async def start(self, known: Run, content: str, ticket: str) -> bool:
+    async def start(
+        self, known: Run, content: str, ticket: str, may_send: Callable[[], bool]
+    ) -> bool:
         """Start a run whose capacity is already reserved.
 
         Args:
             known: the run.
             content: text of the submission.
             ticket: permission of the placement advice, empty if the queue uses none.
+            may_send: asked just before the order leaves.
 
         Returns:
             True if it runs or may run, False if it certainly does not.
 
         Raises:
+            OrderWithdrawnError: it was not sent, since `may_send` has returned False.
             WorkerRefusedError: the worker has refused it; the error holds the reason.
         """
         known.order(ticket)
@@ -129,7 +141,10 @@
         token = self.token
         try:
             with self.acknowledgements.start_under_way():
-                clock_ms = await self.calls.start(self.worker, token, order)
+                clock_ms = await self.calls.start(self.worker, token, order, may_send)
+        except OrderWithdrawnError:
+            self.drop(known)
+            raise
         except WorkerUnavailableError as fault:
             self.suspected_at = self.now()
             if fault.may_have_run:
@@ -152,7 +167,7 @@
         """Give up the runs that have ended with the worker's incarnation or its lease, and return their number."""
         now = self.now()
         runs = self.run_table.runs.values()
-        return self.reports.give_up(run for run in runs if not run.may_outlive_lease(now))
+        return self.reports.give_up(run for run in runs if run.has_ended_with_lease(now))
 
     def drop(self, known: Run) -> None:
         """Free the capacity of a run that is certainly absent, unless a copy of its start is left."""
@@ -204,16 +219,23 @@
     async def stop(self, task: TaskRef) -> None:
         """Request that a run stops, unless orders may not be sent now; its capacity stays reserved until it is listed as ended."""
         known = self.run_table.runs.get(task)
-        if known is None or not self.observer.may_act():
-            return
-        known.stop(self.now())
+        if known is not None and self.observer.may_act():
+            known.stop(self.now())
+            await self.stop_run(task, known.run)
+
+    async def stop_run(self, task: TaskRef, run: int) -> None:
+        """Request that the run of a task with a number stops."""
         try:
-            await self.calls.stop(self.worker, self.token, task, known.run)
+            await self.calls.stop(self.worker, self.token, task, run)
         except (WorkerRefusedError, WorkerUnavailableError) as fault:
             if isinstance(fault, WorkerUnavailableError):
                 self.suspected_at = self.now()
             logger.info(
-                'stop not confirmed: task={} worker={} {}', task.name, self.worker.id, fault
+                'stop not confirmed: task={} run={} worker={} {}',
+                task.name,
+                run,
+                self.worker.id,
+                fault,
             )
 
     async def poll(self, wait_ms: int) -> bool:
@@ -233,16 +255,17 @@
         try:
             found = await self.calls.poll(self.worker, token, acknowledged, until_ms, wait_ms)
         except WorkerRefusedError as refusal:
+            self.contact.is_displaced = refusal.worker_code == OTHER_INSTANCE
             if refusal.worker_code == FENCED:
                 self.handle_fencing_refusal(token)
-            elif refusal.worker_code == OTHER_INSTANCE:
+            elif self.contact.is_displaced:
                 self.give_up_runs()
             return False
-        except WorkerUnavailableError:
-            self.poll_failed = True
+        except WorkerUnavailableError as fault:
+            self.contact.note_failed(may_have_arrived=fault.may_have_run)
             self.suspected_at = self.now()
             return False
-        self.poll_failed = False
+        self.contact.poll_failed = False
         if not self.is_same_incarnation(found):
             return False
         self.acknowledgements.note_answered(token, acknowledged, sent_at)
@@ -261,7 +284,7 @@
 
         The lease of a lost worker so ends as early as its last answered poll allows.
         """
-        if self.poll_failed or not self.is_heard():
+        if self.contact.poll_failed or not self.is_heard():
             return None
         if self.ends.is_stalled(now) or not self.observer.may_act():
             return None
@@ -285,6 +308,7 @@
         now = self.now()
         was_answering = self.answers()
         self.last_answer_at = now
+        self.contact.note_answered(sent_at)
         if self.suspected_at is not None and sent_at >= self.suspected_at:
             self.suspected_at = None
         self.clock.note(found.clock_ms, now)
--- a/marigoldlift/scheduling/checks.py
+++ b/marigoldlift/scheduling/checks.py
@@ -91,7 +91,7 @@
         if (
             step is None
             or run.phase is Phase.stopping
-            or step.active.get(run.task.index) is not session
+            or step.active.of_run(session, run.task.index, run.run) is None
         ):
             self.starter.request_stop(session, run.task)
             return
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -121,10 +121,10 @@
         run does not requeue its task. Requeuing a member of a gang breaks the gang.
         """
         index = ended.task.index
-        is_current = step.active.get(index) is session and step.runs.get(index) == ended.run
+        is_current = step.active.of_run(session, index, ended.run) is not None
         is_long_running = step.step.long_running
         if ended.kind is EndKind.done and not is_long_running:
-            self.finish(step, index, session)
+            self.finish(step, index, session, ended.run)
             return
         if ended.kind is EndKind.failed and not is_long_running and index not in step.done:
             step.avoid_worker(index, session.worker.id, self.clock())
@@ -143,28 +143,26 @@
             step.requeue(index)
             self.step_requeued(step)
 
-    def finish(self, step: StepRun, index: int, session: WorkerSession | None) -> None:
-        """Mark a task as done, and stop a run of it on another worker.
+    def finish(
+        self, step: StepRun, index: int, session: WorkerSession | None, run: int = 0
+    ) -> None:
+        """Mark a task as done, and stop the run of its present placement if that is another one.
 
         Args:
             step: step of the task.
             index: index of the task.
             session: session with the worker that has listed the end, None if an earlier leader was told of it.
+            run: number of the run that has ended there.
         """
-        other = step.active.get(index)
-        if other is not None and other is not session:
-            self.open_submissions.starter.stop(other, step.task(index))
+        present = step.active.get(index)
+        if present is not None and not (present.session is session and present.run == run):
+            self.open_submissions.starter.stop(present.session, step.task(index))
         step.finish(index)
         if session is not None:
             step.settle_place(index, session.worker.id)
         self.open_submissions.note_done(step)
         self.wake.set()
 
-    def check_run_times(self) -> None:
-        """Report and store the learned run times if that is due."""
-        if self.run_times is not None:
-            self.run_times.check()
-
     def run_found(self, session: WorkerSession, held: HeldRun) -> Step | None:
         """Adopt a run that an earlier leader has started.
 
@@ -186,6 +184,17 @@
             step.gang_started_at = self.clock()
         return step.step
 
+    def run_superseded(self, session: WorkerSession, held: HeldRun) -> None:
+        """Stop a run that was given up although it exists; that of the present placement runs beside it."""
+        logger.warning(
+            'run beside the placed one: task={} run={} worker={}',
+            held.task.name,
+            held.run,
+            session.worker.id,
+        )
+        if self.may_act():
+            self.open_submissions.starter.spawn(session.stop_run(held.task, held.run))
+
     def run_confirmed(self, session: WorkerSession, run: Run) -> None:
         """Store that a run has started, as after an answer to its start, which is not in doubt any more."""
         step = self.open_submissions.step_of_run(run.task)
@@ -231,16 +240,22 @@
     def run_vanished(self, session: WorkerSession, run: Run) -> None:
         """Requeue the task of a run that certainly no longer exists; losing a started member breaks its gang."""
         logger.info(
-            'run lost: task={} run={} worker={}', run.task.name, run.run, session.worker.id
+            'run lost: task={} run={} worker={} ordered={} phase={}',
+            run.task.name,
+            run.run,
+            session.worker.id,
+            run.ordered.value,
+            run.phase.value,
         )
         step = self.open_submissions.step_of(run.task)
         if step is None:
             return
-        started = run.phase in {Phase.held, Phase.stopping}
-        if step.step.gang and started and step.active.get(run.task.index) is session:
-            step.gang_broken = True
         step.save(run.task.index, run.checkpoint)
-        self.open_submissions.starter.requeue_task(step, run.task.index, session)
+        placement = step.active.of_run(session, run.task.index, run.run)
+        if placement is not None:
+            if run.phase in {Phase.held, Phase.stopping}:
+                step.gang_broken |= step.step.gang
+            self.open_submissions.starter.requeue_task(step, placement)
         # Otherwise the next leader waits for this worker until all leases have lapsed again.
         self.open_submissions.progress.note(step.job, step=step)
 
@@ -253,8 +268,8 @@
     def run_moved(self, session: WorkerSession, successor: WorkerSession, run: Run) -> None:
         """Move a run whose start has an unknown outcome to the session of the worker's next incarnation."""
         step = self.open_submissions.step_of(run.task)
-        if step is not None and step.active.get(run.task.index) is session:
-            step.active[run.task.index] = successor
+        if step is not None and step.active.of_run(session, run.task.index, run.run) is not None:
+            step.active.put(run.task.index, successor, run.run)
 
     def worker_restarted(self, session: WorkerSession, born_ms: int) -> None:
         """Open a new session with a worker that has reported a restart."""
