--- a/marigoldlift/scheduling/claimed_restarts.py
+++ b/marigoldlift/scheduling/claimed_restarts.py
@@ -72,5 +72,5 @@
             )
 
     def forget(self, worker: str) -> None:
-        """Forget the entry under the id of a worker, whose session was replaced or closed."""
+        """Forget what an entry under the id of a worker has claimed, once that is settled or no longer claimed."""
         self.claims.pop(worker, None)
