Count the bytes that reads of the log receive, by topic and outcome

The logs of the incident cannot tell a record that is read again and again from one that is too large to be read, nor from a store that sends it slowly. A read that is given up now says how many bytes had arrived and how many reads of the topic were under way; counters tell reads and bytes by topic: answered, cut off, unanswered.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -85,7 +85,7 @@
         for seed in settings.seeds:
             self.node.broker.note_relay(seed)
         reader = ConfigurationReader(self.configure, settings.needs_keys)
-        operators = PlatformLog(self.route, OPERATORS_TOPIC)
+        operators = PlatformLog(self.route, OPERATORS_TOPIC, self.metrics)
         self.operators = Replica(
             operators,
             reader.apply,
@@ -114,8 +114,8 @@
             cores=settings.cores,
         )
         parts = NodeParts(
-            log=PlatformLog(self.route, WORK_TOPIC),
-            workers_log=PlatformLog(self.route, WORKERS_TOPIC),
+            log=PlatformLog(self.route, WORK_TOPIC, self.metrics),
+            workers_log=PlatformLog(self.route, WORKERS_TOPIC, self.metrics),
             decode_worker=decode_worker,
             calls=PlatformWorkers(self.calls),
             advice=self.advice,
--- a/marigoldlift/platform/calls.py
+++ b/marigoldlift/platform/calls.py
@@ -8,17 +8,15 @@
 
 from marigoldlift.answer_deadline import AnswerDeadline, always
 
-__all__ = ('CallUnansweredError', 'CallWithdrawnError', 'HttpClient', 'Reply')
+__all__ = ('CallUnansweredError', 'CallWithdrawnError', 'HttpClient', 'Reply', 'Transfer')
 
 #: How long an idle connection is kept open, in s; the platform charges for each new connection to a worker.
 KEEP_ALIVE_S = 30
 
 JSON_TYPE = 'application/json'
 
-#: Largest body of an answer, in bytes, and size of the parts in which one of unknown length is read.
+#: Largest body of an answer, in bytes.
 MAX_BODY_BYTES = 16_777_216
-PART_BYTES = 65_536
-
 
 #: Errors of a call. `ValueError` and `OverflowError` come from addresses, ports and headers that no request can have.
 CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError, OverflowError)
@@ -48,6 +46,26 @@
     body: bytes
 
 
+class Transfer:
+    """Progress of the answer to one call.
+
+    Attributes:
+        received_bytes: size of what has arrived of the body, in bytes.
+        on_part: called as each part of the body is read.
+    """
+
+    def __init__(self, on_part: Callable[[], None] | None = None) -> None:
+        """Start without a part."""
+        self.received_bytes = 0
+        self.on_part = on_part
+
+    def note_part(self, size: int) -> None:
+        """Count a part of the body."""
+        self.received_bytes += size
+        if self.on_part is not None:
+            self.on_part()
+
+
 class HttpClient:
     """Sends requests over persistent connections.
 
@@ -102,6 +120,7 @@
         wait_s: float,
         idle_timeout_s: float | None = None,
         may_send: Callable[[], bool] = always,
+        transfer: Transfer | None = None,
     ) -> Reply:
         """Send a request and wait for the whole answer.
 
@@ -113,6 +132,7 @@
             wait_s: longest wait for the whole answer, in s.
             idle_timeout_s: longest wait for the connection and each next part of the answer, in s; None for no limit.
             may_send: asked just before the first byte is sent.
+            transfer: counts the parts of the answer as they arrive.
 
         Raises:
             CallUnansweredError: no complete answer came in time.
@@ -134,7 +154,7 @@
                     allow_redirects=False,
                     trace_request_ctx=deadline,
                 ) as answer:
-                    return Reply(answer.status, await read_body(answer))
+                    return Reply(answer.status, await read_body(answer, transfer or Transfer()))
         except aiohttp.ClientConnectorError as refused:
             raise CallUnansweredError(str(refused), was_sent=False) from refused
         except CALL_ERRORS as fault:
@@ -172,16 +192,15 @@
     context.trace_request_ctx.note_sent()
 
 
-async def read_body(answer: aiohttp.ClientResponse) -> bytes:
-    """Return the body of an answer.
+async def read_body(answer: aiohttp.ClientResponse, transfer: Transfer) -> bytes:
+    """Return the body of an answer, and count its parts as they arrive.
 
     Raises:
         aiohttp.ClientPayloadError: it is larger than `MAX_BODY_BYTES`.
     """
-    if answer.content_length is not None and answer.content_length <= MAX_BODY_BYTES:
-        return await answer.read()
     body = bytearray()
-    async for part in answer.content.iter_chunked(PART_BYTES):
+    async for part in answer.content.iter_any():
+        transfer.note_part(len(part))
         body.extend(part)
         if len(body) > MAX_BODY_BYTES:
             raise aiohttp.ClientPayloadError(f'body exceeds {MAX_BODY_BYTES} bytes')
--- a/marigoldlift/platform/store.py
+++ b/marigoldlift/platform/store.py
@@ -17,11 +17,14 @@
     RetentionPassedError,
     SequenceMismatchError,
 )
-from marigoldlift.platform.calls import CallUnansweredError, Reply
+from marigoldlift.platform.calls import CallUnansweredError, Reply, Transfer
 from marigoldlift.platform.store_route import StoreRoute
 from marigoldlift.platform.wire import AppendReply, NewestReply
 from marigoldlift.replication.api import LogPage, Producer, SnapshotPage
 from marigoldlift.submissions.record_codec import StoredRecord
+from marigoldlift.telemetry.metric_table import Metric
+from marigoldlift.telemetry.metrics import Metrics
+from marigoldlift.util import loop_now
 
 __all__ = ('OPERATORS_TOPIC', 'WORKERS_TOPIC', 'WORK_TOPIC', 'PlatformLog')
 
@@ -32,6 +35,11 @@
 OPERATORS_TOPIC = 'keyed.op'
 WORKERS_TOPIC = 'keyed.servers'
 
+#: Names of the topics in metrics and logs.
+STREAMS = MappingProxyType(
+    {WORK_TOPIC: 'work', OPERATORS_TOPIC: 'operators', WORKERS_TOPIC: 'workers'}
+)
+
 MS_PER_S = 1000
 
 #: Longest wait for an answer, in s, in addition to the time that the call asks the store to wait; the store usually
@@ -79,12 +87,20 @@
 
 
 class PlatformLog:
-    """One topic of the store, partition 0."""
+    """One topic of the store, partition 0.
+
+    Attributes:
+        stream: name of the topic in metrics and logs.
+        active_reads: number of reads under way.
+    """
 
-    def __init__(self, route: StoreRoute, topic: str) -> None:
-        """Use a topic over the route to the store."""
+    def __init__(self, route: StoreRoute, topic: str, metrics: Metrics) -> None:
+        """Use a topic over the route to the store, and count what is read of it."""
         self.route = route
         self.topic = topic
+        self.metrics = metrics
+        self.stream = STREAMS[topic]
+        self.active_reads = 0
 
     def path(self, verb: str, query: str) -> str:
         """Return the path and query of a call."""
@@ -128,6 +144,7 @@
         """
         body = await self.read_bytes(start, wait_ms, READ_KB)
         if is_cut_off(body):
+            self.metrics.add(Metric.log_reads, stream=self.stream, outcome='cut_off')
             body = await self.read_bytes(start, 0, MAX_READ_KB)
         end, _ = POSITION.unpack_from(body)
         return LogPage(end, list(decode_stored(body, start)))
@@ -175,10 +192,35 @@
         Raises:
             LogUnavailableError: no answer.
         """
+        transfer = Transfer()
+        started_at = loop_now()
+        self.active_reads += 1
         try:
-            return await self.route.call('GET', path, b'', wait_s, idle_timeout_s)
+            reply = await self.route.call(
+                'GET', path, b'', wait_s, idle_timeout_s, transfer=transfer
+            )
         except CallUnansweredError as fault:
+            self.count_read('unanswered', transfer)
+            logger.warning(
+                'read given up: stream={} received_bytes={} took_s={:.3f} active_reads={} {}',
+                self.stream,
+                transfer.received_bytes,
+                loop_now() - started_at,
+                self.active_reads,
+                fault,
+            )
             raise LogUnavailableError(str(fault)) from fault
+        finally:
+            self.active_reads -= 1
+        self.count_read('answered', transfer)
+        return reply
+
+    def count_read(self, outcome: str, transfer: Transfer) -> None:
+        """Count a read that has ended, and the bytes that were received for it."""
+        self.metrics.add(Metric.log_reads, stream=self.stream, outcome=outcome)
+        self.metrics.add(
+            Metric.log_read_bytes, transfer.received_bytes, stream=self.stream, outcome=outcome
+        )
 
 
 def encode_stored(key: str, content: bytes) -> bytes:
--- a/marigoldlift/platform/store_route.py
+++ b/marigoldlift/platform/store_route.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from marigoldlift.platform.calls import CallUnansweredError, HttpClient, Reply
+from marigoldlift.platform.calls import CallUnansweredError, HttpClient, Reply, Transfer
 
 __all__ = ('RELAY_PREFIX', 'StoreRoute')
 
@@ -96,6 +96,7 @@
         wait_s: float,
         idle_timeout_s: float | None = None,
         patience_s: float = 0,
+        transfer: Transfer | None = None,
     ) -> Reply:
         """Make a call over the direct route while it works, and through another entry otherwise.
 
@@ -106,16 +107,19 @@
             wait_s: longest wait for the whole answer, in s.
             idle_timeout_s: longest wait for each next part of an answer over the direct route, in s; None for no limit.
             patience_s: how much longer to wait over the direct route while the store answers, but slowly, in s.
+            transfer: counts the parts of the answer as they arrive.
 
         Raises:
             CallUnansweredError: no answer over the route that was tried last.
         """
         if self.is_direct:
-            reply = await self.call_direct(method, path, body, wait_s, idle_timeout_s, patience_s)
+            reply = await self.call_direct(
+                method, path, body, wait_s, idle_timeout_s, patience_s, transfer
+            )
             if reply.status not in REJECTED_STATUSES:
                 return reply
             self.disable_direct_route(f'answered {reply.status}')
-        return await self.call_through_peer(method, path, body, wait_s)
+        return await self.call_through_peer(method, path, body, wait_s, transfer)
 
     async def call_direct(
         self,
@@ -125,6 +129,7 @@
         wait_s: float,
         idle_timeout_s: float | None = None,
         patience_s: float = 0,
+        transfer: Transfer | None = None,
     ) -> Reply:
         """Make a call over the direct route, and stop using that route if there is no answer."""
         call = asyncio.ensure_future(
@@ -135,6 +140,7 @@
                 {},
                 wait_s + patience_s,
                 idle_timeout_s,
+                transfer=transfer,
             )
         )
         try:
@@ -199,7 +205,14 @@
             return False
         return reply.status not in REJECTED_STATUSES and reply.status != BAD_GATEWAY
 
-    async def call_through_peer(self, method: str, path: str, body: bytes, wait_s: float) -> Reply:
+    async def call_through_peer(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        wait_s: float,
+        transfer: Transfer | None = None,
+    ) -> Reply:
         """Let another entry relay a call; if none is found, return a 503 without having sent anything.
 
         Raises:
@@ -210,7 +223,7 @@
             return Reply(UNAVAILABLE, b'')
         try:
             reply = await self.calls.call(
-                method, f'http://{peer}{RELAY_PREFIX}{path}', body, {}, wait_s
+                method, f'http://{peer}{RELAY_PREFIX}{path}', body, {}, wait_s, transfer=transfer
             )
         except CallUnansweredError:
             self.avoid_peer(peer)
--- a/marigoldlift/platform/tests/test_store.py
+++ b/marigoldlift/platform/tests/test_store.py
@@ -16,6 +16,7 @@
     encode_stored,
 )
 from marigoldlift.platform.store_route import StoreRoute
+from marigoldlift.telemetry.metrics import Metrics
 from marigoldlift.util import monotonic_now
 
 PAGE = b'{"items":[{"key":"s/1","value":"YQ==","offset":4}],"more":false,"end":5}'
@@ -31,7 +32,8 @@
 async def log(server):
     """Work topic of a store on the loopback interface."""
     calls = HttpClient()
-    yield PlatformLog(StoreRoute(calls, server.address, '10.0.0.2:1', monotonic_now), WORK_TOPIC)
+    route = StoreRoute(calls, server.address, '10.0.0.2:1', monotonic_now)
+    yield PlatformLog(route, WORK_TOPIC, Metrics())
     await calls.close()
 
 
--- a/marigoldlift/platform/tests/test_store_route.py
+++ b/marigoldlift/platform/tests/test_store_route.py
@@ -28,7 +28,7 @@
         self.sent = []
         self.unreachable = set()
 
-    async def call(self, method, url, body, headers, wait_s, idle_timeout_s=None):
+    async def call(self, method, url, body, headers, wait_s, idle_timeout_s=None, transfer=None):
         """Answer a call, or let it time out."""
         address, _, path = url.removeprefix('http://').partition('/')
         self.sent.append((address, f'/{path}'))
@@ -143,7 +143,7 @@
         super().__init__()
         self.faulty = set()
 
-    async def call(self, method, url, body, headers, wait_s, idle_timeout_s=None):
+    async def call(self, method, url, body, headers, wait_s, idle_timeout_s=None, transfer=None):
         """Answer a call, let it time out, or raise."""
         if url.removeprefix('http://').partition('/')[0] in self.faulty:
             raise RuntimeError('injected')
@@ -192,7 +192,7 @@
     """Guards against a slow store that gets each append again while the first still waits in its partition."""
     took_s = {PATH: answer_ms / MS_PER_S, PROBE_PATH: probe_ms / MS_PER_S}
 
-    async def answer_late(method, url, body, headers, wait_s, idle_timeout_s=None):
+    async def answer_late(method, url, body, headers, wait_s, idle_timeout_s=None, transfer=None):
         path = url.removeprefix(f'http://{STORE}')
         await asyncio.sleep(min(took_s[path], wait_s))
         if took_s[path] > wait_s:
--- a/marigoldlift/telemetry/metric_table.py
+++ b/marigoldlift/telemetry/metric_table.py
@@ -59,6 +59,12 @@
     log_append = MetricSpec(SUMMARY, 'seconds', ('stream',), 'Time of an append to the log.')
     log_appends = MetricSpec(COUNTER, '', ('outcome',), 'Appends sent to the log.')
     log_records = MetricSpec(COUNTER, '', ('stream',), 'Records applied from the log.')
+    log_reads = MetricSpec(
+        COUNTER, '', ('stream', 'outcome'), 'Reads of the log; those cut off are read again.'
+    )
+    log_read_bytes = MetricSpec(
+        COUNTER, '', ('stream', 'outcome'), 'Bytes received for reads of the log.'
+    )
     log_reachable = MetricSpec(GAUGE, '', ('stream',), 'Whether the log answers: 1 or 0.')
     jobs = MetricSpec(GAUGE, '', ('state',), 'Jobs of the own failure domain.')
     tasks = MetricSpec(GAUGE, '', ('state',), 'Tasks of the own failure domain.')
