Tests: send signals to a soak's entries without waiting for them

Process.send_signal polls the child first, so a signal that is sent just after the exit takes the exit code away from the child watcher, which then reports 255. Signals are sent by os.kill now; the check of the exit codes is as before. The entry's own log was not kept, and the race was not reproduced, so that this is the cause is shown by asyncio's line only.

--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -126,10 +126,13 @@
             await asyncio.sleep(RESTART_DELAY_S)
 
     def send(self, signum: signal.Signals) -> None:
-        """Send a signal to the process, if it is running."""
+        """Send a signal to the process, if it is running.
+
+        `Process.send_signal` waits for a child that has just exited, so that its exit code is lost to `Process.wait`.
+        """
         if self.process is not None and self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
-                self.process.send_signal(signum)
+                os.kill(self.process.pid, signum)
 
     async def stop(self) -> None:
         """Send SIGTERM, and SIGKILL after the grace time; the supervisor then restarts the process."""
@@ -143,8 +146,7 @@
             async with asyncio.timeout(GRACE_S):
                 await process.wait()
         except TimeoutError:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
+            self.send(signal.SIGKILL)
 
     async def is_ready(self) -> bool:
         """Return whether the readiness probe of the entry succeeds."""
@@ -171,5 +173,5 @@
             self.supervisor.cancel()
             await asyncio.wait([self.supervisor])
         if self.process is not None and self.process.returncode is None:
-            self.process.kill()
+            self.send(signal.SIGKILL)
             await self.process.wait()
