Read each record of the log once, however long its transfer takes

Cause: a read was given up by its whole duration (0.8 s, or 1.8 s when it waits), however much of its answer had arrived, and while reads had no answer another one began each 0.25 s beside the earlier ones. Each fetched 128 kB of the record and then all of it. Together they filled the link, none ended in time, and each that was given up had used the link for nothing. Reads for callers' questions fetched the same records once more each. Class: retries that add load to what they wait for.

Ruled out: a record beyond the largest read (large entries read it), a slow store (they have it after 0.25 to 0.6 s).

Now a read lasts as long as parts of its answer arrive (8 s at most). While reads have no answer, the log is probed with reads of 1 kB, and one read follows the first that is answered. Callers that wait at the same time share a read; one that only refreshes what the entry knows waits for 0.5 s at most, and sends none while a waiting read is under way. A cut-off record is read by its size. A large configuration that later ones replace is passed over for the newest.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -79,7 +79,7 @@
         self.node = self.build_node()
         self.node.workspaces.share_limits = settings.shares
         self.peer_server = PeerRequestHandler(
-            self.route, self.advice, self.node.appender, self.node.replica.was_away
+            self.route, self.advice, self.node.appender, self.node.replica.contact.was_away
         )
         self.node.peer_observers.append(self.route.add_peer)
         for seed in settings.seeds:
@@ -92,6 +92,7 @@
             monotonic_now,
             OPERATORS_READ_INTERVAL_S,
             self.node.faults,
+            newest_suffices=True,
         )
         self.freshness = ConfigurationFreshness(self.operators, monotonic_now, settings)
         self.node.workspaces.read_at = self.configuration_read_at
@@ -146,13 +147,15 @@
     def render_metrics(self) -> str:
         """Return all metrics as text."""
         self.node.set_gauges()
-        age_s = monotonic_now() - self.operators.last_response_at
+        age_s = monotonic_now() - self.operators.contact.last_response_at
         self.metrics.set(Metric.log_age, age_s, stream='operators')
         return self.metrics.render()
 
     def is_stale(self) -> bool:
         """Return whether the store's last answer is older than `STALE_AFTER_S`."""
-        last_response_at = min(self.node.replica.last_response_at, self.operators.last_response_at)
+        last_response_at = min(
+            self.node.replica.contact.last_response_at, self.operators.contact.last_response_at
+        )
         return monotonic_now() - last_response_at > STALE_AFTER_S
 
     def is_ready(self) -> bool:
--- a/marigoldlift/cell_node.py
+++ b/marigoldlift/cell_node.py
@@ -217,9 +217,11 @@
         metrics = self.parts.metrics
         now = self.clock()
         metrics.set(Metric.leading, int(self.election.tenure is not None))
-        metrics.set(Metric.log_age, now - self.replica.last_response_at, stream='work')
+        metrics.set(Metric.log_age, now - self.replica.contact.last_response_at, stream='work')
         if self.dispatcher is not None:
-            metrics.set(Metric.log_age, now - self.listing.last_response_at, stream='workers')
+            metrics.set(
+                Metric.log_age, now - self.listing.contact.last_response_at, stream='workers'
+            )
             self.dispatcher.planner.set_gauges(metrics)
         metrics.set(Metric.members, len(self.broker.relays), state='alive')
         metrics.set(Metric.early_cancellations, len(self.state.early_cancellations))
--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -210,7 +210,9 @@
             return False
         last_renewal_at = self.seen_at
         if not self.is_vacant():
-            last_renewal_at = max(last_renewal_at, self.replica.resumed_at + RECOVERY_GRACE_S)
+            last_renewal_at = max(
+                last_renewal_at, self.replica.contact.resumed_at + RECOVERY_GRACE_S
+            )
         return self.clock() >= last_renewal_at + self.election_timeout_s()
 
     def is_vacant(self) -> bool:
--- a/marigoldlift/platform/store.py
+++ b/marigoldlift/platform/store.py
@@ -1,6 +1,7 @@
 """Client for the platform's store, used as a keyed log with one partition."""
 
 import base64
+import math
 import struct
 from collections.abc import Iterator, Sequence
 from types import MappingProxyType
@@ -41,25 +42,29 @@
 )
 
 MS_PER_S = 1000
+BYTES_PER_KB = 1024
 
-#: Longest wait for an answer, in s, in addition to the time that the call asks the store to wait; the store usually
-#: answers in 4 ms, and in 0.3 s when it is slow.
+#: Longest wait for an answer, or for the next part of it, in s, in addition to the time that the call asks the store to
+#: wait; the store usually answers in 4 ms, and in 0.3 s when it is slow.
 ANSWER_TIMEOUT_S = 0.8
 
 #: How much longer to wait for the answer to an append of a store that is slow, in s. It takes the appends of a partition
 #: one by one, and refuses those that would wait for more than 2 s.
 APPEND_PATIENCE_S = 1.8
 
-#: Largest answer to a read, in kB; the slowest VMs have links of 5 Mbit/s and need 0.2 s for it.
-READ_KB = 128
+#: Largest answer to a read, in kB; the slowest VMs have links of 5 Mbit/s and need 0.2 s for it. A read of the operators'
+#: topic soon tells that a large configuration follows, and where the topic ends; the record is then read as a whole.
+READ_KB = MappingProxyType({WORK_TOPIC: 128, OPERATORS_TOPIC: 32, WORKERS_TOPIC: 128})
 
-#: Size of a read after one that did not hold the whole first record, such as a configuration with 1,900 new queues.
-MAX_READ_KB = 1024
+#: Size for which a record is read whose own size is cut off, in bytes.
+UNKNOWN_RECORD_BYTES = 1_048_576
 
-#: Longest wait for a whole snapshot page, in s; a page has up to 1 MB in base64 and takes 2 s over the slowest link.
-PAGE_TIMEOUT_S = 8.0
+#: Size of the answer to a probe, in kB.
+PROBE_KB = 1
 
-READ_TIMEOUT_S = MappingProxyType({READ_KB: ANSWER_TIMEOUT_S, MAX_READ_KB: PAGE_TIMEOUT_S})
+#: Longest wait for a whole answer while parts of it arrive, in s; a snapshot page has up to 1 MB in base64 and takes 2 s
+#: over the slowest link.
+PAGE_TIMEOUT_S = 8.0
 
 #: Longest wait for the next part of a snapshot page, in s. A slow store begins its answer within 0.3 s; an unresponsive
 #: one must not block an entry that has no snapshot yet for the whole timeout.
@@ -142,13 +147,43 @@
             RetentionPassedError: records from that offset are no longer kept.
             LogUnavailableError: no usable answer.
         """
-        body = await self.read_bytes(start, wait_ms, READ_KB)
-        if is_cut_off(body):
-            self.metrics.add(Metric.log_reads, stream=self.stream, outcome='cut_off')
-            body = await self.read_bytes(start, 0, MAX_READ_KB)
+        return self.page_of(await self.read_bytes(start, wait_ms, READ_KB[self.topic]), start)
+
+    async def read_record(self, start: int, size_bytes: int) -> LogPage:
+        """Return the record at an offset, of a size that a read has told, and those that fit beside it.
+
+        Raises:
+            RetentionPassedError: the record is no longer kept.
+            LogUnavailableError: no usable answer.
+        """
+        max_kb = math.ceil((POSITION.size + size_bytes) / BYTES_PER_KB)
+        reply = await self.fetch(
+            self.read_path(start, 0, max_kb), PAGE_TIMEOUT_S, ANSWER_TIMEOUT_S
+        )
+        return self.page_of(checked_body(reply, start), start)
+
+    async def probe(self, start: int) -> None:
+        """Make the smallest read from an offset, to find out whether the store answers.
+
+        Raises:
+            RetentionPassedError: records from that offset are no longer kept.
+            LogUnavailableError: no usable answer.
+        """
+        await self.read_bytes(start, 0, PROBE_KB)
+
+    def page_of(self, body: bytes, start: int) -> LogPage:
+        """Decode the answer to a read."""
         end, _ = POSITION.unpack_from(body)
+        size_bytes = cut_off_size(body)
+        if size_bytes:
+            self.metrics.add(Metric.log_reads, stream=self.stream, outcome='cut_off')
+            return LogPage(end, [], size_bytes)
         return LogPage(end, list(decode_stored(body, start)))
 
+    def read_path(self, start: int, wait_ms: int, max_kb: int) -> str:
+        """Return the path and query of a read."""
+        return self.path('log-read', f'&from={start}&wait_ms={wait_ms}&max_kb={max_kb}')
+
     async def read_bytes(self, start: int, wait_ms: int, max_kb: int) -> bytes:
         """Return the answer to one read, which begins with a `POSITION`.
 
@@ -156,13 +191,9 @@
             RetentionPassedError: records from that offset are no longer kept.
             LogUnavailableError: no usable answer.
         """
-        path = self.path('log-read', f'&from={start}&wait_ms={wait_ms}&max_kb={max_kb}')
-        reply = await self.fetch(path, READ_TIMEOUT_S[max_kb] + wait_ms / MS_PER_S)
-        if reply.status == GONE:
-            raise RetentionPassedError(start)
-        if reply.status != OK or len(reply.body) < POSITION.size:
-            raise LogUnavailableError(f'read answered {reply.status}')
-        return reply.body
+        answer_s = ANSWER_TIMEOUT_S + wait_ms / MS_PER_S
+        path = self.read_path(start, wait_ms, max_kb)
+        return checked_body(await self.fetch(path, answer_s, answer_s, PAGE_TIMEOUT_S), start)
 
     async def newest(self, after: str) -> SnapshotPage:
         """Return one page of the newest records, for the keys that follow `after`.
@@ -186,9 +217,17 @@
             raise LogUnavailableError(f'snapshot cannot be read: {fault}') from fault
         return SnapshotPage(page.end, records, page.more)
 
-    async def fetch(self, path: str, wait_s: float, idle_timeout_s: float | None = None) -> Reply:
+    async def fetch(
+        self, path: str, wait_s: float, idle_timeout_s: float, patience_s: float = 0
+    ) -> Reply:
         """Make a read-only call.
 
+        Args:
+            path: path and query.
+            wait_s: longest wait for the whole answer, in s.
+            idle_timeout_s: longest wait for the next part of it over the direct route, in s.
+            patience_s: how much longer to wait over the direct route while parts arrive, in s.
+
         Raises:
             LogUnavailableError: no answer.
         """
@@ -197,7 +236,7 @@
         self.active_reads += 1
         try:
             reply = await self.route.call(
-                'GET', path, b'', wait_s, idle_timeout_s, transfer=transfer
+                'GET', path, b'', wait_s, idle_timeout_s, patience_s, transfer
             )
         except CallUnansweredError as fault:
             self.count_read('unanswered', transfer)
@@ -250,13 +289,27 @@
         offset += 1
 
 
-def is_cut_off(body: bytes) -> bool:
-    """Return whether the answer to a read ends within its first record."""
+def checked_body(reply: Reply, start: int) -> bytes:
+    """Return the body of the answer to a read, which begins with a `POSITION`.
+
+    Raises:
+        RetentionPassedError: records from the offset `start` are no longer kept.
+        LogUnavailableError: no usable answer.
+    """
+    if reply.status == GONE:
+        raise RetentionPassedError(start)
+    if reply.status != OK or len(reply.body) < POSITION.size:
+        raise LogUnavailableError(f'read answered {reply.status}')
+    return reply.body
+
+
+def cut_off_size(body: bytes) -> int:
+    """Return the size of the first record of the answer to a read if it ends within that record, else 0, in bytes."""
     kept = len(body) - POSITION.size
     if kept < LENGTH.size:
-        return kept > 0
-    size = LENGTH.unpack_from(body, POSITION.size)[0]
-    return kept < LENGTH.size + size
+        return UNKNOWN_RECORD_BYTES if kept > 0 else 0
+    size: int = LENGTH.size + LENGTH.unpack_from(body, POSITION.size)[0]
+    return size if kept < size else 0
 
 
 def split_record(offset: int, record: bytes) -> StoredRecord:
--- a/marigoldlift/platform/tests/test_narrow_links.py
+++ b/marigoldlift/platform/tests/test_narrow_links.py
@@ -48,7 +48,14 @@
     metrics = Metrics()
     faults = FaultBoundary(clock, metrics)
     replicas = {
-        topic: Replica(PlatformLog(route, topic, metrics), lambda _: None, clock, 0.1, faults)
+        topic: Replica(
+            PlatformLog(route, topic, metrics),
+            lambda _: None,
+            clock,
+            0.1,
+            faults,
+            newest_suffices=topic == OPERATORS_TOPIC,
+        )
         for topic in (OPERATORS_TOPIC, WORK_TOPIC)
     }
     tasks = [asyncio.create_task(replica.run()) for replica in replicas.values()]
--- a/marigoldlift/platform/tests/test_store.py
+++ b/marigoldlift/platform/tests/test_store.py
@@ -91,11 +91,14 @@
     record = encode_stored('config', b'x' * 200_000)
 
     async def answer(request):
-        whole = int(request.query['max_kb']) > 128
-        part = record if whole else record[:kept]
-        return web.Response(body=POSITION.pack(5, 0) + part)
+        body = POSITION.pack(5, 0) + record
+        whole = int(request.query['max_kb']) * 1024 >= len(body)
+        return web.Response(body=body if whole else body[: POSITION.size + kept])
 
     server.reply = answer
-    page = await log.read(4, 0)
+    first = await log.read(4, 0)
+    assert (first.end, first.records) == (5, [])
+    page = await log.read_record(4, first.cut_off_bytes)
+    assert page.cut_off_bytes == 0
     assert [(stored.key, len(stored.content)) for stored in page.records] == [('config', 200_000)]
     assert len(server.requests) == 2
--- a/marigoldlift/replication/api.py
+++ b/marigoldlift/replication/api.py
@@ -5,9 +5,21 @@
 
 import msgspec
 
+from marigoldlift.errors import RetentionPassedError
 from marigoldlift.submissions.record_codec import StoredRecord
 
-__all__ = ('KeyedLog', 'LogPage', 'Producer', 'SnapshotPage')
+__all__ = ('KeyedLog', 'LogPage', 'Producer', 'SnapshotPage', 'SnapshotPreferredError')
+
+
+class SnapshotPreferredError(RetentionPassedError):
+    """Records are read sooner, or only, from a snapshot of the newest ones."""
+
+    code = 'snapshot_preferred'
+
+    def __init__(self, start: int, end: int) -> None:
+        """Tell which records follow."""
+        super().__init__(end)
+        self.reason = f'records {start} to {end} are read from a snapshot'
 
 
 class Producer(msgspec.Struct, frozen=True):
@@ -18,10 +30,15 @@
 
 
 class LogPage(msgspec.Struct, frozen=True):
-    """Records from an offset on, and the offset after the last one stored."""
+    """Records from an offset on, and the offset after the last one stored.
+
+    Attributes:
+        cut_off_bytes: size of the first record if the answer ends within it, so that there are no records; else 0.
+    """
 
     end: int
     records: list[StoredRecord]
+    cut_off_bytes: int = 0
 
 
 class SnapshotPage(msgspec.Struct, frozen=True):
@@ -59,6 +76,22 @@
             LogUnavailableError: no answer.
         """
 
+    async def read_record(self, start: int, size_bytes: int) -> LogPage:
+        """Return the record at an offset, of a size that a read has told, and those that fit beside it.
+
+        Raises:
+            RetentionPassedError: the record is no longer kept.
+            LogUnavailableError: no answer.
+        """
+
+    async def probe(self, start: int) -> None:
+        """Make the smallest read from an offset, to find out whether the log answers.
+
+        Raises:
+            RetentionPassedError: the records from that offset are no longer kept.
+            LogUnavailableError: no answer.
+        """
+
     async def newest(self, after: str) -> SnapshotPage:
         """Return the newest records of the keys after the given one.
 
--- a/marigoldlift/replication/replica.py
+++ b/marigoldlift/replication/replica.py
@@ -2,11 +2,15 @@
 
 import asyncio
 from collections.abc import Callable, Collection
+from functools import partial
 
 from loguru import logger
 
 from marigoldlift.errors import LogUnavailableError, RetentionPassedError
-from marigoldlift.replication.api import KeyedLog
+from marigoldlift.replication.api import KeyedLog, LogPage, SnapshotPreferredError
+from marigoldlift.replication.log_contact import LogContact
+from marigoldlift.replication.shared_read import SharedRead
+from marigoldlift.replication.snapshot_reader import SnapshotReader
 from marigoldlift.submissions.record_codec import StoredRecord
 from marigoldlift.supervision import FaultBoundary, ItemKind
 
@@ -15,16 +19,6 @@
 #: How long a read waits in the store for the first new record, in ms.
 LONG_POLL_MS = 1000
 
-#: Time without an answer that counts as an outage of the store, in s; a read waits for 1 s at most.
-OUTAGE_S = 1.8
-
-#: Time without an answer after which the requests that an entry reads may be older than any caller waits, in s: they
-#: were waiting in its sockets while it was paused.
-AWAY_S = 30
-
-#: How long after such a time requests count as old, in s; those that were waiting are read at once.
-RETURN_S = 1.0
-
 #: Pauses after a failed read of a snapshot, in s.
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.4
@@ -33,6 +27,9 @@
 #: get no answer at all, so the next one does not wait for its time-out.
 RETRY_INTERVAL_S = 0.25
 
+#: Longest wait of a caller for the answer to a read that refreshes what this entry already knows, in s.
+REFRESH_WAIT_S = 0.5
+
 
 class Replica:
     """Reads a partition and passes each record to `apply`, once and in order.
@@ -40,15 +37,16 @@
     Attributes:
         offset: the next record to read.
         ready: set while the replica holds a completely read snapshot.
-        last_response_at: when the last answer of the store arrived, in seconds of the monotonic clock.
+        contact: when the log has answered.
         confirmed_at: time before which everything stored is applied: when the newest read that reached the end was sent.
             The answer may have waited in the socket of a paused process, so the time of its arrival tells nothing.
-        resumed_at: when the first answer after the last failure or outage arrived.
-        returned_at: when the first answer after the last time of at least `AWAY_S` without one arrived.
-        interrupted: whether a read has failed since the last answer.
+        polls: whether a read that waits for the next record is under way, so that new records arrive by themselves.
         last_response_s: duration of the last read that did not wait for records, in s.
         read_at: when the last read ended, or when the last read by `refresh` began.
         read_interval_s: shortest pause between two reads, in s, since each read has a cost.
+        known_end: offset after the last record that the log is known to hold.
+        newest_suffices: whether only the newest record of each key matters, so that large records that others replace need
+            not be read.
         snapshot_observers: called with the keys of a snapshot before its records are applied; other keys were dropped.
     """
 
@@ -59,6 +57,8 @@
         clock: Callable[[], float],
         read_interval_s: float,
         faults: FaultBoundary,
+        *,
+        newest_suffices: bool = False,
     ) -> None:
         """Create a replica that has read nothing.
 
@@ -68,22 +68,25 @@
             clock: monotonic time in seconds.
             read_interval_s: shortest pause between two reads, in s.
             faults: sets aside records that cannot be applied.
+            newest_suffices: whether only the newest record of each key matters.
         """
         self.log = log
         self.apply = apply
         self.clock = clock
         self.read_interval_s = read_interval_s
         self.faults = faults
+        self.newest_suffices = newest_suffices
         self.offset = 0
+        self.known_end = 0
+        self.snapshots = SnapshotReader(log, clock)
+        self.on_demand = SharedRead(partial(self.read, 0), self.patience_s)
         self.ready = asyncio.Event()
-        self.last_response_at = clock()
+        self.contact = LogContact(clock)
         self.confirmed_at = float('-inf')
-        self.resumed_at = self.last_response_at
-        self.returned_at = float('-inf')
-        self.read_at = self.last_response_at
+        self.read_at = self.contact.last_response_at
         self.last_response_s: float = 0
         self.failing = False
-        self.interrupted = False
+        self.polls = False
         self.snapshot_observers: list[Callable[[Collection[str]], None]] = []
 
     async def run(self) -> None:
@@ -104,6 +107,10 @@
         """Advance once; return False if the log did not answer."""
         try:
             await self.advance()
+        except SnapshotPreferredError as preferred:
+            logger.info('snapshot preferred: next={} {}', self.offset, preferred.reason)
+            self.ready.clear()
+            return True
         except RetentionPassedError as passed:
             logger.warning('history lost: next={} {}', self.offset, passed.reason)
             self.ready.clear()
@@ -115,37 +122,49 @@
         return True
 
     async def await_answer(self) -> None:
-        """Read every `RETRY_INTERVAL_S` until a read is answered; each one applies its records as it arrives."""
-        attempts: list[asyncio.Task[int]] = []
+        """Probe the log every `RETRY_INTERVAL_S`, read once a probe is answered, and wait for the answer."""
+        attempts: list[asyncio.Task[None]] = []
         try:
             while not any(map(is_answered, attempts)):
                 attempts = [attempt for attempt in attempts if not attempt.done()]
-                attempts.append(asyncio.create_task(self.read(0)))
+                attempts.append(asyncio.create_task(self.attempt()))
                 await asyncio.sleep(RETRY_INTERVAL_S)
         finally:
             for late in attempts:
                 late.cancel()
 
+    async def attempt(self) -> None:
+        """Read if the log answers a probe; attempts that overlap share the read, since a large answer takes longer."""
+        await self.log.probe(self.offset)
+        await asyncio.shield(self.on_demand.join())
+
     async def advance(self) -> None:
         """Load the snapshot if there is none, else read the next records."""
-        if self.ready.is_set():
-            await self.read(LONG_POLL_MS)
-        else:
+        if not self.ready.is_set():
             await self.load_snapshot()
+            return
+        if self.is_behind() and self.on_demand.is_reading():
+            await asyncio.shield(self.on_demand.join())
+            return
+        self.polls = True
+        try:
+            await self.read(LONG_POLL_MS)
+        finally:
+            self.polls = False
 
     async def read(self, wait_ms: int) -> int:
         """Apply the records that follow, and return the end of the partition."""
         start = self.offset
         sent_at = self.clock()
         try:
-            page = await self.log.read(start, wait_ms)
+            page = await self.read_page(start, wait_ms)
         except LogUnavailableError:
-            self.interrupted = True
+            self.contact.interrupted = True
             raise
-        self.note_answer()
+        self.contact.note_answer()
         if not wait_ms:
-            self.last_response_s = self.last_response_at - sent_at
-        self.read_at = self.last_response_at
+            self.last_response_s = self.contact.last_response_at - sent_at
+        self.read_at = self.contact.last_response_at
         if page.end < start:
             logger.error('the log ends before the next record: end={} next={}', page.end, start)
             raise RetentionPassedError(page.end)
@@ -157,21 +176,54 @@
             self.confirmed_at = max(self.confirmed_at, sent_at)
         return page.end
 
+    async def read_page(self, start: int, wait_ms: int) -> LogPage:
+        """Return the records from an offset on; a record that an answer cuts off is read as a whole.
+
+        Raises:
+            SnapshotPreferredError: the record is replaced by a later one that matters, or too large for a read.
+            RetentionPassedError: the records are no longer kept.
+            LogUnavailableError: no answer.
+        """
+        page = await self.log.read(start, wait_ms)
+        self.known_end = max(self.known_end, page.end)
+        if not page.cut_off_bytes:
+            return page
+        self.contact.note_answer()
+        if not (self.newest_suffices and page.end > start + 1):
+            page = await self.log.read_record(start, page.cut_off_bytes)
+            self.known_end = max(self.known_end, page.end)
+        if page.cut_off_bytes:
+            raise SnapshotPreferredError(start, page.end)
+        return page
+
+    def is_behind(self) -> bool:
+        """Return whether the log is known to hold records that are not applied."""
+        return self.offset < self.known_end
+
+    def patience_s(self) -> float | None:
+        """Return how long to wait for a read before another one begins, in s; None until it ends if it has much to read."""
+        return None if self.is_behind() else RETRY_INTERVAL_S
+
     async def refresh(self, max_age_s: float) -> None:
         """Read without waiting unless the last read is recent enough; keep the applied records if reads fail.
 
+        Waits for `REFRESH_WAIT_S` at most; the read goes on.
+
         Args:
             max_age_s: age up to which the last read is recent enough, in s.
         """
-        if self.failing or not self.ready.is_set():
+        if self.failing or self.polls or not self.ready.is_set():
             return
         if self.clock() - self.read_at < max_age_s:
             return
         self.read_at = self.clock()
-        try:
-            await self.read(0)
-        except (LogUnavailableError, RetentionPassedError) as fault:
+        read = self.on_demand.join()
+        await asyncio.wait((read,), timeout=REFRESH_WAIT_S)
+        fault = read.exception() if read.done() and not read.cancelled() else None
+        if isinstance(fault, LogUnavailableError | RetentionPassedError):
             self.note_failure(fault)
+        elif fault is not None:
+            raise fault
 
     async def synchronize(self) -> None:
         """Apply all records that were stored before this call.
@@ -182,33 +234,25 @@
         if not self.ready.is_set():
             raise LogUnavailableError('the snapshot is not read yet')
         try:
-            end = await self.read(0)
+            await self.on_demand.read_after_now()
+            end = self.known_end
             while self.offset < end:
-                await self.read(0)
+                await self.on_demand.read_after_now()
         except RetentionPassedError as passed:
             raise LogUnavailableError(passed.reason) from passed
 
     async def load_snapshot(self) -> None:
         """Read the newest record of each key; the tail starts at the end that the first page reported."""
-        after = ''
-        start: int | None = None
-        records: list[StoredRecord] = []
-        sent_at = self.clock()
-        more = True
-        while more:
-            page = await self.log.newest(after)
-            start = page.end if start is None else start
-            records.extend(page.records)
-            more = page.more and bool(page.records)
-            after = page.records[-1].key if page.records else after
-        listed = {stored.key for stored in records}
+        snapshot = await self.snapshots.read()
+        listed = {stored.key for stored in snapshot.records}
         for observer in self.snapshot_observers:
             observer(listed)
-        for stored in sorted(records, key=lambda stored: stored.offset):
+        for stored in sorted(snapshot.records, key=lambda stored: stored.offset):
             self.apply_contained(stored)
-        self.offset = start or 0
-        self.confirmed_at = max(self.confirmed_at, sent_at)
-        self.note_answer()
+        self.offset = snapshot.start or 0
+        self.known_end = self.offset
+        self.confirmed_at = max(self.confirmed_at, snapshot.sent_at)
+        self.contact.note_answer()
         self.ready.set()
 
     def apply_contained(self, stored: StoredRecord) -> None:
@@ -216,24 +260,9 @@
         with self.faults.contain(ItemKind.record, stored.key):
             self.apply(stored)
 
-    def was_away(self) -> bool:
-        """Return whether this entry was paused or without the log so long that requests may have waited as long."""
-        now = self.clock()
-        return now - self.last_response_at > AWAY_S or now - self.returned_at < RETURN_S
-
-    def note_answer(self) -> None:
-        """Record an answer of the store, and whether it ends an outage."""
-        now = self.clock()
-        if now - self.last_response_at > AWAY_S:
-            self.returned_at = now
-        if self.interrupted or now - self.last_response_at > OUTAGE_S:
-            self.resumed_at = now
-            self.interrupted = False
-        self.last_response_at = now
-
     def note_failure(self, fault: Exception) -> None:
         """Record a failed read, and log the first of consecutive failures."""
-        self.interrupted = True
+        self.contact.interrupted = True
         if not self.failing:
             self.failing = True
             logger.warning('reads fail: next={} {}', self.offset, fault)
@@ -245,7 +274,7 @@
             logger.info('reads succeed again: next={}', self.offset)
 
 
-def is_answered(attempt: asyncio.Task[int]) -> bool:
+def is_answered(attempt: asyncio.Task[None]) -> bool:
     """Return whether the log has answered a read, be it that the next record is no longer kept."""
     if not attempt.done() or attempt.cancelled():
         return False
--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -96,7 +96,7 @@
         since = self.appender.failing_since
         if since is None or self.clock() - since <= STORE_FAILING_S:
             return False
-        return self.replica.last_response_at <= self.appender.failed_at
+        return self.replica.contact.last_response_at <= self.appender.failed_at
 
     async def store_record(self, record: Record, timeout_s: float) -> None:
         """Store a record; waits longer than `STORE_WAIT_S` only for one that may be stored already.
@@ -129,7 +129,7 @@
         """
         if self.state.state_of(submission.id) is not None:
             return self.repeated(submission.id, caller)
-        if self.replica.was_away():
+        if self.replica.contact.was_away():
             return self.refuse(submission, 'the entry was away')
         is_repeated = submission.id in self.uncertain_submissions
         if self.store_fails() and not is_repeated:
--- a/standins/cell/log.py
+++ b/standins/cell/log.py
@@ -200,6 +200,14 @@
             raise RetentionPassedError(self.log.first)
         return LogPage(len(self.log.records), self.log.records[start:])
 
+    async def read_record(self, start: int, size_bytes: int) -> LogPage:
+        """Return the records from an offset on; no answer cuts a record off."""
+        return await self.read(start, 0)
+
+    async def probe(self, start: int) -> None:
+        """Answer a read of no records."""
+        await self.answer()
+
     async def newest(self, after: str) -> SnapshotPage:
         """Return one page of the newest records of the keys that sort after a key."""
         await self.answer()
--- a/tests/cell/answers.py
+++ b/tests/cell/answers.py
@@ -119,7 +119,8 @@
         final = self.final.get(name)
         replica = entry.node.replica
         reads_log = (
-            replica.ready.is_set() and queried_at - replica.last_response_at < VISIBLE_S / 2
+            replica.ready.is_set()
+            and queried_at - replica.contact.last_response_at < VISIBLE_S / 2
         )
         if reads_log and final and queried_at - final[1] > VISIBLE_S:
             self.record_violation(entry, name, f'{reported.value} after {final}')
--- a/tests/cell/test_late_acceptances.py
+++ b/tests/cell/test_late_acceptances.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from marigoldlift.replication.replica import AWAY_S, RETURN_S
+from marigoldlift.replication.log_contact import AWAY_S, RETURN_S
 from marigoldlift.submissions.acceptance import AcceptanceResult
 from tests.cell.test_early_cancellations import submit_at, two_followers
 
