Serve nobody by a configuration that is known to be replaced

An entry that reads the store but is still fetching a newer configuration accepted the keys and queues of the older one for up to 9 s (config_apply_ms and max_stretch_ms), the time that is meant for entries which do not reach the store. The read tells the end of the topic with its first part, so the entry knows that there is a newer version: after config_apply_ms less 0.5 s it answers 503 and is not ready.

test_entry_that_knows_of_a_newer_configuration_does_not_use_its_keys and test_outdated_configuration_serves_nobody are red without the change.

--- a/marigoldlift/cell.py
+++ b/marigoldlift/cell.py
@@ -152,7 +152,9 @@
         return self.metrics.render()
 
     def is_stale(self) -> bool:
-        """Return whether the store's last answer is older than `STALE_AFTER_S`."""
+        """Return whether the store's last answer is older than `STALE_AFTER_S`, or a newer configuration is not read."""
+        if self.freshness.is_outdated():
+            return True
         last_response_at = min(
             self.node.replica.contact.last_response_at, self.operators.contact.last_response_at
         )
--- a/marigoldlift/platform/configuration.py
+++ b/marigoldlift/platform/configuration.py
@@ -171,9 +171,13 @@
         """Return whether the store may have held a newer configuration for so long that it should be in force."""
         return self.age_s() > self.unknown_after_s
 
+    def is_outdated(self) -> bool:
+        """Return whether the store is known to hold a newer configuration, for so long that it should be in force."""
+        return self.replica.is_behind() and self.may_be_stale()
+
     def are_keys_expired(self) -> bool:
         """Return whether any key may have been withdrawn for so long that it must not be accepted."""
-        return self.age_s() > self.keys_expire_after_s
+        return self.is_outdated() or self.age_s() > self.keys_expire_after_s
 
 
 def key_validity_s(settings: NodeSettings) -> float:
--- a/marigoldlift/platform/front.py
+++ b/marigoldlift/platform/front.py
@@ -124,7 +124,7 @@
     def admit(self, request: web.BaseRequest) -> Call | HTTPStatus:
         """Find the queue by host and path and the caller by its key; return the status of a refusal."""
         configuration = self.configuration
-        if configuration is None:
+        if configuration is None or self.freshness.is_outdated():
             return HTTPStatus.SERVICE_UNAVAILABLE
         host = request.headers.get('Host', '').partition(':')[0]
         queue = configuration.queue_of(host, request.path)
--- a/marigoldlift/platform/tests/test_front.py
+++ b/marigoldlift/platform/tests/test_front.py
@@ -53,6 +53,10 @@
     def __init__(self):
         self.stale = False
         self.expired = False
+        self.outdated = False
+
+    def is_outdated(self):
+        return self.outdated
 
     def may_be_stale(self):
         return self.stale
@@ -93,6 +97,13 @@
     assert submission.steps[1].after == (0,)
 
 
+async def test_outdated_configuration_serves_nobody(front, client):
+    """Guards against callers that are served as a configuration allows that is known to be replaced."""
+    front.freshness.outdated = True
+    assert (await send_request(client, 'POST', f'/q1/{NAME}', data=BODY))[0] == 503
+    assert (await send_request(client, 'GET', '/q1/'))[0] == 503
+
+
 @pytest.mark.parametrize(
     ('answer', 'status'),
     [
--- a/marigoldlift/platform/tests/test_withdrawn_keys.py
+++ b/marigoldlift/platform/tests/test_withdrawn_keys.py
@@ -6,11 +6,13 @@
 import msgspec
 import pytest
 
+from marigoldlift.errors import LogUnavailableError
 from marigoldlift.platform.callers import Gatekeeper, Refusal
 from marigoldlift.platform.configuration import ConfigurationFreshness, ConfigurationReader
 from marigoldlift.platform.node_settings import parse_node_settings
 from marigoldlift.platform.tests.test_front import QUEUE
 from marigoldlift.platform.tests.test_node_settings import GOOD
+from marigoldlift.replication.api import LogPage
 from marigoldlift.replication.replica import Replica
 from marigoldlift.submissions.access import Caller
 from marigoldlift.supervision import FaultBoundary
@@ -115,7 +117,7 @@
 
     monkeypatch.setattr(entry.log, 'read', read_in_socket)
     await entry.replica.read(0)
-    assert entry.replica.last_response_at == entry.replica.clock()
+    assert entry.replica.contact.last_response_at == entry.replica.clock()
     assert set(entry.identify('old', 'kept')) == {Refusal.stale}
 
 
@@ -129,3 +131,25 @@
     restarted.log.fault = None
     await asyncio.sleep(SETTLED_S)
     assert restarted.identify('old', 'kept') == [Refusal.unknown_key, ADMITTED]
+
+
+async def test_entry_that_knows_of_a_newer_configuration_does_not_use_its_keys(
+    start_entry, monkeypatch
+):
+    """Guards against a withdrawn key that is in use while a large configuration is being read."""
+    entry = await start_entry()
+    size = 800_000
+
+    async def cut_off(start, wait_ms):
+        return LogPage(start + 1, [], size)
+
+    async def read_slowly(start, size_bytes):
+        await asyncio.sleep(PAUSE_S)
+        raise LogUnavailableError('slow')
+
+    monkeypatch.setattr(entry.log, 'read', cut_off)
+    monkeypatch.setattr(entry.log, 'read_record', read_slowly)
+    await asyncio.sleep(READ_S)
+    assert set(entry.identify('old', 'kept')) == {ADMITTED}
+    await asyncio.sleep(SETTINGS.configuration_s - READ_S)
+    assert set(entry.identify('old', 'kept')) == {Refusal.stale}
