Bound the time in which a cancellation looks a submission up

Reads last as long as their answer arrives, up to 8 s; a DELETE of an unknown submission waited for its read without a bound of its own. It is answered within the caller's time budget now, as unknown (504).

--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -256,13 +256,14 @@
         """
         record = Cancelled(submission, caller)
         try:
-            known = await self.is_known(submission, caller)
+            async with asyncio.timeout(timeout_s):
+                known = await self.is_known(submission, caller)
             if self.needs_cancellation(record):
                 await self.store_record(record, timeout_s)
         except AppendRefusedError as refusal:
             logger.info('cancellation refused: submission={} {}', submission, refusal.reason)
             return AcceptanceResult.refused
-        except LogUnavailableError:
+        except (LogUnavailableError, TimeoutError):
             return AcceptanceResult.unknown
         return AcceptanceResult.done if known else AcceptanceResult.gone
 
