--- a/tests/cell/test_early_cancellations.py
+++ b/tests/cell/test_early_cancellations.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldlift.errors import LogUnavailableError
 from marigoldlift.replication.log_contact import AWAY_S, RETURN_S
 from marigoldlift.submissions.acceptance import AcceptanceResult
 from marigoldlift.submissions.model import Step, Submission, SubmissionId
@@ -51,6 +52,25 @@
     return [key for key in cell.log.newest if key.startswith('c/')]
 
 
+def test_cancellation_is_answered_within_its_callers_time(run_scenario):
+    """Guards against callers that wait for a read of the log which lasts as long as its answer arrives."""
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        entry = two_followers(cell)[0]
+
+        async def read_slowly(start, wait_ms):
+            await asyncio.sleep(TIMEOUT_S * 3)
+            raise LogUnavailableError('slow')
+
+        entry.log.read = read_slowly
+        started_at = asyncio.get_running_loop().time()
+        assert await cancel_at(entry) is AcceptanceResult.unknown
+        assert asyncio.get_running_loop().time() - started_at <= TIMEOUT_S
+
+    run_scenario(scenario)
+
+
 async def restart_all(cell):
     """Kill all entries, drop the history of the log and restart them."""
     for entry in cell.entries:
