Count the wait for late starts from the entry that tells of a restart

Cause: an entry of a later incarnation is believed after up to 1.3 s of silence. The session with the new incarnation, and the time from which late copies of starts count, began only then, although no start had been sent since the entry was noticed.

Evidence: w4 starts the task at 65.80 s, lists a new birth and is lost at 66.04 s; the entry is noticed at 66.47 s, believed at 67.17 s, and the run is given up 20 s after that, at 87.21 s.

Change: both times count from when the entry was noticed. Polls renew no lease from then on until the known incarnation answers, so that no order that could grant one to a later incarnation is sent within the wait.

--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -280,11 +280,13 @@
     def renewal(self, now: float) -> int | None:
         """Return the lease deadline that a poll carries, None for no renewal.
 
-        No lease is renewed once the leadership has run out, or while the worker does not answer or list its ends.
+        No lease is renewed once the leadership has run out, or while the worker does not answer or list its ends, or may
+        have restarted.
 
         The lease of a lost worker so ends as early as its last answered poll allows.
         """
-        if self.contact.poll_failed or not self.is_heard():
+        contact = self.contact
+        if contact.poll_failed or contact.claimed_at is not None or not self.is_heard():
             return None
         if self.ends.is_stalled(now) or not self.observer.may_act():
             return None
--- a/marigoldlift/orders/tests/test_session.py
+++ b/marigoldlift/orders/tests/test_session.py
@@ -132,6 +132,19 @@
     assert loop.time() - stopped_at < LEASE_S / 0.98 + 0.3
 
 
+async def test_worker_that_may_have_restarted_gets_no_lease():
+    """Guards against TWICE: its next incarnation gets a lease after the time from which the wait for late copies counts."""
+    session, _ = build(answers=4, kind=Refusing)
+    assert await session.poll(0)
+    assert await session.poll(0)
+    session.contact.note_claim(session.now())
+    await asyncio.sleep(0.1)
+    assert await session.poll(0)
+    assert session.calls.leases[1] and session.calls.leases[2] is None
+    assert await session.poll(0)
+    assert session.calls.leases[3]
+
+
 async def test_unanswered_start_does_not_extend_the_lease():
     """Guards against restarting tasks of a lost worker late because an unanswered start extended its lease."""
     session, _ = build(answers=2, kind=Refusing)
--- a/marigoldlift/scheduling/claimed_restarts.py
+++ b/marigoldlift/scheduling/claimed_restarts.py
@@ -47,6 +47,7 @@
         if claim is None or claim.entry != entry:
             claim = ClaimedRestart(entry, self.clock())
             self.claims[entry.id] = claim
+            session.contact.note_claim(claim.noticed_at)
             session.poll_requested.set()
         if session.contact.answered_sent_at > claim.noticed_at:
             self.refute(claim)
@@ -71,6 +72,7 @@
                 claim.entry.born_ms,
             )
 
-    def forget(self, worker: str) -> None:
+    def forget(self, session: WorkerSession) -> None:
         """Forget what an entry under the id of a worker has claimed, once that is settled or no longer claimed."""
-        self.claims.pop(worker, None)
+        self.claims.pop(session.worker.id, None)
+        session.contact.claimed_at = None
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -128,7 +128,7 @@
         if not worker.born_ms and worker.id not in self.dated:
             worker = msgspec.structs.replace(worker, born_ms=session.worker.born_ms)
         if session.worker == worker:
-            self.claimed_restarts.forget(worker.id)
+            self.claimed_restarts.forget(session)
         else:
             self.apply_entry(session, worker)
 
@@ -142,7 +142,7 @@
             if self.claimed_restarts.is_confirmed(session, worker):
                 self.replace(session, worker)
             return
-        self.claimed_restarts.forget(worker.id)
+        self.claimed_restarts.forget(session)
         if worker.born_ms >= session.worker.born_ms or not session.has_answered():
             self.update(session, worker)
 
@@ -209,19 +209,24 @@
         Runs that the old incarnation has listed ended with it, and those whose start was not sent yet are placed anew; if
         handling that raises, the worker's next status shows it again. The start order of any other run, whether answered or
         not, may have reached the new incarnation, so its outcome is unknown until the worker answers under a higher token.
+        Waits for late copies count from when orders to the old incarnation ended, which is before a restart that an entry has
+        claimed is believed.
         """
+        claimed_at = session.contact.claimed_at
+        orders_ended_at = self.clock() if claimed_at is None else claimed_at
         logger.info('worker restarted: worker={} born_ms={}', worker.id, worker.born_ms)
         self.health_records.pop(worker.id, None)
-        self.claimed_restarts.forget(worker.id)
+        self.claimed_restarts.forget(session)
         self.leave_at.pop(worker.id, None)
         successor = self.new_session(worker, self.tenure)
         successor.token = session.token + 1
+        successor.contact.opened_at = orders_ended_at
         self.sessions[worker.id] = successor
         for known in tuple(session.run_table.runs.values()):
             session.run_table.pop(known.task)
             if has_ended_with(known, self.clock()) and session.reports.report_vanished(known):
                 continue
-            known.mark_uncertain(successor.token, self.clock())
+            known.mark_uncertain(successor.token, orders_ended_at)
             successor.run_table.take(known)
             self.observer.run_moved(session, successor, known)
         session.run_table.detach()
@@ -288,7 +293,7 @@
         self.closed_tokens[name] = session.token
         self.calls.forget(name)
         self.dated.discard(name)
-        self.claimed_restarts.forget(name)
+        self.claimed_restarts.forget(session)
         self.tasks.pop(name).cancel()
         self.records.drop(name)
 
