Bound the end of a tenure without a record by the next known one

Callers saw a task wait for late copies of a start anew after each restart of the leader: a start without an answer, at a worker that is gone, was held back for 20 s from the newest leader's begin.

Cause: an entry that leads again replaces the record of its earlier tenure. A tenure without a record counted like the latest one, although it ended before the newest tenure whose age is known, and its orders at most 4 s after that one began.

Change: such a tenure is limited like those whose records were read.

--- a/marigoldlift/leadership/earlier_leaders.py
+++ b/marigoldlift/leadership/earlier_leaders.py
@@ -95,9 +95,10 @@
     def ended_by(self, tenure: int) -> float:
         """Return the latest time at which the leader of a tenure may have sent orders.
 
-        A tenure of which no record was read counts like the latest one.
+        A tenure of which no record was read counts like the latest one, or as ended before the newest tenure of which the age
+        is known: the records of an entry's later tenures replace those of its earlier ones.
         """
-        return self.tenures.get(tenure, self.ended_at())
+        return self.tenures.get(tenure, self.limited(tenure, self.ended_at()))
 
     def ended_at(self) -> float:
         """Return the latest time at which any earlier leader may have sent orders.
--- a/marigoldlift/leadership/tests/test_earlier.py
+++ b/marigoldlift/leadership/tests/test_earlier.py
@@ -71,3 +71,13 @@
     earlier.note(record('d1'), 3)
     earlier.note(msgspec.structs.replace(record('b1'), renews=2, age_s=13), 2)
     assert earlier.active_until == {'a1': 101, 'b1': 114, 'd1': 114}
+
+
+async def test_tenure_without_a_record_ended_before_the_next_one():
+    """Guards against starts of a leader whose record was replaced, which each restarted leader holds back from its own begin on."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(100)
+    earlier = EarlierLeaders('a', loop.time)
+    earlier.note(msgspec.structs.replace(record('a3'), renews=3, age_s=30), 3)
+    assert earlier.ended_by(1) == 70 + LEADER_LEASE_S
+    assert earlier.ended_by(4) == earlier.ended_at()
