Send no starts where another instance answers

Callers saw tasks wait while their starts went to a worker that is gone: another instance at its address refuses them (421), and the worker still got new tasks for 1.3 s, each refused and placed there again at once.

Cause: a worker counted as answering for 1.3 s after its last answer, although a poll had been refused since. A refused start told nothing at all.

Change: a worker gets no starts while its last poll has found no listener or another instance at its address, or a start has found another instance since; such a start requests a poll. Starts that were placed before are withdrawn (`displaced`). An answered poll ends that.

--- a/marigoldlift/orders/contact.py
+++ b/marigoldlift/orders/contact.py
@@ -11,7 +11,8 @@
             this one; like all times in seconds of the monotonic clock.
         answered_sent_at: when the newest poll was sent that this incarnation has answered.
         poll_failed: whether the last poll got no answer.
-        is_displaced: whether the last poll found no listener, or another instance, at the worker's address.
+        is_displaced: whether the last poll found no listener, or another instance, at the worker's address, or a start has
+            found one since.
         claimed_at: since when an entry of a later incarnation is checked, so that no order with a lease is sent; None if
             none is, or this incarnation has answered since.
     """
--- a/marigoldlift/orders/session.py
+++ b/marigoldlift/orders/session.py
@@ -91,8 +91,8 @@
         self.acknowledgements = Acknowledgements(self.run_table, self.ends)
 
     def answers(self) -> bool:
-        """Return whether the worker has answered recently enough to get new work."""
-        return self.synced and self.is_heard()
+        """Return whether the worker has answered recently enough to get new work, and no other instance has since."""
+        return self.synced and self.is_heard() and not self.contact.is_displaced
 
     def is_heard(self) -> bool:
         """Return whether the worker has answered recently."""
@@ -154,8 +154,7 @@
             return False
         except WorkerRefusedError as refusal:
             self.drop(known)
-            if refusal.worker_code == FENCED:
-                self.handle_fencing_refusal(token)
+            self.handle_start_refusal(token, refusal.worker_code)
             raise
         self.last_answer_at = self.now()
         self.clock.note(clock_ms, self.last_answer_at)
@@ -216,6 +215,14 @@
             self.observer.fenced(self)
         self.poll_requested.set()
 
+    def handle_start_refusal(self, token: int, reason: str) -> None:
+        """Handle a refused start: after one by another instance, a poll tells whether the worker still answers."""
+        if reason == FENCED:
+            self.handle_fencing_refusal(token)
+        elif reason == OTHER_INSTANCE:
+            self.contact.is_displaced = True
+            self.poll_requested.set()
+
     async def stop(self, task: TaskRef) -> None:
         """Request that a run stops, unless orders may not be sent now; its capacity stays reserved until it is listed as ended."""
         known = self.run_table.runs.get(task)
--- a/marigoldlift/scheduling/session_manager.py
+++ b/marigoldlift/scheduling/session_manager.py
@@ -11,7 +11,7 @@
 from marigoldlift.orders.observer import RunObserver
 from marigoldlift.orders.polling import poll_continuously
 from marigoldlift.orders.runs import HeldTasks, Order, Run
-from marigoldlift.orders.session import SUSPECT_S, WorkerSession, give_up_late_starts
+from marigoldlift.orders.session import WorkerSession, give_up_late_starts
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.claimed_restarts import ClaimedRestarts
 from marigoldlift.scheduling.earlier_orders import EarlierOrders
@@ -334,7 +334,7 @@
         return False
     if session.ends.is_stalled(now):
         return False
-    return now - session.last_answer_at < SUSPECT_S
+    return session.answers()
 
 
 def is_new_incarnation(before: Worker, after: Worker) -> bool:
--- a/marigoldlift/scheduling/starter.py
+++ b/marigoldlift/scheduling/starter.py
@@ -40,6 +40,7 @@
         not_leading: this tenure may not send orders now.
         replaced: the task is not placed there any more, or a stop was requested.
         silent: the worker has not answered recently.
+        displaced: nothing, or another instance, listens at the worker's address.
         restarted: the worker may have restarted.
         cap: the cap of its workspace does not admit it any more.
         ticket: its ticket has expired.
@@ -51,6 +52,7 @@
     not_leading = 'not_leading'
     replaced = 'replaced'
     silent = 'silent'
+    displaced = 'displaced'
     restarted = 'restarted'
     cap = 'cap'
     ticket = 'ticket'
@@ -250,6 +252,8 @@
         """Return what does not permit a start at a worker any more, None if nothing does."""
         if session.worker.id in self.session_manager.claimed_restarts.open_claims():
             return Withdrawal.restarted
+        if session.contact.is_displaced:
+            return Withdrawal.displaced
         if not self.events.still_admits(step):
             return Withdrawal.cap
         if not step.uses_tickets or step.holds_ticket(session.worker.id, self.clock()):
--- a/marigoldlift/scheduling/worker_rulings.py
+++ b/marigoldlift/scheduling/worker_rulings.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from marigoldlift.orders.session import SUSPECT_S, WorkerSession
+from marigoldlift.orders.session import WorkerSession
 from marigoldlift.scheduling.explanation import Ruling
 from marigoldlift.scheduling.planner import Planner
 from marigoldlift.scheduling.tasks import StepRun
@@ -40,8 +40,8 @@
         self.is_first = overdue or step.job.is_urgent
 
     def is_silent(self, session: WorkerSession) -> bool:
-        """Return whether a worker has not answered recently, or has not listed all earlier runs."""
-        return not session.knows_earlier_runs() or self.now - session.last_answer_at >= SUSPECT_S
+        """Return whether a worker does not answer at present, or has not listed all earlier runs."""
+        return not session.knows_earlier_runs() or not session.answers()
 
     def lacks_label(self, session: WorkerSession) -> bool:
         """Return whether a worker lacks the label that the step requires."""
