Store the failures that only a superseded leader was told of

Callers saw a task run once more than its queue allows, and its submission become complete, where a failed one was due: the last failure ended at a worker that only a cut-off leader reached, and that left. Cause: of the ends that a leader could not store during its tenure, only those of kind `done` were kept and stored afterwards (UnstoredEnds, DoneReports); a failure was dropped with the tenure.

DoneTasks has a further field, the failed runs by occurrence, step, index and number. Records without it decode, with none. Failures stay sets of run numbers, in the log's state as on the leader, so that a run counts once whoever reports or lists it; run numbers of a task are not used twice, since a placement is stored before its start. The leader closes a submission whose task has no attempt left, also at the takeover, once starts of earlier leaders are adopted. Ends of a task that is done or of a submission that has ended change nothing. A report of many ends is merged once for each step, no longer once for each end.

--- a/marigoldlift/scheduling/dispatcher.py
+++ b/marigoldlift/scheduling/dispatcher.py
@@ -12,7 +12,7 @@
 from marigoldlift.runtimes.learner import RunTimes
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.checks import RunChecks
-from marigoldlift.scheduling.events import RunEvents, finish_reported
+from marigoldlift.scheduling.events import RunEvents, settle_reported
 from marigoldlift.scheduling.parts import DispatcherParts
 from marigoldlift.scheduling.pending import build_pending
 from marigoldlift.scheduling.placement import Placer
@@ -284,7 +284,7 @@
             case Progress() if record.outcome in FINAL_OUTCOMES:
                 self.open_submissions.forget(record.submission)
             case _:
-                finish_reported(self.events, record)
+                settle_reported(self.events, record)
 
 
 def check_loops(loops: Iterable[asyncio.Task[None]]) -> None:
--- a/marigoldlift/scheduling/events.py
+++ b/marigoldlift/scheduling/events.py
@@ -10,25 +10,28 @@
 from marigoldlift.orders.api import EndedRun, EndKind, HeldRun
 from marigoldlift.orders.runs import Phase, Run
 from marigoldlift.orders.session import WorkerSession
-from marigoldlift.scheduling.job_run import JobRun
+from marigoldlift.scheduling.job_run import JobRun, has_failed
 from marigoldlift.scheduling.done_reports import UnstoredEnds
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.progress import ProgressWriter
 from marigoldlift.scheduling.run_times import LEARNING, RunTimeRecorder
 from marigoldlift.scheduling.session_manager import SessionManager, restarted_worker
 from marigoldlift.scheduling.tasks import StepRun
-from marigoldlift.submissions.done_tasks import DoneTasks
-from marigoldlift.submissions.model import Step, SubmissionId
+from marigoldlift.submissions.done_tasks import DoneTasks, ReportedEnd
+from marigoldlift.submissions.model import Step, SubmissionId, TaskRef
 from marigoldlift.submissions.records import Outcome, Record
 from marigoldlift.supervision import FaultBoundary, ItemKind
 from marigoldlift.telemetry.metric_table import Metric
 from marigoldlift.telemetry.metrics import Metrics
 
-__all__ = ('RunEvents', 'finish_reported')
+__all__ = ('RunEvents', 'settle_reported')
 
 #: Outcome of a start that the worker has confirmed.
 STARTED = 'started'
 
+#: Ends that change what is left to do for a task.
+REPORTED_KINDS = frozenset((EndKind.done, EndKind.failed))
+
 #: Minimum time between two restarts of the tenure after refused tokens, in s.
 CLAIM_PAUSE_S = 1.0
 
@@ -108,8 +111,9 @@
         self.session_manager.health(session.worker.id).record_end(ended.kind, self.clock())
         step.save(ended.task.index, ended.checkpoint)
         step.last_run = max(step.last_run, ended.run)
-        if ended.kind is EndKind.done and not step.step.long_running:
-            stored = self.unstored.track(ended.task, stored)
+        if ended.kind in REPORTED_KINDS and not step.step.long_running:
+            failed_run = ended.run if ended.kind is EndKind.failed else None
+            stored = self.unstored.track(ReportedEnd(ended.task, failed_run), stored)
         self.process_end(step, session, ended)
         # An end whose handling has raised must not be acknowledged.
         self.open_submissions.progress.note(step.job, stored, step)
@@ -224,6 +228,9 @@
             for session, run in held:
                 self.run_found(session, HeldRun(run.task, run.run, run.checkpoint, run.percent))
             self.session_manager.earlier_orders.adopt_starts(job.steps.values())
+            if has_failed(job):
+                # The last failure was reported while nobody led.
+                self.open_submissions.close(job, Outcome.failed)
         except Exception as fault:
             self.open_submissions.set_back(job.id, fault)
 
@@ -291,8 +298,8 @@
             self.open_submissions.starter.spawn(self.election.restart_tenure())
 
 
-def finish_reported(events: RunEvents, record: Record) -> None:
-    """Finish the tasks that are done by what an earlier leader was told, and stop runs of them.
+def settle_reported(events: RunEvents, record: Record) -> None:
+    """Finish the tasks that are done by what an earlier leader was told, and count the runs that have failed.
 
     Args:
         events: events of the present tenure.
@@ -300,14 +307,35 @@
     """
     if not isinstance(record, DoneTasks):
         return
-    for task in record.tasks():
-        step = events.open_submissions.step_of_run(task)
-        if step is not None and task.index not in step.done:
-            logger.info('task was done under an earlier leader: task={}', task.name)
-            events.finish(step, task.index, None)
-            if step.step.gang:
-                events.open_submissions.starter.stop_step(step)
-            events.open_submissions.progress.note(step.job, step=step)
+    for end in record.ends():
+        step = events.open_submissions.step_of_run(end.task)
+        if step is None or end.task.index in step.done:
+            continue
+        if end.failed_run is None:
+            finish_reported(events, step, end.task)
+        else:
+            count_reported(events, step, end.task, end.failed_run)
+        events.open_submissions.progress.note(step.job, step=step)
+
+
+def finish_reported(events: RunEvents, step: StepRun, task: TaskRef) -> None:
+    """Finish a task that is done by what an earlier leader was told, and stop a run of it."""
+    logger.info('task was done under an earlier leader: task={}', task.name)
+    events.finish(step, task.index, None)
+    if step.step.gang:
+        events.open_submissions.starter.stop_step(step)
+
+
+def count_reported(events: RunEvents, step: StepRun, task: TaskRef, run: int) -> None:
+    """Count a run that has failed by what an earlier leader was told, and fail its submission after too many failures.
+
+    The worker may have told the present leader of the same run, which counts once.
+    """
+    logger.info('run had failed under an earlier leader: task={} run={}', task.name, run)
+    step.last_run = max(step.last_run, run)
+    failures = step.fail(task.index, run)
+    if failures >= step.job.submission.policy.max_attempts:
+        events.open_submissions.close(step.job, Outcome.failed)
 
 
 def note_started(step: StepRun, progress: ProgressWriter) -> None:
--- a/marigoldlift/scheduling/job_run.py
+++ b/marigoldlift/scheduling/job_run.py
@@ -12,7 +12,7 @@
 from marigoldlift.submissions.records import Outcome, StepProgress
 from marigoldlift.submissions.state import Job
 
-__all__ = ('JobRun', 'chains_s', 'objective_s')
+__all__ = ('JobRun', 'chains_s', 'has_failed', 'objective_s')
 
 MS_PER_S = 1000
 
@@ -192,6 +192,16 @@
         return due - now - following_s
 
 
+def has_failed(job: JobRun) -> bool:
+    """Return whether a task that is not done, or a gang, has failed as often as the queue allows."""
+    allowed = job.submission.policy.max_attempts
+    return any(
+        len(runs) >= allowed and index not in step.done
+        for step in job.steps.values()
+        for index, runs in step.failures.items()
+    )
+
+
 def chains_s(steps: Sequence[Step], times_s: Sequence[float]) -> list[float]:
     """Return the expected time of the longest chain of dependent steps that begins with each step, in s.
 
--- a/marigoldlift/scheduling/tasks.py
+++ b/marigoldlift/scheduling/tasks.py
@@ -18,9 +18,6 @@
 
 __all__ = ('EarlierPlace', 'PendingReason', 'StepRun', 'Ticket')
 
-#: Index under which the failures and the checkpoint of a whole gang are kept.
-GANG_INDEX = 0
-
 
 class PendingReason(Enum):
     """Why a step was not placed in the last scheduling pass.
@@ -192,12 +189,12 @@
 
     def checkpoint(self, index: int) -> str:
         """Return the saved state to send with a start of the task, empty if there is none."""
-        return self.checkpoints.get(GANG_INDEX if self.step.gang else index, '')
+        return self.checkpoints.get(self.step.shared_index(index), '')
 
     def save(self, index: int, checkpoint: str) -> None:
         """Keep the saved state of a task; the state of any member is valid for the whole gang."""
         if checkpoint:
-            self.checkpoints[GANG_INDEX if self.step.gang else index] = checkpoint
+            self.checkpoints[self.step.shared_index(index)] = checkpoint
 
     def begin(self, index: int, session: WorkerSession, run: int) -> Placement:
         """Mark a task as placed on a worker, and return the placement."""
@@ -252,6 +249,6 @@
 
         Failures are counted by run number because a worker may list an end again that an earlier leader has stored.
         """
-        failed = self.failures.setdefault(GANG_INDEX if self.step.gang else index, set())
+        failed = self.failures.setdefault(self.step.shared_index(index), set())
         failed.add(run)
         return len(failed)
--- a/marigoldlift/submissions/done_tasks.py
+++ b/marigoldlift/submissions/done_tasks.py
@@ -1,38 +1,56 @@
-"""Record of tasks that are done, as only an earlier leader was told."""
+"""Record of tasks that are done and of runs that have failed, as only an earlier leader was told."""
 
 from collections.abc import Iterator
 
+import msgspec
+
 from marigoldlift.submissions.model import SubmissionId, TaskRef
 from marigoldlift.submissions.records import Record
 
-__all__ = ('DoneTasks', 'done_tasks_key')
+__all__ = ('DoneTasks', 'ReportedEnd', 'done_tasks_key')
 
 
 def done_tasks_key(submission: SubmissionId, tenure: int) -> str:
-    """Return the key of the record of tasks that only the leader of a tenure was told of."""
+    """Return the key of the record of ends that only the leader of a tenure was told of."""
     return f'e/{submission}/{tenure}'
 
 
+class ReportedEnd(msgspec.Struct, frozen=True):
+    """An end after which a task is done, or has one attempt less.
+
+    Attributes:
+        task: the task, which its submission need not have.
+        failed_run: number of the run that has failed, None if the task is done.
+    """
+
+    task: TaskRef
+    failed_run: int | None = None
+
+
 class DoneTasks(Record, tag='e'):
-    """Tasks that are done, as a leader was told that could not store it during its tenure.
+    """Tasks that are done and runs that have failed, as a leader was told that could not store it during its tenure.
 
-    Any entry that led may write it: a task that is done stays done, whoever leads by now.
+    Any entry that led may write it: a task that is done stays done, and a failed run counts once, whoever leads by now.
 
     Attributes:
         tenure: tenure of that leader.
-        done: the tasks, each by occurrence, step and index.
+        done: the tasks that are done, each by occurrence, step and index.
+        failed: the runs that have failed, each by occurrence, step, index and number; none in records of older versions.
     """
 
     submission: SubmissionId
     tenure: int
     done: list[tuple[int, int, int]]
+    failed: list[tuple[int, int, int, int]] = []
 
     @property
     def key(self) -> str:
         """Return the key under which the record is stored."""
         return done_tasks_key(self.submission, self.tenure)
 
-    def tasks(self) -> Iterator[TaskRef]:
-        """Yield the tasks, which the submission need not have."""
+    def ends(self) -> Iterator[ReportedEnd]:
+        """Yield the ends; a task that is done comes before the failures of its earlier runs."""
         for occurrence, step, index in self.done:
-            yield TaskRef(self.submission, occurrence, step, index)
+            yield ReportedEnd(TaskRef(self.submission, occurrence, step, index))
+        for occurrence, step, index, run in self.failed:
+            yield ReportedEnd(TaskRef(self.submission, occurrence, step, index), run)
--- a/marigoldlift/submissions/job.py
+++ b/marigoldlift/submissions/job.py
@@ -7,7 +7,7 @@
 from marigoldlift.ids import WorkspaceId
 from marigoldlift.scheduling.step_queue import largest_waiting
 from marigoldlift.submissions.access import Owner
-from marigoldlift.submissions.done_tasks import DoneTasks
+from marigoldlift.submissions.done_tasks import DoneTasks, ReportedEnd
 from marigoldlift.submissions.model import Submission
 from marigoldlift.submissions.record_codec import scoped_name
 from marigoldlift.submissions.records import Outcome, Progress, StepProgress
@@ -103,17 +103,20 @@
             self.forget_complete(record.part, kept)
 
     def merge_done(self, record: DoneTasks) -> None:
-        """Mark tasks as done; the end of one member stands for all members of a gang."""
+        """Mark tasks as done and count failed runs; the end of one member stands for all members of a gang."""
         self.reports.add(record.tenure)
-        for task in record.tasks():
-            key = (task.occurrence, task.step)
-            if not self.submission.has_task(task) or key in self.complete:
-                continue
-            step = self.submission.steps[task.step]
-            indices = list(range(step.count)) if step.gang else [task.index]
-            known = self.progress.get(key) or StepProgress(*key)
-            done = sorted({*known.done, *indices})
-            self.progress[key] = msgspec.structs.replace(known, done=done)
+        told: dict[tuple[int, int], StepProgress] = {}
+        for end in record.ends():
+            key = (end.task.occurrence, end.task.step)
+            if self.submission.has_task(end.task) and key not in self.complete:
+                note_end(told.setdefault(key, StepProgress(*key)), self.submission, end)
+        for changed, added in told.items():
+            known = self.progress.get(changed) or StepProgress(*changed)
+            # A report has no placements, and must not hide those that are stored.
+            added.placed = known.placed
+            added.unanswered = known.unanswered
+            added.saved = known.saved
+            self.progress[changed] = merge_step_progress(known, added)
 
     def forget_complete(self, part: int, kept: Container[tuple[int, int]]) -> None:
         """Remove the progress of the complete steps of a part.
@@ -127,6 +130,17 @@
                 self.progress.pop(key)
 
 
+def note_end(progress: StepProgress, submission: Submission, end: ReportedEnd) -> None:
+    """Add a reported end of one of its tasks to the progress of a step."""
+    step = submission.steps[end.task.step]
+    if end.failed_run is None:
+        progress.done.extend(range(step.count) if step.gang else (end.task.index,))
+        return
+    progress.last_run = max(progress.last_run, end.failed_run)
+    failed = progress.failures.setdefault(step.shared_index(end.task.index), [])
+    failed.append(end.failed_run)
+
+
 def merge_step_progress(known: StepProgress | None, added: StepProgress) -> StepProgress:
     """Merge the progress of a step from two records; placements are those of the newer one, which has them all."""
     if known is None:
--- a/marigoldlift/submissions/model.py
+++ b/marigoldlift/submissions/model.py
@@ -19,6 +19,9 @@
 
 SubmissionId = NewType('SubmissionId', str)
 
+#: Index under which the failures and the checkpoint of a whole gang are kept.
+GANG_INDEX = 0
+
 
 class TaskRef(msgspec.Struct, frozen=True, array_like=True):
     """Reference to a task by submission, occurrence, step and index within the step."""
@@ -83,6 +86,10 @@
     fills: bool = False
     may_be_away: int = 0
 
+    def shared_index(self, index: int) -> int:
+        """Return the index under which the failures and the checkpoint of a task are kept; all members of a gang share one."""
+        return GANG_INDEX if self.gang else index
+
 
 class Policy(msgspec.Struct, frozen=True, array_like=True):
     """Configuration of the queue at the time when the submission was accepted."""
--- a/marigoldlift/submissions/tests/test_older_records.py
+++ b/marigoldlift/submissions/tests/test_older_records.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from marigoldlift.submissions.done_tasks import DoneTasks
 from marigoldlift.submissions.model import Policy, Step, Submission, SubmissionId
 from marigoldlift.submissions.record_codec import decode_record, encode_record
 from marigoldlift.submissions.records import Accepted, Leadership
@@ -15,6 +16,7 @@
     [
         Accepted(Submission(SubmissionId('job'), '', (Step(count=1),), POLICY, 'e0')),
         Leadership('node', 'life', 1.0, 'a', 'address'),
+        DoneTasks(SubmissionId('job'), 7, [(0, 1, 2)]),
     ],
 )
 def test_record_without_its_last_field_decodes(record):
