Keep the ends of an earlier tenure in records that replace no other

A task that was done could run again, or a failure not count, although an entry had stored it. Cause: all records of a submission and a tenure had one key (DoneTasks), and the store keeps the newest record of a key. Ends that were told later replaced those that were stored before; so did a second attempt, with ends that had come meanwhile, the record of a first one that had been stored without an answer. Entries that read both keep both; one that starts from the newest records, before a leader has stored the ends as progress, misses the first. Besides, a record of more than 261,000 bytes was refused each time, for good.

Each record has a part number within its key now, 0 for the first, whose key is the earlier one. It is sent unchanged until it is stored or all its ends are known, and holds at most 10,000 ends, of 17 bytes at most. Submissions keep the keys of their reports, so that retention drops each of them.

--- a/marigoldlift/scheduling/done_reports.py
+++ b/marigoldlift/scheduling/done_reports.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Iterator
+import itertools
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from functools import partial
 
 from loguru import logger
@@ -13,7 +15,7 @@
 from marigoldlift.errors import PlatformError
 from marigoldlift.replication.appender import Appender
 from marigoldlift.submissions.done_tasks import DoneTasks, ReportedEnd
-from marigoldlift.submissions.model import TaskRef
+from marigoldlift.submissions.model import SubmissionId, TaskRef
 from marigoldlift.submissions.state import FINAL_OUTCOMES, CellState
 
 __all__ = ('DoneReports', 'UnstoredEnds')
@@ -22,6 +24,9 @@
 WAIT_S = 5
 RETRY_S = 0.2
 
+#: Ends in one record. Each takes 17 bytes at most, so that they fit into the 261,000 of a record.
+MAX_ENDS = 10_000
+
 #: Pause between two checks whether all is stored, in s.
 POLL_INTERVAL_S = 0.02
 
@@ -61,7 +66,10 @@
     """Stores the ends of earlier tenures of this entry as soon as the log takes them.
 
     Attributes:
-        waiting: ends that are not stored yet, by tenure.
+        waiting: ends that are in no record yet, by tenure.
+        records: records that are not stored yet. Each is sent unchanged until it is: the log may hold it already, and a
+            record with other ends under its key would replace it.
+        parts: number of records made so far, by submission and tenure; submissions that have ended are left out.
     """
 
     def __init__(self, state: CellState, appender: Appender) -> None:
@@ -74,6 +82,8 @@
         self.state = state
         self.appender = appender
         self.waiting: dict[int, set[ReportedEnd]] = {}
+        self.records: list[DoneTasks] = []
+        self.parts: Counter[tuple[SubmissionId, int]] = Counter()
         self.arrived = asyncio.Event()
 
     def add(self, tenure: int, ends: Iterable[ReportedEnd]) -> None:
@@ -88,33 +98,52 @@
         while True:
             await self.arrived.wait()
             self.arrived.clear()
-            while self.waiting:
+            while self.waiting or self.records:
                 await self.store_all()
 
     async def wait_until_stored(self, until: float) -> None:
         """Wait until nothing waits any more, at most until a time of the event loop's clock."""
-        while self.waiting and asyncio.get_running_loop().time() < until:
+        while self.waiting or self.records:
+            if asyncio.get_running_loop().time() >= until:
+                return
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def store_all(self) -> None:
         """Try once to store what waits."""
-        records = [record for tenure in self.waiting for record in self.records_of(tenure)]
-        stored = await asyncio.gather(*map(self.store, records))
-        self.waiting = {tenure: ends for tenure, ends in self.waiting.items() if ends}
-        if not all(stored):
+        self.records.extend(self.new_records())
+        self.records = [
+            record for record in self.records if not all(map(self.is_settled, record.ends()))
+        ]
+        stored = await asyncio.gather(*map(self.store, self.records))
+        self.records = [record for record, done in zip(self.records, stored) if not done]
+        if self.records:
             await asyncio.sleep(RETRY_S)
 
-    def records_of(self, tenure: int) -> Iterator[DoneTasks]:
-        """Yield the records of a tenure, and forget the ends that need none."""
-        ends = self.waiting[tenure]
-        ends.difference_update(tuple(end for end in ends if self.is_settled(end)))
-        for submission in sorted({end.task.submission for end in ends}):
-            own = [end for end in ends if end.task.submission == submission]
-            done = sorted(place_of(end.task) for end in own if end.failed_run is None)
-            failed = sorted(
-                (*place_of(end.task), end.failed_run) for end in own if end.failed_run is not None
-            )
-            yield DoneTasks(submission, tenure, done, failed)
+    def new_records(self) -> Iterator[DoneTasks]:
+        """Yield records of the ends that are in none yet, but for those that need none."""
+        waiting = self.waiting
+        self.waiting = {}
+        self.forget_parts()
+        for tenure, ends in waiting.items():
+            unknown = sorted(itertools.filterfalse(self.is_settled, ends), key=order_of)
+            for submission, own in itertools.groupby(unknown, key=submission_of):
+                yield from self.divide(submission, tenure, list(own))
+
+    def divide(
+        self, submission: SubmissionId, tenure: int, ends: Sequence[ReportedEnd]
+    ) -> Iterator[DoneTasks]:
+        """Yield the records of ends of one submission, each with a part number that no other record has."""
+        key = (submission, tenure)
+        for first in range(0, len(ends), MAX_ENDS):
+            part = self.parts[key]
+            self.parts[key] += 1
+            yield record_of(submission, tenure, part, ends[first : first + MAX_ENDS])
+
+    def forget_parts(self) -> None:
+        """Forget the part numbers of submissions that have ended, which get no further records."""
+        for key in tuple(self.parts):
+            if key[0] not in self.state.jobs:
+                self.parts.pop(key)
 
     def is_settled(self, end: ReportedEnd) -> bool:
         """Return whether the submission of a task has ended, or the log tells of the end or that the task is done."""
@@ -147,10 +176,32 @@
             len(record.done),
             len(record.failed),
         )
-        self.waiting[record.tenure].difference_update(record.ends())
         return True
 
 
+def record_of(
+    submission: SubmissionId, tenure: int, part: int, ends: Iterable[ReportedEnd]
+) -> DoneTasks:
+    """Return the record of ends of one submission."""
+    record = DoneTasks(submission, tenure, [], [], part)
+    for end in ends:
+        if end.failed_run is None:
+            record.done.append(place_of(end.task))
+        else:
+            record.failed.append((*place_of(end.task), end.failed_run))
+    return record
+
+
+def submission_of(end: ReportedEnd) -> SubmissionId:
+    """Return the submission of an end."""
+    return end.task.submission
+
+
+def order_of(end: ReportedEnd) -> tuple[SubmissionId, int, int, int, int]:
+    """Return what ends are sorted by, so that the records do not depend on the order in which they were told."""
+    return end.task.submission, *place_of(end.task), end.failed_run or 0
+
+
 def place_of(task: TaskRef) -> tuple[int, int, int]:
     """Return the occurrence, step and index of a task."""
     return task.occurrence, task.step, task.index
--- a/marigoldlift/scheduling/retention.py
+++ b/marigoldlift/scheduling/retention.py
@@ -9,7 +9,6 @@
 from marigoldlift.replication.appender import Appender
 from marigoldlift.scheduling.open_submissions import OpenSubmissions
 from marigoldlift.scheduling.session_manager import SessionManager
-from marigoldlift.submissions.done_tasks import done_tasks_key
 from marigoldlift.submissions.model import SubmissionId
 from marigoldlift.submissions.record_codec import progress_key, scoped_name
 from marigoldlift.submissions.records import Dropped, Finished, Record
@@ -154,5 +153,4 @@
         yield Dropped(f'c/{cancellation}')
     for tenure, part in sorted(job.parts):
         yield Dropped(progress_key(name, tenure, part))
-    for reporter in sorted(job.reports):
-        yield Dropped(done_tasks_key(name, reporter))
+    yield from map(Dropped, sorted(job.reports))
--- a/marigoldlift/submissions/done_tasks.py
+++ b/marigoldlift/submissions/done_tasks.py
@@ -7,12 +7,13 @@
 from marigoldlift.submissions.model import SubmissionId, TaskRef
 from marigoldlift.submissions.records import Record
 
-__all__ = ('DoneTasks', 'ReportedEnd', 'done_tasks_key')
+__all__ = ('DoneTasks', 'ReportedEnd')
 
 
-def done_tasks_key(submission: SubmissionId, tenure: int) -> str:
-    """Return the key of the record of ends that only the leader of a tenure was told of."""
-    return f'e/{submission}/{tenure}'
+def done_tasks_key(submission: SubmissionId, tenure: int, part: int) -> str:
+    """Return the key of a record of ends that only the leader of a tenure was told of; the first part has no number."""
+    whole = f'e/{submission}/{tenure}'
+    return f'{whole}/{part}' if part else whole
 
 
 class ReportedEnd(msgspec.Struct, frozen=True):
@@ -36,17 +37,19 @@
         tenure: tenure of that leader.
         done: the tasks that are done, each by occurrence, step and index.
         failed: the runs that have failed, each by occurrence, step, index and number; none in records of older versions.
+        part: number of the record among those of the submission and the tenure, none of which replaces another one.
     """
 
     submission: SubmissionId
     tenure: int
     done: list[tuple[int, int, int]]
     failed: list[tuple[int, int, int, int]] = []
+    part: int = 0
 
     @property
     def key(self) -> str:
         """Return the key under which the record is stored."""
-        return done_tasks_key(self.submission, self.tenure)
+        return done_tasks_key(self.submission, self.tenure, self.part)
 
     def ends(self) -> Iterator[ReportedEnd]:
         """Yield the ends; a task that is done comes before the failures of its earlier runs."""
--- a/marigoldlift/submissions/job.py
+++ b/marigoldlift/submissions/job.py
@@ -29,7 +29,7 @@
         progress: progress of the steps that have begun, by occurrence and number.
         complete: steps that are complete; they have no progress unless a worker may still hold a task of them.
         parts: parts of its progress that leaders have stored, with their tenures.
-        reports: tenures of the leaders of which a `DoneTasks` record was read.
+        reports: keys of the `DoneTasks` records that were read.
     """
 
     __slots__ = (
@@ -63,7 +63,7 @@
         self.complete = StepSet(len(submission.steps), submission.occurrences)
         self.largest_waiting = largest_waiting(submission)
         self.parts: set[tuple[int, int]] = set()
-        self.reports: set[int] = set()
+        self.reports: set[str] = set()
         self.final_at: float | None = None
 
     @property
@@ -104,7 +104,7 @@
 
     def merge_done(self, record: DoneTasks) -> None:
         """Mark tasks as done and count failed runs; the end of one member stands for all members of a gang."""
-        self.reports.add(record.tenure)
+        self.reports.add(record.key)
         told: dict[tuple[int, int], StepProgress] = {}
         for end in record.ends():
             key = (end.task.occurrence, end.task.step)
--- a/marigoldlift/submissions/state.py
+++ b/marigoldlift/submissions/state.py
@@ -9,7 +9,7 @@
 from marigoldlift.errors import MalformedMessageError
 from marigoldlift.ids import WorkspaceId
 from marigoldlift.submissions.access import Caller
-from marigoldlift.submissions.done_tasks import DoneTasks, done_tasks_key
+from marigoldlift.submissions.done_tasks import DoneTasks
 from marigoldlift.submissions.job import FINAL_OUTCOMES, FinishedJob, Job
 from marigoldlift.submissions.model import Submission, SubmissionId
 from marigoldlift.submissions.records import (
@@ -199,10 +199,7 @@
             # After a restart the acceptance of another workspace may be read first.
             rejected = scoped_name(record.submission, ended.submission.workspace)
             self.rejected_acceptances.add(rejected)
-        reports = ended.reports if ended else ()
-        self.obsolete_reports.update(
-            done_tasks_key(record.submission, tenure) for tenure in reports
-        )
+        self.obsolete_reports.update(ended.reports if ended else ())
         early = self.early_records.pop(record.submission, ())
         self.obsolete_reports.update(one.key for one in early if isinstance(one, DoneTasks))
         self.finished[record.submission] = FinishedJob(
--- a/marigoldlift/submissions/tests/test_older_records.py
+++ b/marigoldlift/submissions/tests/test_older_records.py
@@ -25,3 +25,16 @@
     last = fields[-1] if isinstance(record, Accepted) else fields
     last.pop()
     assert decode_record(msgspec.msgpack.encode(fields)) == record
+
+
+def test_report_without_failures_and_part_decodes():
+    """Guards against ends that are dropped because the entry that has stored them runs a version without both fields."""
+    stored = msgspec.msgpack.encode(['e', 'job', 7, [[0, 1, 2]]])
+    assert decode_record(stored) == DoneTasks(SubmissionId('job'), 7, [(0, 1, 2)])
+
+
+def test_report_with_a_further_field_decodes():
+    """Guards against the same for an entry that runs an older version than the one that has stored them."""
+    report = DoneTasks(SubmissionId('job'), 7, [(0, 1, 2)])
+    fields = msgspec.msgpack.decode(encode_record(report))
+    assert decode_record(msgspec.msgpack.encode([*fields, 'further'])) == report
