Refuse callers once a newer configuration has been known for config_apply_ms, not since the last empty read

Found by the review: the age counted from when the last read was sent that had found nothing newer, which is up to 1.1 s before the newer version was stored, so that entries behind 5 Mbit/s refused all callers from 0.7 s on while they read 0.8 MB. It counts from when the newer version is known. The test of withdrawn keys waits until it is known, then for config_apply_ms as before; both tests of test_outdated_configurations.py are red before.

--- a/marigoldlift/platform/configuration.py
+++ b/marigoldlift/platform/configuration.py
@@ -173,7 +173,8 @@
 
     def is_outdated(self) -> bool:
         """Return whether the store is known to hold a newer configuration, for so long that it should be in force."""
-        return self.replica.is_behind() and self.may_be_stale()
+        since = self.replica.contact.behind_since
+        return since is not None and self.clock() - since > self.unknown_after_s
 
     def are_keys_expired(self) -> bool:
         """Return whether any key may have been withdrawn for so long that it must not be accepted."""
