Bound what a slow read costs a claim of the leadership

A new leader waited for the read after its claim before it renewed (4.34 s with reads of 4 s; followers wait for 0.7 s), and an entry that had measured such a read did not claim for four times as long.

--- a/marigoldlift/leadership/election.py
+++ b/marigoldlift/leadership/election.py
@@ -27,6 +27,12 @@
 #: Multiple of the store's latency added to that time: a renewal waits for the batch in progress and is then read.
 LATENCY_FACTOR = 4
 
+#: Longest duration of a read of the log that counts, in s: one over a narrow link may last longer.
+MAX_READ_S = 0.8
+
+#: Longest wait for the read after a claim, in s, so that the next renewal is in time.
+CLAIM_READ_S = 0.3
+
 #: Added to that time after an outage of the log, in s: a leader may notice up to 0.75 s later than another entry
 #: that the log answers again, because of the pause and the time-out of its probes.
 RECOVERY_GRACE_S = 0.6
@@ -273,14 +279,15 @@
             return
         if self.should_claim():
             await self.write(renews=None)
-            with contextlib.suppress(LogUnavailableError):
-                await self.replica.synchronize()
+            with contextlib.suppress(LogUnavailableError, TimeoutError):
+                async with asyncio.timeout(CLAIM_READ_S):
+                    await self.replica.synchronize()
 
     async def read_log(self) -> None:
         """Read the log to its end, and record how long that takes."""
         started_at = self.clock()
         await self.replica.synchronize()
-        self.read_s = self.clock() - started_at
+        self.read_s = min(self.clock() - started_at, MAX_READ_S)
 
     async def write(self, *, renews: int | None, released: bool = False) -> None:
         """Store a leadership record; it takes effect when it is read back.
