Let a read for another entry last as long as its answer arrives

Found by the review: an entry behind 5 Mbit/s that read a configuration of 0.8 MB for itself and for another one answered the latter 502 after 2 s, and the other began anew at a third one: the cause of the incident, on the relayed route. Appends keep their limit. test_relayed_read_lasts_as_long_as_its_answer_arrives is red before.

--- a/marigoldlift/platform/store_route.py
+++ b/marigoldlift/platform/store_route.py
@@ -31,6 +31,9 @@
 #: How long an entry is avoided after it could not relay a call, in s.
 PEER_BACKOFF_S = 2.0
 
+#: How much longer a relayed read may last while parts of its answer arrive, in s.
+RELAY_PATIENCE_S = 6.0
+
 #: Entries that are probed in parallel in the search for a relay; they are rarely cut off as well.
 PEERS_PER_SEARCH = 3
 
@@ -307,7 +310,8 @@
         """
         if not self.is_direct:
             return Reply(UNAVAILABLE, b'')
+        idle_timeout_s, patience_s = (wait_s, RELAY_PATIENCE_S) if method == 'GET' else (None, 0)
         try:
-            return await self.call_direct(method, path, body, wait_s)
+            return await self.call_direct(method, path, body, wait_s, idle_timeout_s, patience_s)
         except CallUnansweredError as fault:
             return Reply(BAD_GATEWAY if fault.was_sent else UNAVAILABLE, b'')
