--- a/marigoldlift/submissions/acceptance.py
+++ b/marigoldlift/submissions/acceptance.py
@@ -255,11 +255,12 @@
         same way, so that the answer tells nothing, and has no effect.
         """
         record = Cancelled(submission, caller)
+        until = self.clock() + timeout_s
         try:
             async with asyncio.timeout(timeout_s):
                 known = await self.is_known(submission, caller)
             if self.needs_cancellation(record):
-                await self.store_record(record, timeout_s)
+                await self.store_record(record, max(0, until - self.clock()))
         except AppendRefusedError as refusal:
             logger.info('cancellation refused: submission={} {}', submission, refusal.reason)
             return AcceptanceResult.refused
