--- a/tests/cell/test_late_orders.py
+++ b/tests/cell/test_late_orders.py
@@ -327,3 +327,30 @@
         assert any(worker.held for worker in cell.workers.values())
 
     run_scenario(scenario, workers=2, seed=seed)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_two_late_starts_of_a_lasting_task_do_not_run_beside_each_other(run_scenario, seed):
+    """Guards against TWICE: after a failure the task is ordered again at the worker to which a copy of its first start is under way.
+
+    If that worker restarts, it executes both late, and a run with a higher number and a higher token starts beside the first.
+    """
+
+    async def scenario(cell):
+        await asyncio.sleep(ELECTION_S)
+        set_task_duration(cell, 1000)
+        sent_to = delay_next_start(cell, 6)
+        steps = (Step(count=1, cpu_m=1000, long_running=True),)
+        await cell.submit(cell.leader(), 'job', steps)
+        await asyncio.sleep(2)
+        assert cell.workers[sent_to[0]].held
+        delay_next_start(cell, 5)
+        fail_runs(cell)
+        await asyncio.sleep(0.6)
+        restart_unseen(cell, sent_to[0])
+        await asyncio.sleep(7)
+        reconnect(cell)
+        await asyncio.sleep(SETTLED_S)
+        assert any(worker.held for worker in cell.workers.values())
+
+    run_scenario(scenario, seed=seed, workers=3)
