--- a/marigoldlift/replication/tests/test_replica.py
+++ b/marigoldlift/replication/tests/test_replica.py
@@ -89,6 +89,17 @@
     assert not replica.failing
 
 
+async def read_snapshot(client):
+    """Let a new replica read its snapshot, and return the records."""
+    seen = []
+    clock = asyncio.get_running_loop().time
+    replica = Replica(client, seen.append, clock, PACE_S, FaultBoundary(clock, Metrics()))
+    running = asyncio.create_task(replica.run())
+    await replica.ready.wait()
+    running.cancel()
+    return seen
+
+
 async def test_interrupted_snapshot_goes_on_with_the_page_that_failed(client, monkeypatch):
     """Guards against an entry behind a narrow link that begins its snapshot anew after each failed page."""
     client.log.store([(f'k{number}', b'1') for number in range(20)])
@@ -103,12 +114,7 @@
         raise LogUnavailableError('lost')
 
     monkeypatch.setattr(client, 'newest', fail_each_second)
-    seen = []
-    clock = asyncio.get_running_loop().time
-    replica = Replica(client, seen.append, clock, PACE_S, FaultBoundary(clock, Metrics()))
-    running = asyncio.create_task(replica.run())
-    await replica.ready.wait()
-    running.cancel()
+    seen = await read_snapshot(client)
     assert len(seen) == 21
     assert asked.count('') == 1
 
@@ -122,12 +128,7 @@
         return pages.pop() if pages else await read_page(after)
 
     monkeypatch.setattr(client, 'newest', give_empty_page_first)
-    seen = []
-    clock = asyncio.get_running_loop().time
-    replica = Replica(client, seen.append, clock, PACE_S, FaultBoundary(clock, Metrics()))
-    running = asyncio.create_task(replica.run())
-    await replica.ready.wait()
-    running.cancel()
+    seen = await read_snapshot(client)
     assert [stored.key for stored in seen] == ['a']
 
 
